--- /dev/null
+++ b/src/admin/commands.cpp
@@ -0,0 +1,231 @@
+#include "admin/commands.h"
+
+#include <algorithm>
+
+#include "io/json_reader.h"
+#include "node/platform_sync.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr std::size_t MOST_OPERATIONS = 64;
+
+/// Tries at a conditional write that others keep winning.
+constexpr int MOST_TRIES = 5;
+
+Json draft_document(const Draft& draft) {
+    return {{"base_generation", draft.base_generation},
+            {"configuration", to_document(draft.configuration)}};
+}
+
+Result<Draft> draft_from(const Json& document) {
+    try {
+        JsonReader reader(document, "draft");
+        Draft draft;
+        draft.base_generation = reader.integer("base_generation", 0, INT64_MAX);
+        const Result<Configuration> configuration =
+            configuration_from(reader.member("configuration"));
+        if (!has_value(configuration)) {
+            return error_of(configuration);
+        }
+        draft.configuration = value_of(configuration);
+        return draft;
+    } catch (const UserError& error) {
+        return Error{ErrorCode::invalid_input, error.what(), "draft"};
+    }
+}
+
+void remember(Configuration& configuration, const std::string& operation) {
+    configuration.applied_operations.push_back(operation);
+    if (configuration.applied_operations.size() > MOST_OPERATIONS) {
+        configuration.applied_operations.erase(configuration.applied_operations.begin());
+    }
+}
+
+bool contains(const std::vector<std::string>& names, const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Writes the generation; after a lost confirmation the stored operations tell whether it counts.
+Result<Done> write_confirmed(PlatformClient& platform, const StoredConfiguration& base,
+                             const Configuration& next, const std::string& operation) {
+    const Result<Done> written = write_configuration(platform, base, next);
+    if (has_value(written) || error_of(written).code == ErrorCode::conflict) {
+        return written;
+    }
+    const Result<StoredConfiguration> stored = read_configuration(platform);
+    if (!has_value(stored)) {
+        return Error{ErrorCode::unavailable,
+                     "the platform did not confirm; look at the history before trying again",
+                     std::to_string(next.generation)};
+    }
+    if (contains(value_of(stored).configuration.applied_operations, operation)) {
+        return Done{};
+    }
+    return Error{ErrorCode::conflict, "the write did not take effect",
+                 std::to_string(next.generation)};
+}
+
+Error conflict_with(const StoredConfiguration& stored, const Draft& draft,
+                    const std::vector<Change>& changes) {
+    std::string text = "generation " + std::to_string(stored.configuration.generation) +
+                       " was accepted after the draft was begun over generation " +
+                       std::to_string(draft.base_generation) + "; it changed";
+    for (const Change& change : changes) {
+        text += " " + change.where + " from " + change.before + " to " + change.after + ";";
+    }
+    return {ErrorCode::conflict, text, std::to_string(draft.base_generation)};
+}
+
+}  // namespace
+
+Result<Draft> read_draft(PlatformClient& platform) {
+    const PlatformRead read = platform.read(DRAFT_OBJECT);
+    if (read.status == PlatformStatus::absent) {
+        return Error{ErrorCode::not_found, "there is no draft", DRAFT_OBJECT};
+    }
+    if (read.status != PlatformStatus::done) {
+        return Error{ErrorCode::unavailable, "the platform does not answer", DRAFT_OBJECT};
+    }
+    const Result<Json> document = parse_json(read.object.value, DRAFT_OBJECT);
+    return has_value(document) ? draft_from(value_of(document)) : Result<Draft>(error_of(document));
+}
+
+Commands::Commands(NodeState& state, PlatformClient& platform, std::function<void()> spread)
+    : m_state(state), m_platform(platform), m_spread(std::move(spread)), m_random(process_seed()) {}
+
+Result<Json> Commands::put_draft(const std::string& text) {
+    const Result<Json> document = parse_json(text, "draft");
+    if (!has_value(document)) {
+        return error_of(document);
+    }
+    const Result<Configuration> configuration = configuration_from(value_of(document));
+    if (!has_value(configuration)) {
+        return error_of(configuration);
+    }
+    const Result<StoredConfiguration> base = read_configuration(m_platform);
+    if (!has_value(base)) {
+        return error_of(base);
+    }
+    Draft draft;
+    draft.configuration = value_of(configuration);
+    draft.base_generation = draft.configuration.generation;
+    const PlatformRead old = m_platform.read(DRAFT_OBJECT);
+    if (old.status == PlatformStatus::unknown) {
+        return Error{ErrorCode::unavailable, "the platform does not answer", DRAFT_OBJECT};
+    }
+    const PlatformWrite write =
+        m_platform.write(DRAFT_OBJECT, old.object.version, draft_document(draft).dump());
+    if (write.status == PlatformStatus::conflict) {
+        return Error{ErrorCode::conflict, "another operator stored a draft at the same moment",
+                     DRAFT_OBJECT};
+    }
+    if (write.status != PlatformStatus::done) {
+        return Error{ErrorCode::unavailable, "the platform did not confirm the draft",
+                     DRAFT_OBJECT};
+    }
+    return Json{{"base_generation", draft.base_generation},
+                {"changes",
+                 to_document(changes_between(value_of(base).configuration, draft.configuration))}};
+}
+
+Result<Json> Commands::accept() {
+    const Result<Draft> draft = read_draft(m_platform);
+    if (!has_value(draft)) {
+        return error_of(draft);
+    }
+    const Result<StoredConfiguration> base = read_configuration(m_platform);
+    if (!has_value(base)) {
+        return error_of(base);
+    }
+    const Configuration& stored = value_of(base).configuration;
+    if (stored.generation != value_of(draft).base_generation) {
+        const PlatformRead old =
+            m_platform.read(HISTORY_PREFIX + std::to_string(value_of(draft).base_generation));
+        Configuration before;
+        const Result<Json> document = parse_json(old.object.value, "history");
+        if (old.status == PlatformStatus::done && has_value(document)) {
+            const Result<Configuration> parsed = configuration_from(value_of(document));
+            before = has_value(parsed) ? value_of(parsed) : before;
+        }
+        return conflict_with(value_of(base), value_of(draft), changes_between(before, stored));
+    }
+    Configuration next = value_of(draft).configuration;
+    next.generation = stored.generation + 1;
+    next.applied_operations = stored.applied_operations;
+    next.out_data_centres = stored.out_data_centres;
+    next.out_hosts = stored.out_hosts;
+    const std::string operation = new_operation();
+    remember(next, operation);
+    const Result<Done> written = write_confirmed(m_platform, value_of(base), next, operation);
+    if (!has_value(written)) {
+        return error_of(written);
+    }
+    return publish(next);
+}
+
+Result<Json> Commands::take_out(bool is_data_centre, const std::string& name) {
+    const PendingTakeOut take_out{new_operation(), is_data_centre, name};
+    m_state.change_knowledge([&take_out](ClusterKnowledge& knowledge, SuspicionList&) {
+        return add_pending(knowledge, take_out);
+    });
+    m_spread();
+    for (int attempt = 0; attempt < MOST_TRIES; ++attempt) {
+        const Result<Done> stored = store_take_out(m_platform, take_out);
+        if (has_value(stored)) {
+            const Result<StoredConfiguration> now = read_configuration(m_platform);
+            return has_value(now) ? publish(value_of(now).configuration)
+                                  : Result<Json>(Json{{"stored", true}});
+        }
+        if (error_of(stored).code == ErrorCode::unavailable) {
+            break;
+        }
+    }
+    return Json{{"stored", false},
+                {"message",
+                 "in force by word of mouth between nodes; stored once the platform "
+                 "answers"}};
+}
+
+Result<Json> Commands::bring_back(bool is_data_centre, const std::string& name) {
+    for (int attempt = 0; attempt < MOST_TRIES; ++attempt) {
+        const Result<StoredConfiguration> base = read_configuration(m_platform);
+        if (!has_value(base)) {
+            return error_of(base);
+        }
+        Configuration next = value_of(base).configuration;
+        std::vector<std::string>& out = is_data_centre ? next.out_data_centres : next.out_hosts;
+        if (!contains(out, name)) {
+            return Error{ErrorCode::not_found, "is not out of service", name};
+        }
+        std::erase(out, name);
+        ++next.generation;
+        const std::string operation = new_operation();
+        remember(next, operation);
+        const Result<Done> written = write_confirmed(m_platform, value_of(base), next, operation);
+        if (has_value(written)) {
+            return publish(next);
+        }
+        if (error_of(written).code != ErrorCode::conflict) {
+            return error_of(written);
+        }
+    }
+    return Error{ErrorCode::conflict, "other changes keep coming first; try again", name};
+}
+
+Result<Json> Commands::publish(const Configuration& accepted) {
+    m_platform.write(HISTORY_PREFIX + std::to_string(accepted.generation), 0,
+                     to_document(accepted).dump());
+    m_state.change_knowledge([&accepted](ClusterKnowledge& knowledge, SuspicionList&) {
+        return adopt(knowledge, accepted);
+    });
+    m_spread();
+    return Json{{"stored", true}, {"generation", accepted.generation}};
+}
+
+std::string Commands::new_operation() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return random_id(m_random);
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/base/random.h
@@ -0,0 +1,23 @@
+// The random source that decisions are given, seeded by whoever drives them.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace ebonymount {
+
+using Random = std::mt19937_64;
+
+/// Uniform number in [0, 1).
+inline double uniform(Random& random) {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
+/// 16 hexadecimal digits, for identifiers that must differ between processes.
+std::string random_id(Random& random);
+
+/// A seed that differs between processes and starts.
+std::uint64_t process_seed();
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,29 @@
+// Time as the decision modules see it: a point on a monotonic clock, passed in by the caller.
+//
+// Decisions never read a clock, so the same code runs in real and in virtual time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace ebonymount {
+
+using Duration = std::chrono::microseconds;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// The monotonic clock of this host, for the shells around the decisions.
+inline Time monotonic_now() {
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+/// Whole and fractional milliseconds of a duration, for reports.
+inline double to_ms(Duration duration) {
+    return static_cast<double>(duration.count()) / 1000.0;
+}
+
+/// Duration of a number of milliseconds.
+constexpr Duration from_ms(std::int64_t milliseconds) {
+    return std::chrono::duration_cast<Duration>(std::chrono::milliseconds(milliseconds));
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/base/verdict.h
@@ -0,0 +1,25 @@
+// Says whether a request may have run at a target.
+//
+// The verdict is made where the evidence is (the socket to the target) and travels unchanged to
+// the caller. `not_run` needs evidence: the request was never sent, or the target refused it
+// before it started. Everything unknown is `may_have_run`.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace ebonymount {
+
+enum class Verdict : std::uint8_t { not_run, ran, may_have_run };
+
+/// Name of the verdict as callers see it.
+std::string_view name_of(Verdict verdict);
+
+/// Parses a name made by `name_of`.
+std::optional<Verdict> parse_verdict(std::string_view name);
+
+/// The verdict over several attempts of one request: any run counts, then any doubt.
+Verdict combine(Verdict left, Verdict right);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/cluster/exchange.cpp
@@ -0,0 +1,327 @@
+#include "cluster/exchange.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace ebonymount {
+namespace {
+
+/// Nodes of a data centre that watch the platform.
+constexpr std::size_t WATCHERS_PER_DATA_CENTRE = 2;
+
+/// Seat news is repeated to peers for this long after a change.
+constexpr Duration SEAT_NEWS_AGE = from_ms(15000);
+
+/// A peer that was silent for longer is not counted on as a watcher.
+constexpr Duration PEER_SILENCE = from_ms(10000);
+
+/// Longest time by which the platform's host list lags behind the hosts.
+constexpr Duration HOST_LIST_LAG = from_ms(60000);
+
+constexpr std::size_t MOST_NOTICES = 64;
+
+template <typename T>
+bool contains(const std::vector<T>& items, const T& item) {
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+void drop_stored(ClusterKnowledge& knowledge) {
+    const std::vector<std::string>& applied = knowledge.configuration.applied_operations;
+    const auto is_stored = [&applied](const PendingTakeOut& take_out) {
+        return contains(applied, take_out.operation);
+    };
+    std::erase_if(knowledge.pending, is_stored);
+}
+
+bool is_newer(const SeatRecord& record, const SeatRecord& known) {
+    if (record.epoch != known.epoch) {
+        return record.epoch > known.epoch;
+    }
+    return record.renewal > known.renewal;
+}
+
+bool affects_routing(const SeatRecord& before, const SeatRecord& after) {
+    return before.epoch != after.epoch || before.released != after.released;
+}
+
+bool was_heard(const ClusterKnowledge& knowledge, const std::string& host, Time now) {
+    const auto found = knowledge.heard_from.find(host);
+    return found != knowledge.heard_from.end() && now - found->second < PEER_SILENCE;
+}
+
+bool is_fresh(const ClusterKnowledge& knowledge, const std::string& seat, Time now) {
+    const auto found = knowledge.seat_changed.find(seat);
+    return found != knowledge.seat_changed.end() && now - found->second < SEAT_NEWS_AGE;
+}
+
+void add_seat_news(const ClusterKnowledge& knowledge, bool all, Time now, Exchange& exchange) {
+    for (const auto& [seat, record] : knowledge.seats) {
+        if (all || is_fresh(knowledge, seat, now)) {
+            exchange.seats.push_back({seat, record});
+        }
+    }
+}
+
+/// Notes the sender, unless a later incarnation of it has been heard already.
+void hear(ClusterKnowledge& knowledge, const Exchange& exchange, Time now) {
+    const Peer& from = exchange.from;
+    Peer& known = knowledge.peers[from.host];
+    if (from.node.empty() || from.incarnation < known.incarnation) {
+        return;
+    }
+    const bool leaving = known.leaving;
+    known = from;
+    known.leaving = known.leaving || leaving;
+    knowledge.heard_from[from.host] = now;
+    knowledge.left_seats[from.node] = exchange.left_seats;
+}
+
+void add_documents(const ClusterKnowledge& knowledge, const Exchange& other, Exchange& exchange) {
+    if (other.generation < knowledge.configuration.generation) {
+        exchange.configuration = knowledge.configuration;
+    }
+    for (const auto& [service, placement] : knowledge.placements) {
+        const auto theirs = other.placement_versions.find(service);
+        if (theirs == other.placement_versions.end() || theirs->second < placement.version) {
+            exchange.placements.push_back(placement);
+        }
+    }
+}
+
+/// True when a later incarnation was heard from the node's host: the old process has ended, because
+/// both would need the same address.
+bool is_replaced(const ClusterKnowledge& knowledge, const std::string& node) {
+    const auto found = knowledge.peers.find(host_of(node));
+    return found != knowledge.peers.end() && !found->second.node.empty() &&
+           found->second.node != node;
+}
+
+}  // namespace
+
+std::string node_name(const std::string& host, std::int64_t incarnation) {
+    return host + "#" + std::to_string(incarnation);
+}
+
+std::string host_of(const std::string& node) {
+    return node.substr(0, node.find('#'));
+}
+
+bool adopt(ClusterKnowledge& knowledge, const Configuration& configuration) {
+    if (configuration.generation <= knowledge.configuration.generation) {
+        return false;
+    }
+    knowledge.configuration = configuration;
+    drop_stored(knowledge);
+    return true;
+}
+
+bool adopt(ClusterKnowledge& knowledge, const Placement& placement) {
+    Placement& known = knowledge.placements[placement.service];
+    if (placement.version <= known.version) {
+        return false;
+    }
+    known = placement;
+    return true;
+}
+
+bool adopt(ClusterKnowledge& knowledge, const std::string& seat, const SeatRecord& record,
+           Time now) {
+    SeatRecord& known = knowledge.seats[seat];
+    if (!is_newer(record, known)) {
+        return false;
+    }
+    const bool affects = affects_routing(known, record);
+    known = record;
+    if (affects) {
+        knowledge.seat_changed[seat] = now;
+    }
+    return affects;
+}
+
+bool add_pending(ClusterKnowledge& knowledge, const PendingTakeOut& take_out) {
+    if (contains(knowledge.configuration.applied_operations, take_out.operation) ||
+        contains(knowledge.pending, take_out)) {
+        return false;
+    }
+    knowledge.pending.push_back(take_out);
+    return true;
+}
+
+void adopt_hosts(ClusterKnowledge& knowledge, const std::vector<Peer>& hosts, Time now) {
+    if (hosts.empty()) {
+        return;
+    }
+    std::map<std::string, Peer> peers;
+    knowledge.leaving_hosts.clear();
+    for (const Peer& listed : hosts) {
+        if (listed.leaving) {
+            knowledge.leaving_hosts.insert(listed.host);
+        }
+        if (!listed.address.empty()) {
+            const auto known = knowledge.peers.find(listed.host);
+            peers[listed.host] = known == knowledge.peers.end() ? listed : known->second;
+            peers[listed.host].leaving = listed.leaving;
+        }
+    }
+    // The list lags, so a node that was heard lately stays although it is not listed.
+    for (const auto& [host, peer] : knowledge.peers) {
+        if (was_heard(knowledge, host, now)) {
+            peers.try_emplace(host, peer);
+        }
+    }
+    knowledge.peers = std::move(peers);
+}
+
+bool merge(ClusterKnowledge& knowledge, SuspicionList& suspicions, const Exchange& exchange,
+           Time now) {
+    bool affected = false;
+    hear(knowledge, exchange, now);
+    if (exchange.configuration.has_value()) {
+        affected = adopt(knowledge, *exchange.configuration) || affected;
+    }
+    for (const Placement& placement : exchange.placements) {
+        affected = adopt(knowledge, placement) || affected;
+    }
+    for (const SeatNews& news : exchange.seats) {
+        affected = adopt(knowledge, news.seat, news.record, now) || affected;
+    }
+    for (const PendingTakeOut& take_out : exchange.pending) {
+        affected = add_pending(knowledge, take_out) || affected;
+    }
+    for (const SuspicionNotice& notice : exchange.suspicions) {
+        merge_notice(suspicions, notice, now);
+    }
+    return affected;
+}
+
+Exchange make_exchange(const ClusterKnowledge& knowledge, const SuspicionList& suspicions,
+                       const Peer& self, const std::vector<SeatLeft>& left_seats,
+                       const Exchange* other, Time now) {
+    Exchange exchange;
+    exchange.from = self;
+    exchange.generation = knowledge.configuration.generation;
+    for (const auto& [service, placement] : knowledge.placements) {
+        exchange.placement_versions[service] = placement.version;
+    }
+    exchange.left_seats = left_seats;
+    exchange.pending = knowledge.pending;
+    exchange.suspicions = notices(suspicions, MOST_NOTICES, now);
+    exchange.wants_everything = knowledge.seats.empty();
+    add_seat_news(knowledge, other != nullptr && other->wants_everything, now, exchange);
+    if (other != nullptr) {
+        add_documents(knowledge, *other, exchange);
+    }
+    return exchange;
+}
+
+std::vector<Peer> choose_peers(const ClusterKnowledge& knowledge, const Peer& self,
+                               std::size_t count, Random& random) {
+    std::vector<Peer> near;
+    std::vector<Peer> all;
+    for (const auto& [host, peer] : knowledge.peers) {
+        if (host == self.host) {
+            continue;
+        }
+        all.push_back(peer);
+        if (peer.data_centre == self.data_centre) {
+            near.push_back(peer);
+        }
+    }
+    std::shuffle(near.begin(), near.end(), random);
+    std::shuffle(all.begin(), all.end(), random);
+    std::vector<Peer> chosen;
+    if (!near.empty()) {
+        chosen.push_back(near.front());
+    }
+    for (const Peer& peer : all) {
+        if (chosen.size() < count && !contains(chosen, peer)) {
+            chosen.push_back(peer);
+        }
+    }
+    return chosen;
+}
+
+std::vector<std::string> live_nodes(const ClusterKnowledge& knowledge, const Peer& self, Time now) {
+    std::vector<std::string> nodes{self.node};
+    for (const auto& [host, peer] : knowledge.peers) {
+        const bool candidate = peer.data_centre == self.data_centre && host != self.host &&
+                               !peer.leaving && !peer.node.empty();
+        if (candidate && was_heard(knowledge, host, now)) {
+            nodes.push_back(peer.node);
+        }
+    }
+    return nodes;
+}
+
+bool is_platform_watcher(const ClusterKnowledge& knowledge, const Peer& self, Time now) {
+    const std::vector<std::string> order =
+        rendezvous_order("watch", live_nodes(knowledge, self, now));
+    const auto found = std::find(order.begin(), order.end(), self.node);
+    return static_cast<std::size_t>(found - order.begin()) < WATCHERS_PER_DATA_CENTRE;
+}
+
+bool is_isolated(const ClusterKnowledge& knowledge, const Peer& self, Duration limit, Time now) {
+    if (knowledge.platform_heard.has_value() && now - *knowledge.platform_heard < limit) {
+        return false;
+    }
+    bool knows_peer = false;
+    for (const auto& [host, peer] : knowledge.peers) {
+        if (host == self.host) {
+            continue;
+        }
+        knows_peer = true;
+        const auto heard = knowledge.heard_from.find(host);
+        if (heard != knowledge.heard_from.end() && now - heard->second < limit) {
+            return false;
+        }
+    }
+    return knows_peer;
+}
+
+void note_missing(ClusterKnowledge& knowledge, const std::vector<SeatUse>& uses, Time now) {
+    for (const SeatUse& use : uses) {
+        const std::string host = host_of(use.node);
+        const bool present = knowledge.peers.count(host) > 0 || was_heard(knowledge, host, now);
+        if (present) {
+            knowledge.missing_since.erase(use.node);
+        } else {
+            knowledge.missing_since.try_emplace(use.node, now);
+        }
+    }
+}
+
+std::vector<SeatUse> known_gone(const ClusterKnowledge& knowledge, const std::string& seat,
+                                const std::vector<SeatUse>& uses, Time now) {
+    std::vector<SeatUse> gone;
+    for (const SeatUse& use : uses) {
+        const auto missing = knowledge.missing_since.find(use.node);
+        const bool long_missing =
+            missing != knowledge.missing_since.end() && now - missing->second >= HOST_LIST_LAG;
+        const auto left = knowledge.left_seats.find(use.node);
+        const bool says_left =
+            left != knowledge.left_seats.end() && contains(left->second, SeatLeft{seat, use.epoch});
+        if (long_missing || says_left || is_replaced(knowledge, use.node)) {
+            gone.push_back(use);
+        }
+    }
+    return gone;
+}
+
+RoutingView make_view(const ClusterKnowledge& knowledge) {
+    RoutingView view;
+    view.configuration = knowledge.configuration;
+    view.placements = knowledge.placements;
+    view.seats = knowledge.seats;
+    view.leaving_hosts = knowledge.leaving_hosts;
+    for (const PendingTakeOut& take_out : knowledge.pending) {
+        if (take_out.is_data_centre) {
+            view.pending_out_data_centres.insert(take_out.name);
+        } else {
+            view.pending_out_hosts.insert(take_out.name);
+        }
+    }
+    return view;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/documents.cpp
@@ -0,0 +1,466 @@
+#include "io/documents.h"
+
+#include <limits>
+
+#include "base/check.h"
+#include "io/json_reader.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr std::int64_t ANY = std::numeric_limits<std::int64_t>::max();
+
+/// Runs a reader function and turns what it throws into an error.
+template <typename T, typename Read>
+Result<T> read_document(const Json& document, const std::string& what, Read read) {
+    try {
+        return read(document);
+    } catch (const UserError& error) {
+        return Error{ErrorCode::invalid_input, what + ": " + error.what(), what};
+    } catch (const Json::exception& error) {
+        return Error{ErrorCode::invalid_input, what + ": " + error.what(), what};
+    }
+}
+
+void read_cell(const Json& cell, const Column& column, const std::string& path, ServiceRow& row) {
+    if (cell.is_number_integer()) {
+        row.*column.member = cell.get<std::int64_t>();
+        return;
+    }
+    JsonReader reader(cell, path);
+    row.*column.member = reader.integer("value", -ANY, ANY);
+    const std::string protects = reader.text_or("protects", column.protects);
+    if (protects != column.protects) {
+        row.reasons[column.name] = protects;
+    }
+    const std::string unit = reader.text_or("unit", column.unit);
+    user_check(unit == column.unit)
+        << path << ".unit is " << unit << ", allowed is " << column.unit;
+    reader.finish();
+}
+
+ServiceRow read_row(const Json& document) {
+    JsonReader reader(document, "row");
+    ServiceRow row;
+    row.service = reader.text("service");
+    JsonReader cells(reader.member("cells"), row.service);
+    for (const Column& column : columns()) {
+        const Json* cell = cells.find(column.name);
+        if (cell != nullptr) {
+            read_cell(*cell, column, row.service + "." + column.name, row);
+        }
+    }
+    cells.finish();
+    reader.finish();
+    return row;
+}
+
+Configuration read_configuration(const Json& document) {
+    JsonReader reader(document, "");
+    Configuration configuration;
+    configuration.generation = reader.integer_or("generation", 0, ANY, 0);
+    for (const Json& row : reader.array("table")) {
+        configuration.rows.push_back(read_row(row));
+    }
+    configuration.out_data_centres = reader.texts("out_data_centres");
+    configuration.out_hosts = reader.texts("out_hosts");
+    configuration.seats_per_data_centre =
+        reader.integer_or("seats_per_data_centre", 1, 1000, configuration.seats_per_data_centre);
+    configuration.applied_operations = reader.texts("applied_operations");
+    reader.finish();
+    const Result<Done> checked = check_configuration(configuration);
+    user_check(has_value(checked)) << describe(error_of(checked));
+    return configuration;
+}
+
+Json row_document(const ServiceRow& row) {
+    Json cells = Json::object();
+    for (const Column& column : columns()) {
+        cells[column.name] = {{"value", row.*column.member},
+                              {"unit", column.unit},
+                              {"protects", protection_of(row, column)}};
+    }
+    return {{"service", row.service}, {"cells", cells}};
+}
+
+Target read_target(const Json& document) {
+    JsonReader reader(document, "target");
+    Target target;
+    target.id = reader.text("id");
+    target.data_centre = reader.text("data_centre");
+    target.host = reader.text("host");
+    target.address = reader.text("address");
+    target.leaving = reader.boolean_or("leaving", false);
+    reader.finish();
+    return target;
+}
+
+Shard read_shard(const Json& document) {
+    JsonReader reader(document, "shard");
+    Shard shard;
+    shard.id = reader.text("id");
+    shard.documents = reader.integer("documents", 0, ANY);
+    shard.digest = reader.text_or("digest", "");
+    shard.replicas = reader.texts("replicas");
+    reader.finish();
+    return shard;
+}
+
+Snapshot read_snapshot(const Json& document) {
+    JsonReader reader(document, "snapshot");
+    Snapshot snapshot;
+    snapshot.id = reader.text("id");
+    for (const Json& shard : reader.array("shards")) {
+        snapshot.shards.push_back(read_shard(shard));
+    }
+    reader.finish();
+    return snapshot;
+}
+
+void check_replicas(const Placement& placement) {
+    for (const Snapshot& snapshot : placement.snapshots) {
+        for (const Shard& shard : snapshot.shards) {
+            for (const std::string& replica : shard.replicas) {
+                user_check(find_target(placement, replica) != nullptr)
+                    << "shard " << shard.id << " of snapshot " << snapshot.id
+                    << " names an unknown target " << replica;
+            }
+        }
+    }
+}
+
+Placement read_placement(const Json& document) {
+    JsonReader reader(document, "");
+    Placement placement;
+    placement.service = reader.text("service");
+    placement.version = reader.integer("version", 0, ANY);
+    for (const Json& target : reader.array("targets")) {
+        placement.targets.push_back(read_target(target));
+    }
+    for (const Json& snapshot : reader.array("snapshots")) {
+        placement.snapshots.push_back(read_snapshot(snapshot));
+    }
+    reader.finish();
+    check_replicas(placement);
+    return placement;
+}
+
+Json seat_use_document(const SeatUse& use) {
+    return {{"node", use.node}, {"epoch", use.epoch}};
+}
+
+SeatUse read_seat_use(const Json& document) {
+    JsonReader reader(document, "remnant");
+    SeatUse use;
+    use.node = reader.text("node");
+    use.epoch = reader.integer("epoch", 0, ANY);
+    reader.finish();
+    return use;
+}
+
+SeatRecord read_seat_record(const Json& document) {
+    JsonReader reader(document, "");
+    SeatRecord record;
+    record.holder = reader.text("holder");
+    record.address = reader.text("address");
+    record.epoch = reader.integer("epoch", 0, ANY);
+    record.renewal = reader.integer("renewal", 0, ANY);
+    record.share_64ths = reader.integer("share_64ths", 0, WHOLE_SHARE);
+    record.released = reader.boolean_or("released", false);
+    for (const Json& use : reader.array("remnants")) {
+        record.remnants.push_back(read_seat_use(use));
+    }
+    reader.finish();
+    return record;
+}
+
+const std::vector<std::pair<ClaimState, std::string>>& claim_state_names() {
+    static const std::vector<std::pair<ClaimState, std::string>> names = {
+        {ClaimState::claimed, "claimed"},
+        {ClaimState::not_run, "not_run"},
+        {ClaimState::ran, "ran"},
+        {ClaimState::may_have_run, "may_have_run"}};
+    return names;
+}
+
+std::string claim_state_name(ClaimState state) {
+    for (const auto& [known, name] : claim_state_names()) {
+        if (known == state) {
+            return name;
+        }
+    }
+    return "may_have_run";
+}
+
+ClaimState read_claim_state(const std::string& name) {
+    for (const auto& [state, known] : claim_state_names()) {
+        if (known == name) {
+            return state;
+        }
+    }
+    throw UserError("unknown claim state " + name);
+}
+
+ClaimRecord read_claim(const Json& document, const std::string& key) {
+    JsonReader reader(document, key);
+    ClaimRecord record;
+    record.fingerprint = std::stoull(reader.text("fingerprint"));
+    record.claimant = reader.text("claimant");
+    record.state = read_claim_state(reader.text("state"));
+    record.claimed_at_s = reader.integer("claimed_at_s", 0, ANY);
+    record.result = reader.text_or("result", "");
+    reader.finish();
+    return record;
+}
+
+ClaimBucket read_claim_bucket(const Json& document) {
+    ClaimBucket bucket;
+    for (const auto& [key, claim] : document.items()) {
+        bucket[key] = read_claim(claim, key);
+    }
+    return bucket;
+}
+
+Peer read_peer(const Json& document) {
+    JsonReader reader(document, "host");
+    Peer peer;
+    peer.host = reader.text("host");
+    peer.data_centre = reader.text("data_centre");
+    peer.node = reader.text_or("node", "");
+    peer.incarnation = reader.integer_or("incarnation", 0, ANY, 0);
+    peer.address = reader.text_or("address", "");
+    peer.leaving = reader.boolean_or("leaving", false);
+    reader.finish();
+    return peer;
+}
+
+Json peer_document(const Peer& peer) {
+    return {{"host", peer.host},       {"data_centre", peer.data_centre},
+            {"node", peer.node},       {"incarnation", peer.incarnation},
+            {"address", peer.address}, {"leaving", peer.leaving}};
+}
+
+std::vector<Peer> read_hosts(const Json& document) {
+    JsonReader reader(document, "");
+    std::vector<Peer> hosts;
+    for (const Json& host : reader.array("hosts")) {
+        hosts.push_back(read_peer(host));
+    }
+    reader.finish();
+    return hosts;
+}
+
+Json exchange_document(const Exchange& exchange) {
+    Json document = {{"protocol", exchange.protocol},
+                     {"from", peer_document(exchange.from)},
+                     {"generation", exchange.generation},
+                     {"placement_versions", exchange.placement_versions}};
+    if (exchange.wants_everything) {
+        document["wants_everything"] = true;
+    }
+    for (const SeatNews& news : exchange.seats) {
+        document["seats"].push_back({{"seat", news.seat}, {"record", to_document(news.record)}});
+    }
+    for (const SeatLeft& left : exchange.left_seats) {
+        document["left_seats"].push_back({{"seat", left.seat}, {"epoch", left.epoch}});
+    }
+    for (const PendingTakeOut& take_out : exchange.pending) {
+        document["pending"].push_back({{"operation", take_out.operation},
+                                       {"is_data_centre", take_out.is_data_centre},
+                                       {"name", take_out.name}});
+    }
+    for (const SuspicionNotice& notice : exchange.suspicions) {
+        document["suspicions"].push_back({{"fingerprint", std::to_string(notice.fingerprint)},
+                                          {"standing", static_cast<int>(notice.standing)},
+                                          {"remaining_us", notice.remaining.count()}});
+    }
+    if (exchange.configuration.has_value()) {
+        document["configuration"] = to_document(*exchange.configuration);
+    }
+    for (const Placement& placement : exchange.placements) {
+        document["placements"].push_back(to_document(placement));
+    }
+    return document;
+}
+
+SeatNews read_seat_news(const Json& document) {
+    JsonReader reader(document, "seat news");
+    SeatNews news;
+    news.seat = reader.text("seat");
+    news.record = read_seat_record(reader.member("record"));
+    return news;
+}
+
+SeatLeft read_seat_left(const Json& document) {
+    JsonReader reader(document, "left seat");
+    return {reader.text("seat"), reader.integer("epoch", 0, ANY)};
+}
+
+PendingTakeOut read_pending(const Json& document) {
+    JsonReader reader(document, "take-out");
+    return {reader.text("operation"), reader.boolean_or("is_data_centre", true),
+            reader.text("name")};
+}
+
+SuspicionNotice read_notice(const Json& document) {
+    JsonReader reader(document, "suspicion");
+    SuspicionNotice notice;
+    notice.fingerprint = std::stoull(reader.text("fingerprint"));
+    notice.standing = static_cast<Standing>(reader.integer("standing", 0, 2));
+    notice.remaining = Duration(reader.integer("remaining_us", 0, ANY));
+    return notice;
+}
+
+Exchange read_exchange(const Json& document) {
+    JsonReader reader(document, "exchange");
+    Exchange exchange;
+    exchange.protocol = reader.integer("protocol", 0, ANY);
+    user_check(exchange.protocol == PEER_PROTOCOL_VERSION)
+        << "peer speaks protocol " << exchange.protocol << ", this node speaks "
+        << PEER_PROTOCOL_VERSION;
+    exchange.from = read_peer(reader.member("from"));
+    exchange.generation = reader.integer("generation", 0, ANY);
+    exchange.wants_everything = reader.boolean_or("wants_everything", false);
+    exchange.placement_versions =
+        reader.member("placement_versions").get<std::map<std::string, std::int64_t>>();
+    for (const Json& news : reader.array("seats")) {
+        exchange.seats.push_back(read_seat_news(news));
+    }
+    for (const Json& left : reader.array("left_seats")) {
+        exchange.left_seats.push_back(read_seat_left(left));
+    }
+    for (const Json& take_out : reader.array("pending")) {
+        exchange.pending.push_back(read_pending(take_out));
+    }
+    for (const Json& notice : reader.array("suspicions")) {
+        exchange.suspicions.push_back(read_notice(notice));
+    }
+    if (const Json* configuration = reader.find("configuration")) {
+        exchange.configuration = read_configuration(*configuration);
+    }
+    for (const Json& placement : reader.array("placements")) {
+        exchange.placements.push_back(read_placement(placement));
+    }
+    return exchange;
+}
+
+}  // namespace
+
+Result<Json> parse_json(std::string_view text, const std::string& source) {
+    try {
+        return Json::parse(text, nullptr, true, true);
+    } catch (const Json::exception& error) {
+        return Error{ErrorCode::invalid_input, source + " is not JSON: " + error.what(), source};
+    }
+}
+
+Json to_document(const Configuration& configuration) {
+    Json table = Json::array();
+    for (const ServiceRow& row : configuration.rows) {
+        table.push_back(row_document(row));
+    }
+    return {{"generation", configuration.generation},
+            {"table", table},
+            {"out_data_centres", configuration.out_data_centres},
+            {"out_hosts", configuration.out_hosts},
+            {"seats_per_data_centre", configuration.seats_per_data_centre},
+            {"applied_operations", configuration.applied_operations}};
+}
+
+Result<Configuration> configuration_from(const Json& document) {
+    return read_document<Configuration>(document, "configuration", read_configuration);
+}
+
+Json to_document(const Placement& placement) {
+    Json document = {{"service", placement.service},
+                     {"version", placement.version},
+                     {"targets", Json::array()},
+                     {"snapshots", Json::array()}};
+    for (const Target& target : placement.targets) {
+        document["targets"].push_back({{"id", target.id},
+                                       {"data_centre", target.data_centre},
+                                       {"host", target.host},
+                                       {"address", target.address},
+                                       {"leaving", target.leaving}});
+    }
+    for (const Snapshot& snapshot : placement.snapshots) {
+        Json shards = Json::array();
+        for (const Shard& shard : snapshot.shards) {
+            shards.push_back({{"id", shard.id},
+                              {"documents", shard.documents},
+                              {"digest", shard.digest},
+                              {"replicas", shard.replicas}});
+        }
+        document["snapshots"].push_back({{"id", snapshot.id}, {"shards", shards}});
+    }
+    return document;
+}
+
+Result<Placement> placement_from(const Json& document) {
+    return read_document<Placement>(document, "placement", read_placement);
+}
+
+Json to_document(const SeatRecord& record) {
+    Json remnants = Json::array();
+    for (const SeatUse& use : record.remnants) {
+        remnants.push_back(seat_use_document(use));
+    }
+    return {{"holder", record.holder},
+            {"address", record.address},
+            {"epoch", record.epoch},
+            {"renewal", record.renewal},
+            {"share_64ths", record.share_64ths},
+            {"released", record.released},
+            {"remnants", remnants}};
+}
+
+Result<SeatRecord> seat_record_from(const Json& document) {
+    return read_document<SeatRecord>(document, "seat", read_seat_record);
+}
+
+Json to_document(const ClaimBucket& bucket) {
+    Json document = Json::object();
+    for (const auto& [key, record] : bucket) {
+        document[key] = {{"fingerprint", std::to_string(record.fingerprint)},
+                         {"claimant", record.claimant},
+                         {"state", claim_state_name(record.state)},
+                         {"claimed_at_s", record.claimed_at_s},
+                         {"result", record.result}};
+    }
+    return document;
+}
+
+Result<ClaimBucket> claim_bucket_from(const Json& document) {
+    return read_document<ClaimBucket>(document, "claim bucket", read_claim_bucket);
+}
+
+Json to_document(const std::vector<Change>& changes) {
+    Json document = Json::array();
+    for (const Change& change : changes) {
+        document.push_back(
+            {{"where", change.where}, {"before", change.before}, {"after", change.after}});
+    }
+    return document;
+}
+
+Result<std::vector<Peer>> hosts_from(const Json& document) {
+    return read_document<std::vector<Peer>>(document, "host list", read_hosts);
+}
+
+std::string encode(const Exchange& exchange) {
+    std::string bytes;
+    Json::to_msgpack(exchange_document(exchange), bytes);
+    return bytes;
+}
+
+Result<Exchange> decode_exchange(std::string_view bytes) {
+    try {
+        const Json document = Json::from_msgpack(bytes.begin(), bytes.end());
+        return read_document<Exchange>(document, "exchange", read_exchange);
+    } catch (const Json::exception& error) {
+        return Error{ErrorCode::protocol,
+                     std::string("exchange is not MessagePack: ") + error.what(), "exchange"};
+    }
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/documents.h
@@ -0,0 +1,48 @@
+// JSON forms of the documents that live in the platform or travel between nodes.
+//
+// Reading is strict: unknown keys, wrong types and values out of bounds give an error that names
+// the place. The same forms are used as text towards people and the platform, and as MessagePack
+// between nodes.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "cluster/exchange.h"
+#include "policy/claim.h"
+#include "policy/placement.h"
+#include "policy/seat.h"
+#include "policy/table.h"
+
+namespace ebonymount {
+
+using Json = nlohmann::json;
+
+/// Parses JSON text; comments are allowed. `source` names the text in errors.
+Result<Json> parse_json(std::string_view text, const std::string& source);
+
+Json to_document(const Configuration& configuration);
+Result<Configuration> configuration_from(const Json& document);
+
+Json to_document(const Placement& placement);
+Result<Placement> placement_from(const Json& document);
+
+Json to_document(const SeatRecord& record);
+Result<SeatRecord> seat_record_from(const Json& document);
+
+Json to_document(const ClaimBucket& bucket);
+Result<ClaimBucket> claim_bucket_from(const Json& document);
+
+Json to_document(const std::vector<Change>& changes);
+
+/// The platform's host list.
+Result<std::vector<Peer>> hosts_from(const Json& document);
+
+/// MessagePack of an exchange between nodes, and back.
+std::string encode(const Exchange& exchange);
+Result<Exchange> decode_exchange(std::string_view bytes);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/http2_session.h
@@ -0,0 +1,152 @@
+// One nghttp2 connection between two nodes, either end of it.
+//
+// A session lives on the event loop: every member is called on the loop's thread. It keeps itself
+// alive through the loop for as long as its socket is watched. Streams outlive their session as
+// handles that report the end.
+#pragma once
+
+#include <Poco/Net/StreamSocket.h>
+#include <nghttp2/nghttp2.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "io/event_loop.h"
+
+namespace ebonymount {
+
+/// How a stream ended, as evidence for a verdict.
+enum class StreamEnd : std::uint8_t {
+    complete,    ///< The whole answer arrived.
+    never_sent,  ///< No byte of the request left this process, or the peer refused the stream.
+    broken,      ///< The stream ended early after the request was sent.
+};
+
+/// What the opener of a stream wants to hear. Called on the loop's thread.
+struct StreamEvents {
+    std::function<void(std::string_view)> on_data;
+    std::function<void(StreamEnd)> on_end;
+};
+
+class Http2Session;
+
+/// The serving end of one stream. `write`, `finish` and `is_cancelled` may be called from any
+/// thread.
+class ServerStream : public std::enable_shared_from_this<ServerStream> {
+public:
+    ServerStream(EventLoop& loop, std::weak_ptr<Http2Session> session, std::int32_t id);
+
+    /// Queues bytes of the answer.
+    void write(std::string bytes);
+
+    /// Ends the answer after everything that was written.
+    void finish();
+
+    /// True once the opener reset the stream or the connection broke.
+    bool is_cancelled() const;
+
+    /// Called on the loop's thread when the stream is cancelled.
+    void set_on_cancel(std::function<void()> on_cancel);
+
+private:
+    friend class Http2Session;
+
+    EventLoop& m_loop;
+    std::weak_ptr<Http2Session> m_session;
+    std::int32_t m_id;
+    std::string m_pending;
+    bool m_finished = false;
+    std::atomic<bool> m_cancelled{false};
+    std::mutex m_cancel_mutex;
+    std::function<void()> m_on_cancel;
+};
+
+/// Serves one request whose body is complete.
+using StreamHandler = std::function<void(std::shared_ptr<ServerStream> stream,
+                                         const std::string& path, std::string body)>;
+
+/// Bytes moved by all sessions of a process, for the control-cost measures.
+struct TrafficCounters {
+    std::atomic<std::uint64_t> bytes_in{0};
+    std::atomic<std::uint64_t> bytes_out{0};
+};
+
+class Http2Session : public SocketOwner, public std::enable_shared_from_this<Http2Session> {
+public:
+    /// The accepting end of an established connection.
+    static std::shared_ptr<Http2Session> serve(EventLoop& loop, Poco::Net::StreamSocket socket,
+                                               StreamHandler handler, TrafficCounters& traffic);
+
+    /// The opening end; the connection is established in the background.
+    static std::shared_ptr<Http2Session> connect(EventLoop& loop, const std::string& address,
+                                                 TrafficCounters& traffic);
+
+    ~Http2Session() override;
+    Http2Session(const Http2Session&) = delete;
+    Http2Session& operator=(const Http2Session&) = delete;
+    Http2Session(Http2Session&&) = delete;
+    Http2Session& operator=(Http2Session&&) = delete;
+
+    /// Opens a stream with a whole request; returns its id, or a negative number when the session
+    /// is closed, in which case `on_end` has been called with `never_sent`.
+    std::int32_t open(const std::string& path, std::string body, StreamEvents events);
+
+    /// Resets a stream that this end opened.
+    void reset(std::int32_t stream_id);
+
+    /// Closes the connection; open streams end as broken or never sent.
+    void close();
+
+    bool is_open() const;
+
+    void on_ready(int modes) override;
+
+private:
+    struct Stream {
+        std::string path;
+        std::string body;
+        std::size_t body_sent = 0;
+        bool headers_sent = false;
+        bool refused = false;
+        bool complete = false;
+        StreamEvents events;
+        std::shared_ptr<ServerStream> server;
+    };
+
+    Http2Session(EventLoop& loop, Poco::Net::StreamSocket socket, bool is_server,
+                 TrafficCounters& traffic);
+
+    void start();
+    void receive();
+    void flush();
+    void resume(std::int32_t stream_id);
+    void update_watch();
+    void end_stream(std::int32_t stream_id, std::uint32_t error_code);
+    StreamEnd end_of(const Stream& stream, std::uint32_t error_code) const;
+    Stream* find(std::int32_t stream_id);
+    ssize_t read_body(std::int32_t stream_id, std::uint8_t* buffer, std::size_t length,
+                      std::uint32_t* flags);
+    ssize_t read_answer(Stream& stream, std::uint8_t* buffer, std::size_t length,
+                        std::uint32_t* flags);
+    void on_request_complete(std::int32_t stream_id);
+
+    friend class ServerStream;
+    friend struct Http2Callbacks;
+
+    EventLoop& m_loop;
+    Poco::Net::StreamSocket m_socket;
+    bool m_is_server;
+    TrafficCounters& m_traffic;
+    bool m_connected = false;
+    bool m_closed = false;
+    nghttp2_session* m_session = nullptr;
+    StreamHandler m_handler;
+    std::map<std::int32_t, Stream> m_streams;
+    std::string m_output;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/http_client.h
@@ -0,0 +1,73 @@
+// One blocking HTTP exchange through POCO, with the evidence that a verdict needs.
+#pragma once
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+#include "base/verdict.h"
+
+namespace ebonymount {
+
+/// How far an exchange got.
+enum class ExchangeStage : std::uint8_t {
+    not_connected,  ///< No connection; no byte of the request was sent.
+    sending,        ///< The connection broke or stalled after the first byte of the request.
+    answered,       ///< The whole answer arrived.
+};
+
+struct HttpRequest {
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+struct HttpAnswer {
+    ExchangeStage stage = ExchangeStage::not_connected;
+    bool timed_out = false;
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    std::string error;
+};
+
+/// What `HttpConnection::ensure_connected` found.
+enum class ConnectResult : std::uint8_t {
+    ready,     ///< The connection was open.
+    opened,    ///< A connection was opened where there was none.
+    replaced,  ///< The other end had closed the connection; another was opened.
+    failed,    ///< No connection can be opened.
+};
+
+/// A connection to one address that is kept open between exchanges.
+class HttpConnection {
+public:
+    HttpConnection(std::string address, Duration connect_timeout);
+
+    /// Opens the connection unless it is open and idle.
+    ConnectResult ensure_connected();
+
+    /// Sends the request on the open connection and reads the whole answer. A connection with an
+    /// answer still owed is closed, never used again.
+    HttpAnswer exchange(const HttpRequest& request, Duration timeout);
+
+    void close();
+
+    /// Connections opened so far.
+    int opened() const;
+
+private:
+    std::string m_address;
+    Duration m_connect_timeout;
+    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
+    int m_opened = 0;
+};
+
+/// One exchange on a connection of its own.
+HttpAnswer exchange_once(const std::string& address, const HttpRequest& request, Duration timeout);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/json_reader.h
@@ -0,0 +1,109 @@
+// Reads typed members out of a JSON object and remembers which keys were asked for.
+//
+// Errors are thrown as `UserError` with the path of the member; modules that use the reader turn
+// them into results at their border. `finish` refuses keys that nobody asked for.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+#include "base/check.h"
+
+namespace ebonymount {
+
+/// A view of one JSON object at `path`. The object must outlive the reader.
+class JsonReader {
+public:
+    JsonReader(const nlohmann::json& object, std::string path)
+        : m_object(object), m_path(std::move(path)) {
+        user_check(object.is_object()) << m_path << " is not an object";
+    }
+
+    /// The member of that name, which must be present.
+    const nlohmann::json& member(const std::string& name) {
+        m_read.insert(name);
+        user_check(m_object.contains(name)) << path_of(name) << " is missing";
+        return m_object.at(name);
+    }
+
+    /// The member of that name, or null when it is absent.
+    const nlohmann::json* find(const std::string& name) {
+        m_read.insert(name);
+        return m_object.contains(name) ? &m_object.at(name) : nullptr;
+    }
+
+    std::string text(const std::string& name) {
+        const nlohmann::json& value = member(name);
+        user_check(value.is_string()) << path_of(name) << " is not a text: " << value.dump();
+        return value.get<std::string>();
+    }
+
+    std::string text_or(const std::string& name, const std::string& otherwise) {
+        return find(name) == nullptr ? otherwise : text(name);
+    }
+
+    std::int64_t integer(const std::string& name, std::int64_t least, std::int64_t most) {
+        const nlohmann::json& value = member(name);
+        user_check(value.is_number_integer())
+            << path_of(name) << " is not a whole number: " << value.dump();
+        const std::int64_t number = value.get<std::int64_t>();
+        user_check(number >= least && number <= most)
+            << path_of(name) << " is " << number << ", allowed is " << least << " to " << most;
+        return number;
+    }
+
+    std::int64_t integer_or(const std::string& name, std::int64_t least, std::int64_t most,
+                            std::int64_t otherwise) {
+        return find(name) == nullptr ? otherwise : integer(name, least, most);
+    }
+
+    bool boolean_or(const std::string& name, bool otherwise) {
+        const nlohmann::json* value = find(name);
+        if (value == nullptr) {
+            return otherwise;
+        }
+        user_check(value->is_boolean())
+            << path_of(name) << " is not true or false: " << value->dump();
+        return value->get<bool>();
+    }
+
+    /// The array of that name; an absent one reads as empty.
+    const nlohmann::json& array(const std::string& name) {
+        static const nlohmann::json empty = nlohmann::json::array();
+        const nlohmann::json* value = find(name);
+        if (value == nullptr) {
+            return empty;
+        }
+        user_check(value->is_array()) << path_of(name) << " is not a list";
+        return *value;
+    }
+
+    std::vector<std::string> texts(const std::string& name) {
+        std::vector<std::string> result;
+        for (const nlohmann::json& value : array(name)) {
+            user_check(value.is_string())
+                << path_of(name) << " has an entry that is not a text: " << value.dump();
+            result.push_back(value.get<std::string>());
+        }
+        return result;
+    }
+
+    /// Refuses keys that were not read.
+    void finish() const {
+        for (const auto& [key, value] : m_object.items()) {
+            user_check(m_read.count(key) > 0) << path_of(key) << " is not a known key";
+        }
+    }
+
+    std::string path_of(const std::string& name) const {
+        return m_path.empty() ? name : m_path + "." + name;
+    }
+
+private:
+    const nlohmann::json& m_object;
+    std::string m_path;
+    std::set<std::string> m_read;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/peer_link.cpp
@@ -0,0 +1,81 @@
+#include "io/peer_link.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace ebonymount {
+
+void PeerCall::cancel(const std::shared_ptr<PeerCall>& call) {
+    call->m_loop.post([call] {
+        call->m_cancelled = true;
+        if (const std::shared_ptr<Http2Session> session = call->m_session.lock()) {
+            session->reset(call->m_stream);
+        }
+    });
+}
+
+std::shared_ptr<PeerCall> PeerPool::call(const std::string& address, const std::string& path,
+                                         std::string body, StreamEvents events) {
+    const std::shared_ptr<PeerCall> call = std::make_shared<PeerCall>(m_loop);
+    m_loop.post(
+        [this, call, address, path, body = std::move(body), events = std::move(events)]() mutable {
+            if (call->m_cancelled) {
+                events.on_end(StreamEnd::never_sent);
+                return;
+            }
+            const std::shared_ptr<Http2Session> session = session_to(address);
+            call->m_session = session;
+            call->m_stream = session->open(path, std::move(body), std::move(events));
+        });
+    return call;
+}
+
+void PeerPool::close_all() {
+    m_loop.post([this] {
+        for (const auto& [address, session] : m_sessions) {
+            session->close();
+        }
+        m_sessions.clear();
+    });
+}
+
+std::shared_ptr<Http2Session> PeerPool::session_to(const std::string& address) {
+    std::shared_ptr<Http2Session>& session = m_sessions[address];
+    if (session == nullptr || !session->is_open()) {
+        session = Http2Session::connect(m_loop, address, m_traffic);
+    }
+    return session;
+}
+
+Result<std::shared_ptr<PeerServer>> PeerServer::listen(EventLoop& loop, const std::string& address,
+                                                       StreamHandler handler,
+                                                       TrafficCounters& traffic) {
+    const std::shared_ptr<PeerServer> server(new PeerServer(loop, std::move(handler), traffic));
+    try {
+        server->m_socket.bind(Poco::Net::SocketAddress(address), true);
+        server->m_socket.listen(1024);
+        server->m_socket.setBlocking(false);
+    } catch (const Poco::Exception& error) {
+        return Error{ErrorCode::unavailable, "cannot listen for peers: " + error.displayText(),
+                     address};
+    }
+    loop.post(
+        [server, &loop] { loop.watch(server->m_socket, Poco::Net::PollSet::POLL_READ, server); });
+    return server;
+}
+
+std::string PeerServer::address() const {
+    return m_socket.address().toString();
+}
+
+void PeerServer::on_ready(int /*modes*/) {
+    try {
+        Poco::Net::StreamSocket socket = m_socket.acceptConnection();
+        socket.setNoDelay(true);
+        Http2Session::serve(m_loop, socket, m_handler, m_traffic);
+    } catch (const Poco::Exception&) {
+        // The peer went away between the event and the accept.
+    }
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/peer_link.h
@@ -0,0 +1,77 @@
+// Connections between nodes: a pool of outgoing sessions by address, and the accepting server.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "io/http2_session.h"
+
+namespace ebonymount {
+
+/// Handle of one request to a peer.
+class PeerCall {
+public:
+    explicit PeerCall(EventLoop& loop) : m_loop(loop) {}
+
+    /// Resets the stream; the events report its end. May be called from any thread.
+    static void cancel(const std::shared_ptr<PeerCall>& call);
+
+private:
+    friend class PeerPool;
+
+    EventLoop& m_loop;
+    std::weak_ptr<Http2Session> m_session;
+    std::int32_t m_stream = -1;
+    bool m_cancelled = false;
+};
+
+/// Outgoing sessions, one per address, opened on first use and again after a break.
+class PeerPool {
+public:
+    PeerPool(EventLoop& loop, TrafficCounters& traffic) : m_loop(loop), m_traffic(traffic) {}
+
+    /// Sends a whole request. May be called from any thread; events come on the loop's thread.
+    std::shared_ptr<PeerCall> call(const std::string& address, const std::string& path,
+                                   std::string body, StreamEvents events);
+
+    /// Closes all sessions. May be called from any thread.
+    void close_all();
+
+private:
+    std::shared_ptr<Http2Session> session_to(const std::string& address);
+
+    EventLoop& m_loop;
+    TrafficCounters& m_traffic;
+    /// Touched on the loop's thread only.
+    std::map<std::string, std::shared_ptr<Http2Session>> m_sessions;
+};
+
+/// Accepts sessions from peers.
+class PeerServer : public SocketOwner, public std::enable_shared_from_this<PeerServer> {
+public:
+    /// Starts to listen. The error names the address that cannot be bound.
+    static Result<std::shared_ptr<PeerServer>> listen(EventLoop& loop, const std::string& address,
+                                                      StreamHandler handler,
+                                                      TrafficCounters& traffic);
+
+    /// The address that is listened on, with the port chosen by the system if none was given.
+    std::string address() const;
+
+    void on_ready(int modes) override;
+
+private:
+    PeerServer(EventLoop& loop, StreamHandler handler, TrafficCounters& traffic)
+        : m_loop(loop), m_handler(std::move(handler)), m_traffic(traffic) {}
+
+    EventLoop& m_loop;
+    StreamHandler m_handler;
+    TrafficCounters& m_traffic;
+    Poco::Net::ServerSocket m_socket;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/platform_client.cpp
@@ -0,0 +1,137 @@
+#include "io/platform_client.h"
+
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+namespace ebonymount {
+namespace {
+
+constexpr int HTTP_OK = 200;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int HTTP_CONFLICT = 412;
+
+PlatformStatus status_of(const HttpAnswer& answer) {
+    if (answer.stage != ExchangeStage::answered) {
+        return PlatformStatus::unknown;
+    }
+    switch (answer.status) {
+        case HTTP_OK:
+            return PlatformStatus::done;
+        case HTTP_NOT_FOUND:
+            return PlatformStatus::absent;
+        case HTTP_CONFLICT:
+            return PlatformStatus::conflict;
+        default:
+            return PlatformStatus::unknown;
+    }
+}
+
+std::string escape(const std::string& text) {
+    std::string escaped;
+    Poco::URI::encode(text, "/?&=#+% ", escaped);
+    return escaped;
+}
+
+std::int64_t version_of(const HttpAnswer& answer) {
+    const auto found = answer.headers.find("ETag");
+    if (found == answer.headers.end()) {
+        return 0;
+    }
+    try {
+        return std::stoll(found->second);
+    } catch (const std::exception&) {
+        return 0;
+    }
+}
+
+std::vector<PlatformObject> parse_list(const std::string& body) {
+    std::vector<PlatformObject> objects;
+    for (const nlohmann::json& item : nlohmann::json::parse(body)) {
+        objects.push_back({item.at("name").get<std::string>(),
+                           item.at("version").get<std::int64_t>(),
+                           item.at("value").get<std::string>()});
+    }
+    return objects;
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(std::string address, Duration timeout, Metrics& metrics)
+    : m_address(std::move(address)),
+      m_timeout(timeout),
+      m_calls(metrics.counter("ebonymount_platform_calls_total")),
+      m_failures(metrics.counter("ebonymount_platform_failures_total")) {}
+
+PlatformRead PlatformClient::read(const std::string& name) {
+    const HttpAnswer answer = call({"GET", "/objects?name=" + escape(name), {}, ""}, m_timeout);
+    return {status_of(answer), {name, version_of(answer), answer.body}};
+}
+
+PlatformWrite PlatformClient::write(const std::string& name, std::int64_t version,
+                                    const std::string& value) {
+    const std::map<std::string, std::string> headers = {{"If-Match", std::to_string(version)}};
+    const HttpAnswer answer =
+        call({"PUT", "/objects?name=" + escape(name), headers, value}, m_timeout);
+    return {status_of(answer), version_of(answer)};
+}
+
+PlatformList PlatformClient::list(const std::string& prefix) {
+    const HttpAnswer answer = call({"GET", "/list?prefix=" + escape(prefix), {}, ""}, m_timeout);
+    PlatformList list;
+    list.status = status_of(answer);
+    if (list.status == PlatformStatus::done) {
+        try {
+            list.objects = parse_list(answer.body);
+        } catch (const std::exception&) {
+            list.status = PlatformStatus::unknown;
+        }
+    }
+    return list;
+}
+
+PlatformWrite PlatformClient::watch(const std::string& prefix, std::int64_t after, Duration wait) {
+    const std::string wait_ms = std::to_string(wait.count() / 1000);
+    const std::string path = "/watch?prefix=" + escape(prefix) + "&after=" + std::to_string(after) +
+                             "&wait_ms=" + wait_ms;
+    const HttpAnswer answer = call({"GET", path, {}, ""}, wait + m_timeout);
+    return {status_of(answer), version_of(answer)};
+}
+
+PlatformRead PlatformClient::hosts() {
+    const HttpAnswer answer = call({"GET", "/hosts", {}, ""}, m_timeout);
+    return {status_of(answer), {"hosts", 0, answer.body}};
+}
+
+HttpAnswer PlatformClient::call(const HttpRequest& request, Duration timeout) {
+    ++m_calls;
+    std::unique_ptr<HttpConnection> connection = take_connection();
+    HttpAnswer answer;
+    if (connection->ensure_connected() != ConnectResult::failed) {
+        answer = connection->exchange(request, timeout);
+    }
+    if (status_of(answer) == PlatformStatus::unknown) {
+        ++m_failures;
+    }
+    if (answer.stage == ExchangeStage::answered) {
+        give_back(std::move(connection));
+    }
+    return answer;
+}
+
+std::unique_ptr<HttpConnection> PlatformClient::take_connection() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_idle.empty()) {
+        return std::make_unique<HttpConnection>(m_address, m_timeout);
+    }
+    std::unique_ptr<HttpConnection> connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    return connection;
+}
+
+void PlatformClient::give_back(std::unique_ptr<HttpConnection> connection) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_idle.push_back(std::move(connection));
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/trace.h
@@ -0,0 +1,44 @@
+// Traces: one span per hop of a request, kept in a ring at the gateway.
+#pragma once
+
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace ebonymount {
+
+/// One hop of a request. Times are microseconds after the start of the request.
+struct Span {
+    std::string name;
+    std::string parent;
+    std::int64_t start_us = 0;
+    std::int64_t duration_us = 0;
+    std::string detail;
+
+    friend bool operator==(const Span&, const Span&) = default;
+};
+
+/// All hops of one request.
+struct Trace {
+    std::string id;
+    std::string service;
+    std::string end;
+    std::vector<Span> spans;
+
+    friend bool operator==(const Trace&, const Trace&) = default;
+};
+
+/// The last traces of a node.
+class TraceRing {
+public:
+    void add(Trace trace);
+    std::vector<Trace> latest(std::size_t most) const;
+
+private:
+    static constexpr std::size_t CAPACITY = 200;
+    mutable std::mutex m_mutex;
+    std::deque<Trace> m_traces;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/io/wire.h
@@ -0,0 +1,88 @@
+// Messages between gateway and relay, as MessagePack.
+//
+// A request for a relay carries all of one query's sub-queries for that relay, so a link is
+// crossed once per query. The relay answers with a sequence of outcomes on the same stream, each
+// one MessagePack object, in the order in which targets answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "policy/gather.h"
+
+namespace ebonymount {
+
+/// One sub-query within a `WireQuery`.
+struct WireItem {
+    std::uint64_t attempt = 0;
+    std::string shard;
+    std::string target;
+    MSGPACK_DEFINE(attempt, shard, target)
+};
+
+/// The sub-queries of one query for one relay.
+struct WireQuery {
+    std::int64_t protocol = PEER_WIRE_VERSION;
+    std::string query_id;
+    std::string service;
+    std::string snapshot;
+    std::string key;
+    std::string body;
+    bool idempotent = true;
+    /// Time left until the answer is of no use, at the moment of sending.
+    std::int64_t remaining_us = 0;
+    std::vector<WireItem> items;
+    MSGPACK_DEFINE(protocol, query_id, service, snapshot, key, body, idempotent, remaining_us,
+                   items)
+
+    static constexpr std::int64_t PEER_WIRE_VERSION = 1;
+};
+
+/// How one sub-query ended, with the times for the trace.
+struct WireOutcome {
+    std::uint64_t attempt = 0;
+    std::uint8_t status = 0;
+    std::uint8_t verdict = 0;
+    std::string snapshot;
+    std::string digest;
+    std::string result;
+    std::int64_t queue_us = 0;
+    std::int64_t target_us = 0;
+    MSGPACK_DEFINE(attempt, status, verdict, snapshot, digest, result, queue_us, target_us)
+};
+
+/// Cancels attempts of a query.
+struct WireCancel {
+    std::string query_id;
+    std::vector<std::uint64_t> attempts;
+    MSGPACK_DEFINE(query_id, attempts)
+};
+
+std::string encode(const WireQuery& query);
+std::string encode(const WireOutcome& outcome);
+std::string encode(const WireCancel& cancel);
+
+Result<WireQuery> decode_query(std::string_view bytes);
+Result<WireCancel> decode_cancel(std::string_view bytes);
+
+/// Splits a stream of outcomes that arrives in pieces.
+class OutcomeReader {
+public:
+    /// Takes the next bytes and hands over each outcome that is complete. An error means the
+    /// stream cannot be read any further.
+    Result<Done> feed(std::string_view bytes,
+                      const std::function<void(const WireOutcome&)>& on_outcome);
+
+private:
+    msgpack::unpacker m_unpacker;
+};
+
+/// The outcome as the gather sees it; unknown codes are errors.
+Result<AttemptOutcome> to_attempt_outcome(const WireOutcome& wire);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/caller_api.cpp
@@ -0,0 +1,201 @@
+#include "node/caller_api.h"
+
+#include <charconv>
+
+#include "io/documents.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int HTTP_OK = 200;
+constexpr int HTTP_BAD_REQUEST = 400;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int HTTP_CONFLICT = 409;
+constexpr int HTTP_QUARANTINED = 422;
+constexpr int HTTP_UNAVAILABLE = 503;
+constexpr int HTTP_TIMEOUT = 504;
+
+constexpr std::int64_t MOST_TIMEOUT_MS = 60000;
+constexpr std::size_t MOST_KEY_LENGTH = 128;
+
+const std::string SERVICES_PREFIX = "/v1/services/";
+
+Error bad_input(const std::string& message, const std::string& offender) {
+    return {ErrorCode::invalid_input, message, offender};
+}
+
+Result<std::int64_t> timeout_from(const std::string& text) {
+    std::int64_t timeout = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), timeout);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!whole || timeout < 1 || timeout > MOST_TIMEOUT_MS) {
+        return bad_input(
+            "X-Timeout-Ms is not a whole number from 1 to " + std::to_string(MOST_TIMEOUT_MS),
+            text);
+    }
+    return timeout;
+}
+
+int status_for(ErrorCode code) {
+    switch (code) {
+        case ErrorCode::invalid_input:
+        case ErrorCode::protocol:
+            return HTTP_BAD_REQUEST;
+        case ErrorCode::not_found:
+            return HTTP_NOT_FOUND;
+        case ErrorCode::conflict:
+            return HTTP_CONFLICT;
+        case ErrorCode::timeout:
+            return HTTP_TIMEOUT;
+        case ErrorCode::unavailable:
+        case ErrorCode::refused:
+            return HTTP_UNAVAILABLE;
+    }
+    return HTTP_UNAVAILABLE;
+}
+
+int status_for(const GatherOutcome& outcome) {
+    switch (outcome.end) {
+        case GatherEnd::complete:
+        case GatherEnd::partial:
+            return HTTP_OK;
+        case GatherEnd::rejected:
+            return HTTP_BAD_REQUEST;
+        case GatherEnd::quarantined:
+            return HTTP_QUARANTINED;
+        case GatherEnd::unknown_service:
+            return HTTP_NOT_FOUND;
+        case GatherEnd::no_answer:
+            break;
+    }
+    return outcome.verdict == Verdict::not_run ? HTTP_UNAVAILABLE : HTTP_TIMEOUT;
+}
+
+/// A target's result as JSON; a result that is not JSON is passed on as text.
+Json result_document(const std::string& result) {
+    Json parsed = Json::parse(result, nullptr, false);
+    return parsed.is_discarded() ? Json(result) : parsed;
+}
+
+Json coverage_document(const Coverage& coverage) {
+    return {{"shards_answered", coverage.shards_answered},
+            {"shards_total", coverage.shards_total},
+            {"documents_answered", coverage.documents_answered},
+            {"documents_total", coverage.documents_total},
+            {"permille", permille(coverage)}};
+}
+
+Json answer_document(const CallerAnswer& answer) {
+    Json document = {{"request", answer.request_id},
+                     {"end", name_of(answer.outcome.end)},
+                     {"verdict", name_of(answer.outcome.verdict)}};
+    if (!answer.key.empty()) {
+        document["key"] = answer.key;
+    }
+    if (answer.stored_result.has_value()) {
+        document["repeated"] = true;
+        document["results"] =
+            Json::array({{{"shard", ""}, {"result", result_document(*answer.stored_result)}}});
+        return document;
+    }
+    document["snapshot"] = answer.outcome.snapshot;
+    document["coverage"] = coverage_document(answer.outcome.coverage);
+    document["results"] = Json::array();
+    for (std::size_t index = 0; index < answer.outcome.results.size(); ++index) {
+        if (answer.outcome.results[index].has_value()) {
+            document["results"].push_back(
+                {{"shard", answer.shards.at(index)},
+                 {"result", result_document(*answer.outcome.results[index])}});
+        }
+    }
+    return document;
+}
+
+}  // namespace
+
+HttpReply CallerApi::handle(const HttpCall& call) {
+    if (call.path == "/live") {
+        return make_reply(HTTP_OK, "{\"live\":true}");
+    }
+    if (call.path == "/ready") {
+        const bool ready = m_state.is_ready(monotonic_now());
+        return make_reply(ready ? HTTP_OK : HTTP_UNAVAILABLE,
+                          std::string("{\"ready\":") + (ready ? "true}" : "false}"));
+    }
+    if (call.path == "/metrics") {
+        HttpReply reply = make_reply(HTTP_OK, m_state.metrics().text());
+        reply.content_type = "text/plain";
+        return reply;
+    }
+    return serve(call);
+}
+
+HttpReply CallerApi::serve(const HttpCall& call) {
+    const Result<CallerRequest> request = caller_request_from(call);
+    if (!has_value(request)) {
+        ++m_state.metrics().counter("ebonymount_gateway_bad_requests_total");
+        const Error& error = error_of(request);
+        return error_reply(status_for(error.code), error);
+    }
+    return reply_from(m_gateway.serve(value_of(request)));
+}
+
+Result<CallerRequest> caller_request_from(const HttpCall& call) {
+    if (call.path.rfind(SERVICES_PREFIX, 0) != 0) {
+        return Error{ErrorCode::not_found, "unknown path", call.path};
+    }
+    const std::string rest = call.path.substr(SERVICES_PREFIX.size());
+    const std::size_t slash = rest.find('/');
+    const std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    if (verb != "query" && verb != "submit") {
+        return Error{ErrorCode::not_found, "unknown path, allowed is .../query or .../submit",
+                     call.path};
+    }
+    if (call.method != "POST") {
+        return bad_input("allowed is POST", call.method);
+    }
+    CallerRequest request;
+    request.service = rest.substr(0, slash);
+    request.idempotent = verb == "query";
+    request.body = call.body;
+    request.wants_trace = call.header("X-Trace") == "1";
+    if (!call.body.empty() && !Json::accept(call.body)) {
+        return bad_input("the body is not JSON", call.body.substr(0, 40));
+    }
+    const std::string timeout = call.header("X-Timeout-Ms");
+    if (!timeout.empty()) {
+        const Result<std::int64_t> parsed = timeout_from(timeout);
+        if (!has_value(parsed)) {
+            return error_of(parsed);
+        }
+        request.allowed = from_ms(value_of(parsed));
+    }
+    const std::string key = call.header("Idempotency-Key");
+    if (key.size() > MOST_KEY_LENGTH) {
+        return bad_input("Idempotency-Key is longer than " + std::to_string(MOST_KEY_LENGTH),
+                         key.substr(0, 40));
+    }
+    request.key = request.idempotent ? "" : key;
+    return request;
+}
+
+HttpReply reply_from(const CallerAnswer& answer) {
+    HttpReply reply;
+    Json document;
+    if (answer.error.has_value()) {
+        reply.status = status_for(answer.error->code);
+        document = {{"request", answer.request_id},
+                    {"error", name_of(answer.error->code)},
+                    {"message", answer.error->message},
+                    {"offender", answer.error->offender},
+                    {"verdict", name_of(answer.outcome.verdict)}};
+    } else {
+        reply.status = status_for(answer.outcome);
+        document = answer_document(answer);
+    }
+    reply.body = document.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return reply;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/claimer.cpp
@@ -0,0 +1,195 @@
+#include "node/claimer.h"
+
+#include <chrono>
+
+#include "io/documents.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr Duration RETRY_PAUSE = from_ms(50);
+
+/// Time allowed for recording outcomes in one go.
+constexpr Duration UPDATE_TIME = from_ms(5000);
+
+std::int64_t wall_clock_s() {
+    return std::chrono::duration_cast<std::chrono::seconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace
+
+Claimer::Claimer(NodeState& state, PlatformClient& platform)
+    : m_state(state),
+      m_platform(platform),
+      m_writes(state.metrics().counter("ebonymount_claim_writes_total")) {
+    m_thread = std::thread([this] { run(); });
+}
+
+Claimer::~Claimer() {
+    stop(Duration::zero());
+}
+
+Result<ClaimDecision> Claimer::claim(const std::string& service, const ClaimRequest& request,
+                                     Duration retention, Time deadline) {
+    const std::string name = bucket_of(service, request.key);
+    const std::shared_ptr<Waiter> waiter = std::make_shared<Waiter>();
+    waiter->request = request;
+    waiter->retention = retention;
+    waiter->deadline = deadline;
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_buckets[name].waiting.push_back(waiter);
+    while (!waiter->result.has_value()) {
+        if (!m_buckets[name].busy) {
+            write_waiting(name, lock);
+        } else {
+            m_changed.wait(lock);
+        }
+    }
+    return *waiter->result;
+}
+
+void Claimer::record(const std::string& service, const ClaimUpdate& update) {
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_buckets[bucket_of(service, update.key)].updates.push_back(update);
+    }
+    m_changed.notify_all();
+}
+
+void Claimer::stop(Duration most) {
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        const auto recorded = [this] {
+            return next_bucket_with_updates().empty();
+        };
+        m_changed.wait_for(lock, most, recorded);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+/// Writes all that waits for a bucket; called with the lock, which is released meanwhile.
+void Claimer::write_waiting(const std::string& name, std::unique_lock<std::mutex>& lock) {
+    Bucket& bucket = m_buckets[name];
+    bucket.busy = true;
+    std::vector<std::shared_ptr<Waiter>> waiters;
+    waiters.swap(bucket.waiting);
+    ClaimBatch batch;
+    batch.updates.swap(bucket.updates);
+    Time deadline = monotonic_now() + UPDATE_TIME;
+    for (const std::shared_ptr<Waiter>& waiter : waiters) {
+        batch.requests.push_back(waiter->request);
+        batch.retention_s = waiter->retention.count() / 1'000'000;
+        deadline = std::min(deadline, waiter->deadline);
+    }
+    lock.unlock();
+    std::vector<ClaimDecision> decisions;
+    const bool stored = write_batch(name, bucket, batch, deadline, decisions);
+    lock.lock();
+    bucket.busy = false;
+    for (std::size_t index = 0; index < waiters.size(); ++index) {
+        if (stored) {
+            waiters[index]->result = decisions[index];
+            continue;
+        }
+        waiters[index]->result =
+            Error{ErrorCode::unavailable, "the platform did not store the claim",
+                  batch.requests[index].key};
+        const ClaimRequest& request = batch.requests[index];
+        bucket.updates.push_back({request.key, request.claimant, ClaimState::not_run, ""});
+    }
+    if (!stored) {
+        bucket.updates.insert(bucket.updates.end(), batch.updates.begin(), batch.updates.end());
+    }
+    m_changed.notify_all();
+}
+
+/// Reads, applies and writes until the platform has confirmed the batch or the time is over.
+bool Claimer::write_batch(const std::string& name, Bucket& bucket, const ClaimBatch& batch,
+                          Time deadline, std::vector<ClaimDecision>& decisions) {
+    while (monotonic_now() < deadline) {
+        const bool was_cached = bucket.loaded;
+        if (!bucket.loaded && !load(name, bucket)) {
+            std::this_thread::sleep_for(RETRY_PAUSE);
+            continue;
+        }
+        const ClaimResult result = apply_batch(bucket.content, batch, wall_clock_s());
+        decisions = result.decisions;
+        if (!result.changed && was_cached) {
+            // What others did to the key since the bucket was read decides the answer.
+            bucket.loaded = false;
+            continue;
+        }
+        if (!result.changed) {
+            return true;
+        }
+        ++m_writes;
+        const PlatformWrite write =
+            m_platform.write(name, bucket.version, to_document(result.bucket).dump());
+        if (write.status == PlatformStatus::done) {
+            bucket.content = result.bucket;
+            bucket.version = write.version;
+            return true;
+        }
+        // Another node wrote first, or the confirmation was lost: the bucket must be read again.
+        bucket.loaded = false;
+    }
+    return false;
+}
+
+bool Claimer::load(const std::string& name, Bucket& bucket) {
+    const PlatformRead read = m_platform.read(name);
+    if (read.status == PlatformStatus::absent) {
+        bucket.content.clear();
+        bucket.version = 0;
+        bucket.loaded = true;
+        return true;
+    }
+    if (read.status != PlatformStatus::done) {
+        return false;
+    }
+    const Result<Json> document = parse_json(read.object.value, name);
+    const Result<ClaimBucket> content = has_value(document)
+                                            ? claim_bucket_from(value_of(document))
+                                            : Result<ClaimBucket>(error_of(document));
+    if (!has_value(content)) {
+        log_error("claims", "A bucket cannot be read. " + describe(error_of(content)));
+        return false;
+    }
+    bucket.content = value_of(content);
+    bucket.version = read.object.version;
+    bucket.loaded = true;
+    return true;
+}
+
+void Claimer::run() {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        const std::string name = next_bucket_with_updates();
+        if (name.empty()) {
+            m_changed.wait(lock);
+            continue;
+        }
+        if (m_buckets[name].busy) {
+            m_changed.wait_for(lock, RETRY_PAUSE);
+            continue;
+        }
+        write_waiting(name, lock);
+    }
+}
+
+std::string Claimer::next_bucket_with_updates() const {
+    for (const auto& [name, bucket] : m_buckets) {
+        if (!bucket.updates.empty()) {
+            return name;
+        }
+    }
+    return "";
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/claimer.h
@@ -0,0 +1,75 @@
+// Claims keys of non-idempotent requests in the platform, many to a write.
+//
+// Requests for one bucket that arrive while a write is on its way are written together by the
+// next one. Outcomes are recorded in the background and tried again until the platform takes them.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/result.h"
+#include "io/platform_client.h"
+#include "node/node_state.h"
+#include "policy/claim.h"
+
+namespace ebonymount {
+
+class Claimer {
+public:
+    Claimer(NodeState& state, PlatformClient& platform);
+    ~Claimer();
+    Claimer(const Claimer&) = delete;
+    Claimer& operator=(const Claimer&) = delete;
+    Claimer(Claimer&&) = delete;
+    Claimer& operator=(Claimer&&) = delete;
+
+    /// Claims a key. An error means that nothing may be sent; the claim is then withdrawn in the
+    /// background, should it have been stored after all.
+    Result<ClaimDecision> claim(const std::string& service, const ClaimRequest& request,
+                                Duration retention, Time deadline);
+
+    /// Records how the request of a claimed key ended; does not wait for the platform.
+    void record(const std::string& service, const ClaimUpdate& update);
+
+    /// Waits until all outcomes are recorded or the time is over, then ends the thread.
+    void stop(Duration most);
+
+private:
+    struct Waiter {
+        ClaimRequest request;
+        Duration retention{};
+        Time deadline{};
+        std::optional<Result<ClaimDecision>> result;
+    };
+    struct Bucket {
+        std::vector<std::shared_ptr<Waiter>> waiting;
+        std::vector<ClaimUpdate> updates;
+        bool busy = false;
+        std::int64_t version = 0;
+        ClaimBucket content;
+        bool loaded = false;
+    };
+
+    void write_waiting(const std::string& name, std::unique_lock<std::mutex>& lock);
+    bool write_batch(const std::string& name, Bucket& bucket, const ClaimBatch& batch,
+                     Time deadline, std::vector<ClaimDecision>& decisions);
+    bool load(const std::string& name, Bucket& bucket);
+    void run();
+    std::string next_bucket_with_updates() const;
+
+    NodeState& m_state;
+    PlatformClient& m_platform;
+    Counter& m_writes;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Bucket> m_buckets;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/gateway.cpp
@@ -0,0 +1,177 @@
+#include "node/gateway.h"
+
+#include "node/query_run.h"
+
+namespace ebonymount {
+namespace {
+
+/// Counts a request while it is served.
+class InFlight {
+public:
+    explicit InFlight(std::atomic<std::int64_t>& count) : m_count(count) {
+        ++m_count;
+    }
+    ~InFlight() {
+        --m_count;
+    }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+    InFlight(InFlight&&) = delete;
+    InFlight& operator=(InFlight&&) = delete;
+
+private:
+    std::atomic<std::int64_t>& m_count;
+};
+
+CallerAnswer refuse(CallerAnswer answer, ErrorCode code, const std::string& message,
+                    const std::string& offender) {
+    answer.error = Error{code, message, offender};
+    answer.outcome.verdict = Verdict::not_run;
+    return answer;
+}
+
+CallerAnswer answer_repeat(CallerAnswer answer, const ClaimRecord& record) {
+    answer.outcome.verdict = verdict_for(record.state);
+    if (record.state == ClaimState::ran) {
+        answer.outcome.end = GatherEnd::complete;
+        answer.stored_result = record.result;
+        return answer;
+    }
+    answer.error =
+        Error{ErrorCode::conflict,
+              "a request with this key was sent before and its end is not known", answer.key};
+    return answer;
+}
+
+std::string first_result(const GatherOutcome& outcome) {
+    const bool has_result = !outcome.results.empty() && outcome.results.front().has_value();
+    return has_result ? *outcome.results.front() : "";
+}
+
+}  // namespace
+
+Gateway::Gateway(NodeState& state, Relay& relay, PeerPool& peers, Claimer& claimer)
+    : m_state(state),
+      m_relay(relay),
+      m_peers(peers),
+      m_claimer(claimer),
+      m_random(process_seed()) {}
+
+CallerAnswer Gateway::serve(const CallerRequest& request) {
+    const InFlight in_flight(m_in_flight);
+    ++m_state.metrics().counter("ebonymount_gateway_requests_total");
+    CallerAnswer answer;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        answer.request_id = random_id(m_random);
+        answer.key = request.key;
+        if (!request.idempotent && request.key.empty()) {
+            answer.key = random_id(m_random);
+        }
+    }
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    if (view->configuration.generation == 0 || m_state.is_isolated(monotonic_now())) {
+        return refuse(std::move(answer), ErrorCode::unavailable, "this node is not ready",
+                      m_state.self().node);
+    }
+    if (find_row(view->configuration, request.service) == nullptr ||
+        view->placements.count(request.service) == 0) {
+        return refuse(std::move(answer), ErrorCode::not_found, "unknown service", request.service);
+    }
+    if (request.allowed <= Duration::zero()) {
+        return refuse(std::move(answer), ErrorCode::timeout, "the time allowed is over",
+                      std::to_string(request.allowed.count() / 1000) + " ms");
+    }
+    return request.idempotent ? run_gather(request, std::move(answer))
+                              : serve_submit(request, std::move(answer));
+}
+
+CallerAnswer Gateway::serve_submit(const CallerRequest& request, CallerAnswer answer) {
+    const Time start = monotonic_now();
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    const ServiceRow& row = *find_row(view->configuration, request.service);
+    const Duration allowed = std::min(request.allowed, from_ms(row.hard_deadline_ms));
+    ClaimRequest claim;
+    claim.key = answer.key;
+    claim.fingerprint = fingerprint_of(request.service, request.body);
+    claim.claimant = m_state.self().node + "/" + answer.request_id;
+    const Result<ClaimDecision> decision = m_claimer.claim(
+        request.service, claim, from_ms(row.key_retention_s * 1000), start + allowed);
+    if (!has_value(decision)) {
+        return refuse(std::move(answer), ErrorCode::unavailable, error_of(decision).message,
+                      claim.key);
+    }
+    switch (value_of(decision).answer) {
+        case ClaimAnswer::other_request:
+            return refuse(std::move(answer), ErrorCode::conflict,
+                          "the key was used for a request with another content", claim.key);
+        case ClaimAnswer::repeated:
+            return answer_repeat(std::move(answer), value_of(decision).record);
+        case ClaimAnswer::granted:
+            break;
+    }
+    CallerRequest claimed = request;
+    claimed.key = answer.key;
+    claimed.allowed = request.allowed - (monotonic_now() - start);
+    answer = run_gather(claimed, std::move(answer));
+    m_claimer.record(request.service, {claim.key, claim.claimant, state_for(answer.outcome.verdict),
+                                       first_result(answer.outcome)});
+    return answer;
+}
+
+CallerAnswer Gateway::run_gather(const CallerRequest& request, CallerAnswer answer) {
+    GatherRequest gather;
+    gather.service = request.service;
+    gather.idempotent = request.idempotent;
+    gather.fingerprint = fingerprint_of(request.service, request.body);
+    gather.allowed = request.allowed;
+    const std::shared_ptr<ServiceStatistics> statistics = statistics_of(request.service);
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    const ServiceRow* row = find_row(view->configuration, request.service);
+    const std::int64_t permille = row == nullptr ? 0 : row->trace_permille;
+    bool sampled = request.wants_trace;
+    {
+        const std::lock_guard<std::mutex> lock(statistics->mutex);
+        sampled = sampled || uniform(statistics->random) * 1000.0 < static_cast<double>(permille);
+    }
+    const std::shared_ptr<QueryRun> run =
+        std::make_shared<QueryRun>(QueryPorts{m_state, m_relay, m_peers}, answer.request_id, gather,
+                                   request.body, request.key);
+    answer.outcome = run->run(*statistics, sampled);
+    answer.shards = run->shards();
+    if (sampled) {
+        m_state.traces().add(run->take_trace());
+    }
+    ++m_state.metrics().counter(std::string("ebonymount_gateway_ends_total{end=\"") +
+                                name_of(answer.outcome.end) + "\"}");
+    return answer;
+}
+
+std::map<std::string, ExtraLoadBudget> Gateway::extra_load() const {
+    std::map<std::string, std::shared_ptr<ServiceStatistics>> statistics;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        statistics = m_statistics;
+    }
+    std::map<std::string, ExtraLoadBudget> result;
+    for (const auto& [service, service_statistics] : statistics) {
+        const std::lock_guard<std::mutex> lock(service_statistics->mutex);
+        result[service] = service_statistics->budget;
+    }
+    return result;
+}
+
+std::int64_t Gateway::in_flight() const {
+    return m_in_flight;
+}
+
+std::shared_ptr<ServiceStatistics> Gateway::statistics_of(const std::string& service) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::shared_ptr<ServiceStatistics>& statistics = m_statistics[service];
+    if (statistics == nullptr) {
+        statistics = std::make_shared<ServiceStatistics>();
+    }
+    return statistics;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,65 @@
+// One node: puts the parts together, starts them, and stops them without cutting off a request.
+#pragma once
+
+#include <memory>
+
+#include "admin/admin_api.h"
+#include "io/event_loop.h"
+#include "node/caller_api.h"
+#include "node/claimer.h"
+#include "node/gateway.h"
+#include "node/peer_exchanger.h"
+#include "node/platform_sync.h"
+#include "node/relay.h"
+#include "node/seat_keeper.h"
+
+namespace ebonymount {
+
+class Node {
+public:
+    /// Starts all parts. The error names the address that could not be served.
+    static Result<std::unique_ptr<Node>> start(const NodeSettings& settings);
+    ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+    Node(Node&&) = delete;
+    Node& operator=(Node&&) = delete;
+
+    /// Turns unready, waits for the balancer, finishes what was accepted, hands seats over.
+    void stop_gracefully();
+
+    const NodeState& state() const {
+        return m_state;
+    }
+
+private:
+    explicit Node(const NodeSettings& settings);
+
+    Result<Done> serve();
+    void serve_peer(const std::shared_ptr<ServerStream>& stream, const std::string& path,
+                    const std::string& body);
+    void serve_query(const std::shared_ptr<ServerStream>& stream, const std::string& body);
+
+    NodeState m_state;
+    TrafficCounters m_traffic;
+    EventLoop m_loop;
+    PeerPool m_peers;
+    PlatformClient m_platform;
+    Relay m_relay;
+    Claimer m_claimer;
+    Gateway m_gateway;
+    PeerExchanger m_exchanger;
+    PlatformSync m_sync;
+    SeatKeeper m_seats;
+    Commands m_commands;
+    Queries m_queries;
+    CallerApi m_caller_api;
+    AdminApi m_admin_api;
+    TaskQueue m_maintenance;
+    std::shared_ptr<PeerServer> m_peer_server;
+    std::unique_ptr<HttpServer> m_caller_server;
+    std::unique_ptr<HttpServer> m_admin_server;
+    bool m_stopped = false;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/node_state.cpp
@@ -0,0 +1,121 @@
+#include "node/node_state.h"
+
+namespace ebonymount {
+namespace {
+
+/// Left epochs that are still told to peers.
+constexpr std::size_t MOST_LEFT_SEATS = 64;
+
+}  // namespace
+
+std::int64_t LeaseTable::usable_share(const std::string& seat, Time now) const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_leases.find(seat);
+    return found == m_leases.end() ? 0 : ebonymount::usable_share(found->second, now);
+}
+
+void LeaseTable::update(const std::string& seat, const std::function<void(SeatLease&)>& change) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    change(m_leases[seat]);
+}
+
+void LeaseTable::erase(const std::string& seat) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_leases.erase(seat);
+}
+
+std::map<std::string, SeatLease> LeaseTable::all() const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_leases;
+}
+
+NodeState::NodeState(const NodeSettings& settings, std::int64_t incarnation)
+    : m_settings(settings), m_view(std::make_shared<const RoutingView>()) {
+    m_self.host = settings.host;
+    m_self.incarnation = incarnation;
+    m_self.node = node_name(settings.host, incarnation);
+    m_self.data_centre = settings.data_centre;
+    m_self.address = settings.peer_address;
+}
+
+std::shared_ptr<const RoutingView> NodeState::view() const {
+    const std::lock_guard<std::mutex> lock(m_view_mutex);
+    return m_view;
+}
+
+void NodeState::change_knowledge(
+    const std::function<bool(ClusterKnowledge&, SuspicionList&)>& change) {
+    {
+        const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+        if (!change(m_knowledge, m_suspicions)) {
+            return;
+        }
+        const std::lock_guard<std::mutex> view_lock(m_view_mutex);
+        m_view = std::make_shared<const RoutingView>(make_view(m_knowledge));
+    }
+    std::vector<std::function<void()>> listeners;
+    {
+        const std::lock_guard<std::mutex> lock(m_listener_mutex);
+        listeners = m_listeners;
+    }
+    for (const std::function<void()>& listener : listeners) {
+        listener();
+    }
+}
+
+void NodeState::on_view_change(std::function<void()> listener) {
+    const std::lock_guard<std::mutex> lock(m_listener_mutex);
+    m_listeners.push_back(std::move(listener));
+}
+
+Standing NodeState::standing(std::uint64_t fingerprint, Time now) const {
+    const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+    return standing_of(m_suspicions, fingerprint, now);
+}
+
+void NodeState::set_standing(std::uint64_t fingerprint, Standing standing, Duration ttl, Time now) {
+    const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+    switch (standing) {
+        case Standing::clear:
+            clear_suspect(m_suspicions, fingerprint);
+            break;
+        case Standing::suspect:
+            suspect(m_suspicions, fingerprint, ttl, now);
+            break;
+        case Standing::convicted:
+            convict(m_suspicions, fingerprint, ttl, now);
+            break;
+    }
+}
+
+void NodeState::leave_seat(const std::string& seat, std::int64_t epoch) {
+    const std::lock_guard<std::mutex> lock(m_left_mutex);
+    m_left_seats.push_back({seat, epoch});
+    if (m_left_seats.size() > MOST_LEFT_SEATS) {
+        m_left_seats.erase(m_left_seats.begin());
+    }
+}
+
+std::vector<SeatLeft> NodeState::left_seats() const {
+    const std::lock_guard<std::mutex> lock(m_left_mutex);
+    return m_left_seats;
+}
+
+bool NodeState::is_isolated(Time now) const {
+    const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+    return ebonymount::is_isolated(m_knowledge, m_self, m_settings.isolation_limit, now);
+}
+
+bool NodeState::is_ready(Time now) const {
+    return !m_draining && view()->configuration.generation > 0 && !is_isolated(now);
+}
+
+void NodeState::set_draining() {
+    m_draining = true;
+}
+
+bool NodeState::is_draining() const {
+    return m_draining;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/node_state.h
@@ -0,0 +1,115 @@
+// What the parts of one node share: its knowledge of the cluster, suspects, leases and counters.
+//
+// Each piece of state has a lock of its own. Routing reads an immutable view that is published
+// anew whenever knowledge changes.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "cluster/exchange.h"
+#include "io/metrics.h"
+#include "io/trace.h"
+#include "node/settings.h"
+#include "policy/routing_view.h"
+#include "policy/suspicion.h"
+
+namespace ebonymount {
+
+/// The leases of the seats that this node holds or has held.
+class LeaseTable {
+public:
+    /// Part of each limit that may be used for the seat at this moment, in 1/64ths.
+    std::int64_t usable_share(const std::string& seat, Time now) const;
+
+    /// Runs `change` on the lease under the lock, making the lease if it is absent.
+    void update(const std::string& seat, const std::function<void(SeatLease&)>& change);
+
+    /// Drops a lease that was left.
+    void erase(const std::string& seat);
+
+    /// All leases as they stand.
+    std::map<std::string, SeatLease> all() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, SeatLease> m_leases;
+};
+
+class NodeState {
+public:
+    NodeState(const NodeSettings& settings, std::int64_t incarnation);
+
+    const NodeSettings& settings() const {
+        return m_settings;
+    }
+    const Peer& self() const {
+        return m_self;
+    }
+    Metrics& metrics() {
+        return m_metrics;
+    }
+    TraceRing& traces() {
+        return m_traces;
+    }
+    LeaseTable& leases() {
+        return m_leases;
+    }
+
+    /// The published view.
+    std::shared_ptr<const RoutingView> view() const;
+
+    /// Runs `change` on the knowledge under its lock. When `change` returns true a new view is
+    /// published and the listeners are told.
+    void change_knowledge(const std::function<bool(ClusterKnowledge&, SuspicionList&)>& change);
+
+    /// Copies what `query` returns while the lock is held.
+    template <typename Query>
+    auto query_knowledge(Query query) const {
+        const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+        return query(m_knowledge, m_suspicions);
+    }
+
+    /// Called after each publication, on the thread that made the change.
+    void on_view_change(std::function<void()> listener);
+
+    /// Standing of a request.
+    Standing standing(std::uint64_t fingerprint, Time now) const;
+    void set_standing(std::uint64_t fingerprint, Standing standing, Duration ttl, Time now);
+
+    /// Notes that this node has left a seat's epoch for good.
+    void leave_seat(const std::string& seat, std::int64_t epoch);
+    std::vector<SeatLeft> left_seats() const;
+
+    /// True when the node may have missed a take-out and must not send new work.
+    bool is_isolated(Time now) const;
+
+    /// Readiness for the balancer.
+    bool is_ready(Time now) const;
+    void set_draining();
+    bool is_draining() const;
+
+private:
+    NodeSettings m_settings;
+    Peer m_self;
+    Metrics m_metrics;
+    TraceRing m_traces;
+    LeaseTable m_leases;
+    mutable std::mutex m_knowledge_mutex;
+    ClusterKnowledge m_knowledge;
+    SuspicionList m_suspicions;
+    mutable std::mutex m_view_mutex;
+    std::shared_ptr<const RoutingView> m_view;
+    mutable std::mutex m_listener_mutex;
+    std::vector<std::function<void()>> m_listeners;
+    mutable std::mutex m_left_mutex;
+    std::vector<SeatLeft> m_left_seats;
+    std::atomic<bool> m_draining{false};
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/peer_exchanger.h
@@ -0,0 +1,53 @@
+// Exchanges news with a few peers at a time, and at once when something important has changed.
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "io/peer_link.h"
+#include "node/node_state.h"
+
+namespace ebonymount {
+
+class PeerExchanger {
+public:
+    PeerExchanger(NodeState& state, PeerPool& peers);
+    ~PeerExchanger();
+    PeerExchanger(const PeerExchanger&) = delete;
+    PeerExchanger& operator=(const PeerExchanger&) = delete;
+    PeerExchanger(PeerExchanger&&) = delete;
+    PeerExchanger& operator=(PeerExchanger&&) = delete;
+
+    void start();
+    void stop();
+
+    /// Exchanges with a few peers now instead of at the next interval.
+    void spread_now();
+
+    /// Takes in a peer's exchange and returns the encoded answer.
+    Result<std::string> answer(const std::string& bytes);
+
+private:
+    void run();
+    void exchange_with(const Peer& peer);
+    bool take_in(const Exchange& exchange);
+
+    NodeState& m_state;
+    PeerPool& m_peers;
+    Counter& m_exchanges;
+    Counter& m_refused;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false;
+    bool m_due = false;
+    Random m_random;
+    std::thread m_thread;
+};
+
+/// The address by which this node reaches a host, after its settings' routes.
+std::string route_to(const NodeSettings& settings, const std::string& host,
+                     const std::string& address);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/platform_sync.cpp
@@ -0,0 +1,243 @@
+#include "node/platform_sync.h"
+
+#include <algorithm>
+
+#include "io/documents.h"
+
+namespace ebonymount {
+namespace {
+
+/// Longest wait of one watch call.
+constexpr Duration WATCH_WAIT = from_ms(3000);
+
+constexpr Duration RETRY_PAUSE = from_ms(200);
+
+/// Peers for which the host list is read at its base interval; more peers stretch the interval.
+constexpr std::size_t PEERS_AT_BASE_INTERVAL = 20;
+
+/// Take-outs and bring-backs that a configuration remembers.
+constexpr std::size_t MOST_OPERATIONS = 64;
+
+template <typename T>
+bool contains(const std::vector<T>& items, const T& item) {
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+}  // namespace
+
+Result<StoredConfiguration> read_configuration(PlatformClient& platform) {
+    const PlatformRead read = platform.read(CONFIGURATION_OBJECT);
+    if (read.status == PlatformStatus::absent) {
+        return StoredConfiguration{};
+    }
+    if (read.status != PlatformStatus::done) {
+        return Error{ErrorCode::unavailable, "the platform does not answer", CONFIGURATION_OBJECT};
+    }
+    const Result<Json> document = parse_json(read.object.value, CONFIGURATION_OBJECT);
+    if (!has_value(document)) {
+        return error_of(document);
+    }
+    const Result<Configuration> configuration = configuration_from(value_of(document));
+    if (!has_value(configuration)) {
+        return error_of(configuration);
+    }
+    return StoredConfiguration{value_of(configuration), read.object.version};
+}
+
+Result<Done> write_configuration(PlatformClient& platform, const StoredConfiguration& base,
+                                 const Configuration& next) {
+    const PlatformWrite write =
+        platform.write(CONFIGURATION_OBJECT, base.version, to_document(next).dump());
+    switch (write.status) {
+        case PlatformStatus::done:
+            return Done{};
+        case PlatformStatus::conflict:
+            return Error{ErrorCode::conflict, "another generation was accepted first",
+                         std::to_string(next.generation)};
+        default:
+            return Error{ErrorCode::unavailable, "the platform did not confirm the write",
+                         std::to_string(next.generation)};
+    }
+}
+
+Result<Done> store_take_out(PlatformClient& platform, const PendingTakeOut& take_out) {
+    const Result<StoredConfiguration> base = read_configuration(platform);
+    if (!has_value(base)) {
+        return error_of(base);
+    }
+    Configuration next = value_of(base).configuration;
+    if (contains(next.applied_operations, take_out.operation)) {
+        return Done{};
+    }
+    std::vector<std::string>& out =
+        take_out.is_data_centre ? next.out_data_centres : next.out_hosts;
+    if (!contains(out, take_out.name)) {
+        out.push_back(take_out.name);
+    }
+    ++next.generation;
+    next.applied_operations.push_back(take_out.operation);
+    if (next.applied_operations.size() > MOST_OPERATIONS) {
+        next.applied_operations.erase(next.applied_operations.begin());
+    }
+    return write_configuration(platform, value_of(base), next);
+}
+
+PlatformSync::PlatformSync(NodeState& state, PlatformClient& platform)
+    : m_state(state), m_platform(platform) {}
+
+PlatformSync::~PlatformSync() {
+    stop();
+}
+
+void PlatformSync::start() {
+    m_watch_thread = std::thread([this] { run_watch(); });
+    m_host_thread = std::thread([this] { run_hosts(); });
+}
+
+void PlatformSync::stop() {
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread* thread : {&m_watch_thread, &m_host_thread}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
+}
+
+void PlatformSync::run_watch() {
+    while (!is_stopping()) {
+        const bool is_watcher = m_state.query_knowledge(
+            [this](const ClusterKnowledge& knowledge, const SuspicionList&) {
+                return is_platform_watcher(knowledge, m_state.self(), monotonic_now());
+            });
+        const bool needs_first = m_state.view()->configuration.generation == 0;
+        if (!is_watcher && !needs_first) {
+            pause(RETRY_PAUSE * 5);
+            continue;
+        }
+        const PlatformWrite seen =
+            m_seen_version < 0 ? PlatformWrite{PlatformStatus::done, 0}
+                               : m_platform.watch(CONFIGURATION_PREFIX, m_seen_version, WATCH_WAIT);
+        const bool fresh = seen.status == PlatformStatus::done && seen.version == m_seen_version;
+        if (fresh) {
+            m_state.change_knowledge([](ClusterKnowledge& knowledge, SuspicionList&) {
+                knowledge.platform_heard = monotonic_now();
+                return false;
+            });
+            continue;
+        }
+        if (seen.status != PlatformStatus::done || !load()) {
+            pause(RETRY_PAUSE);
+        }
+    }
+}
+
+void PlatformSync::run_hosts() {
+    while (!is_stopping()) {
+        load_hosts();
+        store_pending();
+        pause(host_list_interval());
+    }
+}
+
+bool PlatformSync::load() {
+    const PlatformList list = m_platform.list(CONFIGURATION_PREFIX);
+    if (list.status != PlatformStatus::done) {
+        return false;
+    }
+    std::int64_t highest = 0;
+    for (const PlatformObject& object : list.objects) {
+        highest = std::max(highest, object.version);
+        adopt_object(object);
+    }
+    m_seen_version = highest;
+    m_state.change_knowledge([](ClusterKnowledge& knowledge, SuspicionList&) {
+        knowledge.platform_heard = monotonic_now();
+        return false;
+    });
+    return true;
+}
+
+void PlatformSync::adopt_object(const PlatformObject& object) {
+    const Result<Json> document = parse_json(object.value, object.name);
+    if (!has_value(document)) {
+        log_error("platform", "Ignored an object. " + describe(error_of(document)));
+        return;
+    }
+    if (object.name == CONFIGURATION_OBJECT) {
+        const Result<Configuration> configuration = configuration_from(value_of(document));
+        if (!has_value(configuration)) {
+            log_error("platform", "Ignored a configuration. " + describe(error_of(configuration)));
+            return;
+        }
+        m_state.change_knowledge([&configuration](ClusterKnowledge& knowledge, SuspicionList&) {
+            return adopt(knowledge, value_of(configuration));
+        });
+        return;
+    }
+    const Result<Placement> placement = placement_from(value_of(document));
+    if (!has_value(placement)) {
+        log_error("platform", "Ignored a placement. " + describe(error_of(placement)));
+        return;
+    }
+    m_state.change_knowledge([&placement](ClusterKnowledge& knowledge, SuspicionList&) {
+        return adopt(knowledge, value_of(placement));
+    });
+}
+
+void PlatformSync::load_hosts() {
+    const PlatformRead read = m_platform.hosts();
+    if (read.status != PlatformStatus::done) {
+        return;
+    }
+    const Result<Json> document = parse_json(read.object.value, "host list");
+    const Result<std::vector<Peer>> hosts = has_value(document)
+                                                ? hosts_from(value_of(document))
+                                                : Result<std::vector<Peer>>(error_of(document));
+    if (!has_value(hosts)) {
+        log_error("platform", "Ignored the host list. " + describe(error_of(hosts)));
+        return;
+    }
+    m_state.change_knowledge([&hosts](ClusterKnowledge& knowledge, SuspicionList&) {
+        const std::set<std::string> leaving_before = knowledge.leaving_hosts;
+        adopt_hosts(knowledge, value_of(hosts), monotonic_now());
+        knowledge.platform_heard = monotonic_now();
+        return knowledge.leaving_hosts != leaving_before;
+    });
+}
+
+void PlatformSync::store_pending() {
+    const std::vector<PendingTakeOut> pending = m_state.query_knowledge(
+        [](const ClusterKnowledge& knowledge, const SuspicionList&) { return knowledge.pending; });
+    for (const PendingTakeOut& take_out : pending) {
+        const Result<Done> stored = store_take_out(m_platform, take_out);
+        if (has_value(stored)) {
+            log_info("platform", "Stored the take-out of " + take_out.name + ".");
+            load();
+        }
+    }
+}
+
+Duration PlatformSync::host_list_interval() const {
+    const std::size_t peers =
+        m_state.query_knowledge([](const ClusterKnowledge& knowledge, const SuspicionList&) {
+            return knowledge.peers.size();
+        });
+    const std::size_t stretch = std::max<std::size_t>(1, peers / PEERS_AT_BASE_INTERVAL);
+    return m_state.settings().host_list_interval * static_cast<std::int64_t>(stretch);
+}
+
+void PlatformSync::pause(Duration duration) {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_wake.wait_for(lock, duration, [this] { return m_stopping; });
+}
+
+bool PlatformSync::is_stopping() const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_stopping;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/platform_sync.h
@@ -0,0 +1,73 @@
+// Keeps the node's knowledge in step with the platform: configuration, placements, host list, and
+// take-outs that were made while the platform was down.
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "io/platform_client.h"
+#include "node/node_state.h"
+
+namespace ebonymount {
+
+/// Name of the object with the accepted configuration.
+constexpr const char* CONFIGURATION_OBJECT = "config/table";
+
+/// Prefix of the placement objects, one for each service.
+constexpr const char* PLACEMENT_PREFIX = "config/placement/";
+
+/// Prefix of everything that nodes watch.
+constexpr const char* CONFIGURATION_PREFIX = "config/";
+
+/// The accepted configuration with the version of its object; generation 0 when there is none.
+struct StoredConfiguration {
+    Configuration configuration;
+    std::int64_t version = 0;
+};
+
+/// Reads the accepted configuration from the platform.
+Result<StoredConfiguration> read_configuration(PlatformClient& platform);
+
+/// Writes the next generation over `base`. A conflict means that another write came first; after
+/// `unavailable` the write may have taken effect.
+Result<Done> write_configuration(PlatformClient& platform, const StoredConfiguration& base,
+                                 const Configuration& next);
+
+/// Stores a take-out; done as well when it is stored already.
+Result<Done> store_take_out(PlatformClient& platform, const PendingTakeOut& take_out);
+
+class PlatformSync {
+public:
+    PlatformSync(NodeState& state, PlatformClient& platform);
+    ~PlatformSync();
+    PlatformSync(const PlatformSync&) = delete;
+    PlatformSync& operator=(const PlatformSync&) = delete;
+    PlatformSync(PlatformSync&&) = delete;
+    PlatformSync& operator=(PlatformSync&&) = delete;
+
+    void start();
+    void stop();
+
+private:
+    void run_watch();
+    void run_hosts();
+    bool load();
+    void adopt_object(const PlatformObject& object);
+    void load_hosts();
+    void store_pending();
+    Duration host_list_interval() const;
+    void pause(Duration duration);
+    bool is_stopping() const;
+
+    NodeState& m_state;
+    PlatformClient& m_platform;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false;
+    std::int64_t m_seen_version = -1;
+    std::thread m_watch_thread;
+    std::thread m_host_thread;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/query_run.h
@@ -0,0 +1,84 @@
+// One gather in progress: carries out the actions of its steps and feeds outcomes back in.
+//
+// The run belongs to the caller's thread, which waits in `run`. Relays and links report outcomes
+// from other threads into a mailbox; what arrives after the end is dropped and counted.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "io/peer_link.h"
+#include "io/trace.h"
+#include "io/wire.h"
+#include "node/node_state.h"
+#include "node/relay.h"
+#include "policy/gather.h"
+
+namespace ebonymount {
+
+struct ServiceStatistics;
+
+/// What a run needs of its node.
+struct QueryPorts {
+    NodeState& state;
+    Relay& relay;
+    PeerPool& peers;
+};
+
+class QueryRun : public std::enable_shared_from_this<QueryRun> {
+public:
+    QueryRun(QueryPorts ports, std::string query_id, GatherRequest request, std::string body,
+             std::string key);
+
+    /// Runs the gather to its end. `wants_trace` keeps a span for each hop.
+    GatherOutcome run(ServiceStatistics& statistics, bool wants_trace);
+
+    /// Names of the shards of the pinned snapshot.
+    std::vector<std::string> shards() const;
+
+    /// The trace, complete after `run`.
+    Trace take_trace();
+
+private:
+    struct Sent {
+        std::string holder;
+        std::string address;
+        std::string target;
+        Time at{};
+        bool extra = false;
+    };
+
+    std::vector<GatherAction> advance(const GatherEvent& event, ServiceStatistics& statistics);
+    void perform(const std::vector<GatherAction>& actions);
+    void send(const std::vector<SendAttempt>& attempts);
+    void send_to(const std::string& holder, const std::string& address,
+                 const std::vector<SendAttempt>& attempts);
+    void cancel(const std::vector<CancelAttempt>& cancels);
+    void post(const WireOutcome& outcome);
+    void post_failure(std::uint64_t attempt, AttemptStatus status, Verdict verdict);
+    bool wait_for_outcome(Time until, WireOutcome& outcome);
+    void add_span(const WireOutcome& outcome);
+    SeatRecord holder_of(const std::string& target) const;
+
+    QueryPorts m_ports;
+    std::string m_query_id;
+    std::string m_body;
+    std::string m_key;
+    std::shared_ptr<const RoutingView> m_view;
+    ServiceRow m_row;
+    GatherState m_gather;
+    std::optional<GatherOutcome> m_outcome;
+    std::map<std::uint64_t, Sent> m_sent;
+    bool m_wants_trace = false;
+    Trace m_trace;
+    std::mutex m_mutex;
+    std::condition_variable m_arrived;
+    std::deque<WireOutcome> m_mailbox;
+    bool m_closed = false;
+};
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/relay.cpp
@@ -0,0 +1,185 @@
+#include "node/relay.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int CANCEL_THREADS = static_cast<int>(CANCEL_CONNECTIONS);
+
+/// A target with the service it belongs to.
+struct PlacedTarget {
+    std::string service;
+    Target target;
+    std::string seat;
+};
+
+std::vector<PlacedTarget> targets_in(const RoutingView& view, const std::string& data_centre) {
+    std::vector<PlacedTarget> placed;
+    for (const auto& [service, placement] : view.placements) {
+        const ServiceRow* row = find_row(view.configuration, service);
+        for (const Target& target : placement.targets) {
+            if (target.data_centre == data_centre && row != nullptr) {
+                placed.push_back({service, target, owning_seat(view, target)});
+            }
+        }
+    }
+    return placed;
+}
+
+std::string worker_key(const std::string& service, const std::string& target) {
+    return service + "/" + target;
+}
+
+}  // namespace
+
+Relay::Relay(NodeState& state) : m_state(state), m_cancels(CANCEL_THREADS) {}
+
+void Relay::submit(const WireQuery& query, const OutcomeSink& sink) {
+    const Time now = monotonic_now();
+    const std::shared_ptr<const WireQuery> shared = std::make_shared<const WireQuery>(query);
+    for (const WireItem& item : query.items) {
+        const std::shared_ptr<RelayJob> job = std::make_shared<RelayJob>();
+        job->query = shared;
+        job->item = item;
+        job->received = now;
+        job->deadline = now + Duration(query.remaining_us);
+        job->sink = sink;
+        const std::shared_ptr<TargetWorker> worker =
+            find_worker(worker_key(query.service, item.target));
+        if (worker != nullptr) {
+            worker->submit(job);
+            continue;
+        }
+        WireOutcome outcome;
+        outcome.attempt = item.attempt;
+        outcome.status = static_cast<std::uint8_t>(AttemptStatus::not_owner);
+        outcome.verdict = static_cast<std::uint8_t>(Verdict::not_run);
+        sink(outcome);
+    }
+}
+
+void Relay::cancel(const WireCancel& cancel) {
+    WorkerMap workers;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        workers = m_workers;
+    }
+    for (const auto& [key, worker] : workers) {
+        for (const std::uint64_t attempt : cancel.attempts) {
+            const std::shared_ptr<RelayJob> running = worker->cancel(cancel.query_id, attempt);
+            if (running != nullptr) {
+                m_cancels.post([worker = worker, running] { worker->cancel_at_target(*running); });
+            }
+        }
+    }
+}
+
+void Relay::open_seat(const std::string& seat, const WarmLedgers& ledgers) {
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_open_seats[seat] = ledgers;
+    }
+    follow_view();
+}
+
+std::optional<WarmLedgers> Relay::close_seat(const std::string& seat, Duration most) {
+    const Time end = monotonic_now() + most;
+    std::vector<std::shared_ptr<TargetWorker>> workers;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_open_seats.erase(seat);
+        for (auto item = m_workers.begin(); item != m_workers.end();) {
+            if (item->second->seat() == seat) {
+                workers.push_back(item->second);
+                item = m_workers.erase(item);
+            } else {
+                ++item;
+            }
+        }
+    }
+    WarmLedgers ledgers;
+    bool idle = true;
+    for (const std::shared_ptr<TargetWorker>& worker : workers) {
+        worker->close_queue();
+    }
+    for (const std::shared_ptr<TargetWorker>& worker : workers) {
+        const Duration left = std::max(Duration::zero(), end - monotonic_now());
+        idle = worker->wait_idle(left) && idle;
+        ledgers[worker->target().id] = worker->ledger();
+    }
+    if (!idle) {
+        return std::nullopt;
+    }
+    return ledgers;
+}
+
+void Relay::follow_view() {
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    const std::vector<PlacedTarget> placed = targets_in(*view, m_state.self().data_centre);
+    WorkerMap ended;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        WorkerMap kept;
+        for (const PlacedTarget& place : placed) {
+            const auto open = m_open_seats.find(place.seat);
+            if (open == m_open_seats.end()) {
+                continue;
+            }
+            const std::string key = worker_key(place.service, place.target.id);
+            const auto old = m_workers.find(key);
+            const bool same = old != m_workers.end() &&
+                              old->second->target().address == place.target.address &&
+                              old->second->seat() == place.seat;
+            if (same) {
+                kept[key] = old->second;
+                old->second->follow_limits();
+            } else {
+                const auto warm = open->second.find(place.target.id);
+                const TargetLedger ledger =
+                    warm == open->second.end() ? TargetLedger{} : warm->second;
+                kept[key] = std::make_shared<TargetWorker>(m_state, place.service, place.target,
+                                                           place.seat, ledger);
+            }
+        }
+        for (const auto& [key, worker] : m_workers) {
+            const auto found = kept.find(key);
+            if (found == kept.end() || found->second != worker) {
+                ended[key] = worker;
+            }
+        }
+        m_workers = std::move(kept);
+    }
+    for (const auto& [key, worker] : ended) {
+        worker->close_queue();
+    }
+}
+
+std::vector<TargetStatus> Relay::status() const {
+    WorkerMap workers;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        workers = m_workers;
+    }
+    std::vector<TargetStatus> result;
+    for (const auto& [key, worker] : workers) {
+        result.push_back(worker->status());
+    }
+    return result;
+}
+
+void Relay::stop() {
+    m_cancels.stop();
+    WorkerMap workers;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        workers.swap(m_workers);
+        m_open_seats.clear();
+    }
+}
+
+std::shared_ptr<TargetWorker> Relay::find_worker(const std::string& key) const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_workers.find(key);
+    return found == m_workers.end() ? nullptr : found->second;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/node/target_worker.cpp
@@ -0,0 +1,403 @@
+#include "node/target_worker.h"
+
+#include <algorithm>
+
+#include "base/check.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int HTTP_OK = 200;
+constexpr int HTTP_BAD_REQUEST = 400;
+constexpr int HTTP_SNAPSHOT_MISSING = 409;
+constexpr int HTTP_SHED = 429;
+constexpr int HTTP_CANCELLED = 499;
+constexpr int HTTP_DRAINING = 503;
+
+/// Time beyond the deadline for which an answer is still awaited, so that the slot is not counted
+/// free while the target works on.
+constexpr Duration ANSWER_GRACE = from_ms(250);
+
+constexpr Duration CONNECT_TIMEOUT = from_ms(500);
+constexpr Duration CANCEL_TIMEOUT = from_ms(200);
+constexpr Duration PROBE_INTERVAL = from_ms(100);
+constexpr Duration IDLE_WAIT = from_ms(1000);
+
+WireOutcome make_outcome(const RelayJob& job, AttemptStatus status, Verdict verdict) {
+    WireOutcome outcome;
+    outcome.attempt = job.item.attempt;
+    outcome.status = static_cast<std::uint8_t>(status);
+    outcome.verdict = static_cast<std::uint8_t>(verdict);
+    return outcome;
+}
+
+void report(const RelayJob& job, AttemptStatus status) {
+    job.sink(make_outcome(job, status, Verdict::not_run));
+}
+
+std::string header_of(const HttpAnswer& answer, const std::string& name) {
+    const auto found = answer.headers.find(name);
+    return found == answer.headers.end() ? "" : found->second;
+}
+
+std::string attempt_name(const RelayJob& job) {
+    return job.query->query_id + "." + std::to_string(job.item.attempt);
+}
+
+HttpRequest make_request(const RelayJob& job, const std::string& service, Time now) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/run/" + service;
+    request.headers = {{"X-Attempt", attempt_name(job)},
+                       {"X-Shard", job.item.shard},
+                       {"X-Snapshot", job.query->snapshot},
+                       {"X-Deadline-Us", std::to_string((job.deadline - now).count())}};
+    if (!job.query->key.empty()) {
+        request.headers["Idempotency-Key"] = job.query->key;
+    }
+    request.body = job.query->body;
+    return request;
+}
+
+void set_status(WireOutcome& outcome, AttemptStatus status, Verdict verdict) {
+    outcome.status = static_cast<std::uint8_t>(status);
+    outcome.verdict = static_cast<std::uint8_t>(verdict);
+}
+
+}  // namespace
+
+TargetWorker::TargetWorker(NodeState& state, std::string service, Target target, std::string seat,
+                           TargetLedger ledger)
+    : m_state(state),
+      m_service(std::move(service)),
+      m_target(std::move(target)),
+      m_seat(std::move(seat)),
+      m_sent(state.metrics().counter("ebonymount_relay_sent_total")),
+      m_refused(state.metrics().counter("ebonymount_relay_refused_total")),
+      m_ledger(std::move(ledger)) {
+    m_ledger.running = 0;
+    follow_limits();
+}
+
+TargetWorker::~TargetWorker() {
+    close_queue();
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread& thread : m_threads) {
+        thread.join();
+    }
+}
+
+void TargetWorker::submit(std::shared_ptr<RelayJob> job) {
+    const Time now = monotonic_now();
+    const ServiceRow the_row = row();
+    std::optional<AttemptStatus> refused = refusal(*job, now);
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const std::int64_t the_share = share(now);
+        const std::int64_t queued = static_cast<std::int64_t>(m_queue.size());
+        if (m_closed) {
+            refused = AttemptStatus::not_owner;
+        } else if (!refused.has_value()) {
+            const Duration wait = expected_wait(m_ledger, the_row, the_share, queued, now);
+            if (m_ledger.broken) {
+                refused = AttemptStatus::unreachable;
+            } else if (now < m_ledger.draining_until) {
+                refused = AttemptStatus::out_of_service;
+            } else if (wait >= job->deadline - now) {
+                refused = AttemptStatus::overloaded;
+            }
+        }
+        if (!refused.has_value()) {
+            m_queue.push_back(job);
+        }
+    }
+    if (refused.has_value()) {
+        ++m_refused;
+        report(*job, *refused);
+        return;
+    }
+    m_wake.notify_one();
+}
+
+std::shared_ptr<RelayJob> TargetWorker::cancel(const std::string& query_id, std::uint64_t attempt) {
+    const auto same = [&query_id, attempt](const std::shared_ptr<RelayJob>& job) {
+        return job->query->query_id == query_id && job->item.attempt == attempt;
+    };
+    std::shared_ptr<RelayJob> waiting;
+    std::shared_ptr<RelayJob> running;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto queued = std::find_if(m_queue.begin(), m_queue.end(), same);
+        if (queued != m_queue.end()) {
+            waiting = *queued;
+            m_queue.erase(queued);
+        }
+        const auto started = std::find_if(m_running.begin(), m_running.end(), same);
+        if (started != m_running.end()) {
+            running = *started;
+            running->cancelled = true;
+        }
+    }
+    if (waiting != nullptr) {
+        report(*waiting, AttemptStatus::cancelled);
+    }
+    return running;
+}
+
+void TargetWorker::close_queue() {
+    std::deque<std::shared_ptr<RelayJob>> waiting;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_closed = true;
+        waiting.swap(m_queue);
+    }
+    for (const std::shared_ptr<RelayJob>& job : waiting) {
+        report(*job, AttemptStatus::not_owner);
+    }
+}
+
+bool TargetWorker::wait_idle(Duration most) {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    return m_idle.wait_for(lock, most, [this] { return m_running.empty(); });
+}
+
+TargetLedger TargetWorker::ledger() const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_ledger;
+}
+
+TargetStatus TargetWorker::status() const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return {m_target.id, m_seat, m_ledger, m_queue.size(), m_connections_opened};
+}
+
+void TargetWorker::follow_limits() {
+    const std::size_t slots = static_cast<std::size_t>(row().slots);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    while (m_threads.size() < slots) {
+        m_threads.emplace_back([this] { run_slot(); });
+    }
+}
+
+void TargetWorker::run_slot() {
+    HttpConnection connection(m_target.address, CONNECT_TIMEOUT);
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        if (m_ledger.broken && !m_probing) {
+            probe(lock);
+            continue;
+        }
+        const std::shared_ptr<RelayJob> job = next_job(lock);
+        if (job == nullptr) {
+            continue;
+        }
+        lock.unlock();
+        run_job(job, connection);
+        lock.lock();
+        std::erase(m_running, job);
+        if (m_running.empty()) {
+            m_idle.notify_all();
+        }
+        m_wake.notify_one();
+    }
+}
+
+std::shared_ptr<RelayJob> TargetWorker::next_job(std::unique_lock<std::mutex>& lock) {
+    std::shared_ptr<RelayJob> job;
+    if (m_queue.empty()) {
+        m_wake.wait_for(lock, IDLE_WAIT);
+        return nullptr;
+    }
+    take_startable(lock, job);
+    return job;
+}
+
+/// Takes the first job if one may start now, else waits until that may have changed.
+bool TargetWorker::take_startable(std::unique_lock<std::mutex>& lock,
+                                  std::shared_ptr<RelayJob>& job) {
+    const Time now = monotonic_now();
+    const std::shared_ptr<RelayJob> first = m_queue.front();
+    std::optional<AttemptStatus> refused = refusal(*first, now);
+    const ServiceRow the_row = row();
+    const Admission admission = admit(m_ledger, the_row, share(now), now);
+    if (!refused.has_value() && now + m_ledger.mean_service > first->deadline) {
+        refused = AttemptStatus::overloaded;
+    }
+    if (!refused.has_value() && admission == Admission::closed) {
+        refused = AttemptStatus::unreachable;
+    }
+    if (refused.has_value()) {
+        m_queue.pop_front();
+        lock.unlock();
+        ++m_refused;
+        report(*first, *refused);
+        lock.lock();
+        return false;
+    }
+    if (admission == Admission::wait) {
+        const Time until = std::max(m_ledger.next_start, now + from_ms(1));
+        m_wake.wait_until(lock, std::min(until, first->deadline));
+        return false;
+    }
+    m_queue.pop_front();
+    on_start(m_ledger, the_row, now);
+    m_running.push_back(first);
+    job = first;
+    return true;
+}
+
+std::optional<AttemptStatus> TargetWorker::refusal(const RelayJob& job, Time now) const {
+    if (job.cancelled) {
+        return AttemptStatus::cancelled;
+    }
+    if (now >= job.deadline) {
+        return AttemptStatus::overloaded;
+    }
+    if (share(now) == 0) {
+        return AttemptStatus::not_owner;
+    }
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    const auto placement = view->placements.find(m_service);
+    const Target* target =
+        placement == view->placements.end() ? nullptr : find_target(placement->second, m_target.id);
+    if (target == nullptr || !accepts_new_work(*view, *target) || m_state.is_isolated(now)) {
+        return AttemptStatus::out_of_service;
+    }
+    return std::nullopt;
+}
+
+void TargetWorker::run_job(const std::shared_ptr<RelayJob>& job, HttpConnection& connection) {
+    const Time started = monotonic_now();
+    std::optional<WireOutcome> outcome = exchange(*job, connection);
+    if (!outcome.has_value()) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_queue.push_front(job);
+        return;
+    }
+    outcome->queue_us = (started - job->received).count();
+    outcome->target_us = (monotonic_now() - started).count();
+    job->sink(std::move(*outcome));
+}
+
+ConnectResult TargetWorker::connect(HttpConnection& connection) {
+    const int opened_before = connection.opened();
+    const ConnectResult connected = connection.ensure_connected();
+    m_connections_opened += connection.opened() - opened_before;
+    return connected;
+}
+
+/// Sends the job and waits for its answer. Nothing is returned when the target has closed the
+/// connection meanwhile: it may have turned cold, so the job has to be admitted again.
+std::optional<WireOutcome> TargetWorker::exchange(RelayJob& job, HttpConnection& connection) {
+    const ConnectResult connected = connect(connection);
+    if (connected == ConnectResult::replaced) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        on_connection_replaced(m_ledger, monotonic_now());
+        return std::nullopt;
+    }
+    if (connected == ConnectResult::failed) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        on_connect_failed(m_ledger);
+        return make_outcome(job, AttemptStatus::unreachable, Verdict::not_run);
+    }
+    const Time sent = monotonic_now();
+    // The connection may have taken long to open, or this process may have been paused.
+    if (const std::optional<AttemptStatus> refused = refusal(job, sent)) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        on_end_without_evidence(m_ledger);
+        return make_outcome(job, *refused, Verdict::not_run);
+    }
+    ++m_sent;
+    const HttpAnswer answer =
+        connection.exchange(make_request(job, m_service, sent), job.deadline - sent + ANSWER_GRACE);
+    WireOutcome outcome = make_outcome(job, AttemptStatus::target_lost, Verdict::may_have_run);
+    apply(answer, monotonic_now() - sent, outcome);
+    return outcome;
+}
+
+void TargetWorker::apply(const HttpAnswer& answer, Duration service_time, WireOutcome& outcome) {
+    const Time now = monotonic_now();
+    const ServiceRow the_row = row();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (answer.stage != ExchangeStage::answered) {
+        on_broken(m_ledger, now);
+        set_status(outcome,
+                   answer.timed_out ? AttemptStatus::timed_out : AttemptStatus::target_lost,
+                   Verdict::may_have_run);
+        return;
+    }
+    switch (answer.status) {
+        case HTTP_OK:
+            on_success(m_ledger, the_row, header_of(answer, "X-Incarnation"), service_time, now);
+            set_status(outcome, AttemptStatus::answered, Verdict::ran);
+            outcome.snapshot = header_of(answer, "X-Snapshot");
+            outcome.digest = header_of(answer, "X-Digest");
+            outcome.result = answer.body;
+            return;
+        case HTTP_SHED:
+            on_shed(m_ledger, now);
+            set_status(outcome, AttemptStatus::shed, Verdict::not_run);
+            return;
+        case HTTP_DRAINING:
+            on_draining(m_ledger, now);
+            set_status(outcome, AttemptStatus::shed, Verdict::not_run);
+            return;
+        case HTTP_SNAPSHOT_MISSING:
+            on_end_without_evidence(m_ledger);
+            set_status(outcome, AttemptStatus::snapshot_missing, Verdict::not_run);
+            return;
+        case HTTP_BAD_REQUEST:
+            on_end_without_evidence(m_ledger);
+            set_status(outcome, AttemptStatus::rejected, Verdict::not_run);
+            outcome.result = answer.body;
+            return;
+        case HTTP_CANCELLED:
+            on_end_without_evidence(m_ledger);
+            set_status(outcome, AttemptStatus::cancelled, Verdict::may_have_run);
+            return;
+        default:
+            on_end_without_evidence(m_ledger);
+            set_status(outcome, AttemptStatus::timed_out, Verdict::may_have_run);
+    }
+}
+
+/// Tries to open a connection while the target refuses them; sends no request.
+void TargetWorker::probe(std::unique_lock<std::mutex>& lock) {
+    m_probing = true;
+    m_wake.wait_for(lock, PROBE_INTERVAL);
+    lock.unlock();
+    bool reachable = false;
+    if (share(monotonic_now()) > 0) {
+        HttpConnection connection(m_target.address, CONNECT_TIMEOUT);
+        reachable = connection.ensure_connected() != ConnectResult::failed;
+    }
+    lock.lock();
+    if (reachable) {
+        on_reachable_again(m_ledger, monotonic_now());
+    }
+    m_probing = false;
+}
+
+void TargetWorker::cancel_at_target(const RelayJob& job) const {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/cancel";
+    request.headers = {{"X-Attempt", attempt_name(job)}};
+    exchange_once(m_target.address, request, CANCEL_TIMEOUT);
+}
+
+ServiceRow TargetWorker::row() const {
+    const std::shared_ptr<const RoutingView> view = m_state.view();
+    const ServiceRow* found = find_row(view->configuration, m_service);
+    return found == nullptr ? ServiceRow{} : *found;
+}
+
+std::int64_t TargetWorker::share(Time now) const {
+    return m_state.leases().usable_share(m_seat, now);
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,139 @@
+#include "policy/admission.h"
+
+#include <algorithm>
+
+namespace ebonymount {
+namespace {
+
+void make_cold(TargetLedger& ledger, Time now) {
+    ledger.stage = 0;
+    ledger.successes_in_stage = 0;
+    ledger.stage_since = now;
+}
+
+void end_one(TargetLedger& ledger) {
+    if (ledger.running > 0) {
+        --ledger.running;
+    }
+}
+
+void climb(TargetLedger& ledger, const ServiceRow& row, Time now) {
+    if (ledger.stage >= WARM_STAGE) {
+        return;
+    }
+    ++ledger.successes_in_stage;
+    const bool enough = ledger.successes_in_stage >= row.ramp_successes;
+    const bool long_enough = now - ledger.stage_since >= from_ms(row.ramp_stage_ms);
+    if (enough && long_enough) {
+        ++ledger.stage;
+        ledger.successes_in_stage = 0;
+        ledger.stage_since = now;
+    }
+}
+
+Duration start_spacing(const TargetLedger& ledger, const ServiceRow& row) {
+    if (ledger.stage >= WARM_STAGE) {
+        return Duration::zero();
+    }
+    const std::int64_t rate = row.cold_rate_per_s << ledger.stage;
+    return Duration(1'000'000 / rate);
+}
+
+/// Pause before a target that was leaving is asked again, as a cold one.
+constexpr Duration DRAINING_PAUSE = from_ms(2000);
+
+/// Weight of the newest sample in the mean service time, as one in this many.
+constexpr int MEAN_WINDOW = 16;
+
+}  // namespace
+
+std::int64_t concurrency_limit(const TargetLedger& ledger, const ServiceRow& row,
+                               std::int64_t share_64ths) {
+    const std::int64_t whole = row.slots * share_64ths / 64;
+    if (ledger.stage >= WARM_STAGE) {
+        return whole;
+    }
+    return std::min(whole, row.cold_limit << ledger.stage);
+}
+
+Admission admit(const TargetLedger& ledger, const ServiceRow& row, std::int64_t share_64ths,
+                Time now) {
+    if (ledger.broken || now < ledger.draining_until) {
+        return Admission::closed;
+    }
+    const std::int64_t limit = concurrency_limit(ledger, row, share_64ths);
+    if (limit == 0) {
+        return Admission::closed;
+    }
+    if (ledger.running >= limit || now < ledger.next_start) {
+        return Admission::wait;
+    }
+    return Admission::start;
+}
+
+Duration expected_wait(const TargetLedger& ledger, const ServiceRow& row, std::int64_t share_64ths,
+                       std::int64_t queued, Time now) {
+    const std::int64_t limit = concurrency_limit(ledger, row, share_64ths);
+    if (limit == 0) {
+        return Duration::max();
+    }
+    const std::int64_t ahead = std::max<std::int64_t>(0, queued + ledger.running - limit + 1);
+    const Duration by_slots = ledger.mean_service * ahead / limit;
+    const Duration until_next = std::max(Duration::zero(), ledger.next_start - now);
+    const Duration by_rate = until_next + start_spacing(ledger, row) * queued;
+    return std::max(by_slots, by_rate);
+}
+
+void on_start(TargetLedger& ledger, const ServiceRow& row, Time now) {
+    ++ledger.running;
+    ledger.next_start = now + start_spacing(ledger, row);
+}
+
+void on_success(TargetLedger& ledger, const ServiceRow& row, const std::string& incarnation,
+                Duration service_time, Time now) {
+    end_one(ledger);
+    ledger.mean_service += (service_time - ledger.mean_service) / MEAN_WINDOW;
+    if (incarnation != ledger.incarnation) {
+        ledger.incarnation = incarnation;
+        make_cold(ledger, now);
+        return;
+    }
+    climb(ledger, row, now);
+}
+
+void on_shed(TargetLedger& ledger, Time now) {
+    end_one(ledger);
+    make_cold(ledger, now);
+}
+
+void on_draining(TargetLedger& ledger, Time now) {
+    end_one(ledger);
+    make_cold(ledger, now);
+    ledger.draining_until = now + DRAINING_PAUSE;
+}
+
+void on_end_without_evidence(TargetLedger& ledger) {
+    end_one(ledger);
+}
+
+void on_broken(TargetLedger& ledger, Time now) {
+    end_one(ledger);
+    make_cold(ledger, now);
+}
+
+void on_connection_replaced(TargetLedger& ledger, Time now) {
+    end_one(ledger);
+    make_cold(ledger, now);
+}
+
+void on_connect_failed(TargetLedger& ledger) {
+    end_one(ledger);
+    ledger.broken = true;
+}
+
+void on_reachable_again(TargetLedger& ledger, Time now) {
+    ledger.broken = false;
+    make_cold(ledger, now);
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/admission.h
@@ -0,0 +1,81 @@
+// Admission to one target, kept by the holder of the target's seat.
+//
+// The ledger counts what runs at the target and decides whether one more request may start. A
+// target is cold when it is new to its owner, its incarnation changed, its connection broke, or it
+// shed work. A cold target starts at the table's cold limit and rate; both double with each stage,
+// and a stage lasts until enough requests have succeeded and enough time has passed.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+#include "policy/table.h"
+
+namespace ebonymount {
+
+/// Stage number of a target that is not warming up.
+constexpr int WARM_STAGE = 6;
+
+/// What the owner knows of one target.
+struct TargetLedger {
+    std::string incarnation;
+    int stage = 0;
+    std::int64_t running = 0;
+    std::int64_t successes_in_stage = 0;
+    Time stage_since{};
+    Time next_start{};
+    Duration mean_service = from_ms(5);
+    /// Set while the target refuses connections; only a connection probe may go to it then.
+    bool broken = false;
+    /// Until then nothing is sent, because the target said that it is leaving.
+    Time draining_until{};
+
+    friend bool operator==(const TargetLedger&, const TargetLedger&) = default;
+};
+
+/// Whether a request may start now.
+enum class Admission : std::uint8_t { start, wait, closed };
+
+/// Requests that may run at once, after warm-up stage and share.
+std::int64_t concurrency_limit(const TargetLedger& ledger, const ServiceRow& row,
+                               std::int64_t share_64ths);
+
+/// Decides whether one more request may start now.
+Admission admit(const TargetLedger& ledger, const ServiceRow& row, std::int64_t share_64ths,
+                Time now);
+
+/// Time until a request that joins a queue of `queued` others is expected to start.
+Duration expected_wait(const TargetLedger& ledger, const ServiceRow& row, std::int64_t share_64ths,
+                       std::int64_t queued, Time now);
+
+/// Counts a start and spaces the next one while the target is cold.
+void on_start(TargetLedger& ledger, const ServiceRow& row, Time now);
+
+/// Counts a success; a changed incarnation makes the target cold.
+void on_success(TargetLedger& ledger, const ServiceRow& row, const std::string& incarnation,
+                Duration service_time, Time now);
+
+/// The target refused the request because it has too much to do.
+void on_shed(TargetLedger& ledger, Time now);
+
+/// The target refused the request because it is leaving.
+void on_draining(TargetLedger& ledger, Time now);
+
+/// The request ended without telling anything of the target's strength: cancelled, or refused for
+/// its content.
+void on_end_without_evidence(TargetLedger& ledger);
+
+/// The connection broke while a request was running.
+void on_broken(TargetLedger& ledger, Time now);
+
+/// A connection was found closed before a request was sent on it; the request does not start.
+void on_connection_replaced(TargetLedger& ledger, Time now);
+
+/// A connection could not be opened; nothing was running on it.
+void on_connect_failed(TargetLedger& ledger);
+
+/// A connection was opened to a target that had refused them: it starts again, cold.
+void on_reachable_again(TargetLedger& ledger, Time now);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/gather.cpp
@@ -0,0 +1,522 @@
+#include "policy/gather.h"
+
+#include <algorithm>
+
+#include "base/check.h"
+
+namespace ebonymount {
+namespace {
+
+/// Expected answer times of targets never asked, in the own and in another data centre.
+constexpr double NEAR_PRIOR_US = 3000.0;
+constexpr double FAR_PRIOR_US = 15000.0;
+
+/// Shortest and longest pause before the replicas of a shard are asked again.
+constexpr Duration SHORTEST_BACKOFF = from_ms(10);
+constexpr int MOST_BACKOFF_DOUBLINGS = 3;
+
+/// Restarts on another snapshot within one request.
+constexpr int MOST_RESTARTS = 1;
+
+using Actions = std::vector<GatherAction>;
+
+struct Step {
+    GatherState& state;
+    const GatherContext& context;
+    Time now;
+    Random& random;
+    Actions actions;
+};
+
+const Placement* placement_of(const Step& s) {
+    const auto found = s.context.view.placements.find(s.state.request.service);
+    return found == s.context.view.placements.end() ? nullptr : &found->second;
+}
+
+double score(Step& s, const Target& target) {
+    const bool near = target.data_centre == s.context.own_data_centre;
+    const double prior = near ? NEAR_PRIOR_US : FAR_PRIOR_US;
+    // A little noise spreads requests over replicas that look equally good.
+    const double noise = 1.0 + 0.05 * uniform(s.random);
+    return expected_us(s.context.scores, target.id, prior, s.now) * noise;
+}
+
+bool is_usable(const Step& s, const std::string& id) {
+    const Target* target = find_target(*placement_of(s), id);
+    return target != nullptr && accepts_new_work(s.context.view, *target);
+}
+
+bool has_usable_replica(const Step& s, std::size_t shard) {
+    const std::vector<std::string>& replicas = s.state.pinned->shards.at(shard).replicas;
+    const auto usable = [&s](const std::string& id) {
+        return is_usable(s, id);
+    };
+    return std::any_of(replicas.begin(), replicas.end(), usable);
+}
+
+/// The untried usable replica with the shortest expected time, or null.
+const Target* choose_replica(Step& s, std::size_t shard) {
+    const Target* best = nullptr;
+    double best_score = 0.0;
+    for (const std::string& id : s.state.pinned->shards.at(shard).replicas) {
+        if (s.state.shards.at(shard).tried.count(id) > 0 || !is_usable(s, id)) {
+            continue;
+        }
+        const Target* target = find_target(*placement_of(s), id);
+        const double candidate = score(s, *target);
+        if (best == nullptr || candidate < best_score) {
+            best = target;
+            best_score = candidate;
+        }
+    }
+    return best;
+}
+
+bool has_live_attempt(const GatherState& state, std::size_t shard) {
+    const auto same = [shard](const Attempt& attempt) {
+        return attempt.shard == shard;
+    };
+    return std::any_of(state.live.begin(), state.live.end(), same);
+}
+
+bool has_live_trial(const GatherState& state) {
+    const auto on_trial = [](const Attempt& attempt) {
+        return attempt.trial;
+    };
+    return std::any_of(state.live.begin(), state.live.end(), on_trial);
+}
+
+void send(Step& s, std::size_t shard, const Target& target, bool extra) {
+    GatherState& state = s.state;
+    Attempt attempt;
+    attempt.id = state.next_attempt++;
+    attempt.shard = shard;
+    attempt.target = target.id;
+    attempt.sent = s.now;
+    attempt.trial = state.on_trial;
+    state.shards.at(shard).tried.insert(target.id);
+    state.shards.at(shard).retry_at.reset();
+    state.live.push_back(attempt);
+    on_sent(s.context.scores, target.id);
+    s.actions.emplace_back(SendAttempt{attempt.id, state.pinned->shards.at(shard).id, target.id,
+                                       state.pinned->id, state.hard_deadline, extra});
+}
+
+Duration backoff(int refusals, Random& random) {
+    const int doublings = std::min(refusals / 3, MOST_BACKOFF_DOUBLINGS);
+    const double factor = (0.75 + 0.5 * uniform(random)) * static_cast<double>(1 << doublings);
+    return Duration(
+        static_cast<std::int64_t>(static_cast<double>(SHORTEST_BACKOFF.count()) * factor));
+}
+
+/// Sends the first or a further attempt for a shard, or says when to try again, or gives it up.
+void ask(Step& s, std::size_t shard) {
+    ShardProgress& progress = s.state.shards.at(shard);
+    if (!has_usable_replica(s, shard) || progress.attempts >= s.context.row.attempts_per_shard) {
+        progress.given_up = true;
+        return;
+    }
+    const Target* target = choose_replica(s, shard);
+    if (target == nullptr) {
+        progress.tried.clear();
+        progress.retry_at = s.now + backoff(progress.refusals, s.random);
+        return;
+    }
+    const bool extra = progress.attempts > 0;
+    if (extra && !try_spend(s.context.budget)) {
+        progress.retry_at = s.now + SHORTEST_BACKOFF;
+        return;
+    }
+    send(s, shard, *target, extra);
+}
+
+/// Asks every shard that is neither answered nor being asked. On trial only one is asked at a time.
+void ask_waiting_shards(Step& s) {
+    for (std::size_t shard = 0; shard < s.state.shards.size(); ++shard) {
+        if (s.state.on_trial && has_live_trial(s.state)) {
+            return;
+        }
+        const ShardProgress& progress = s.state.shards.at(shard);
+        const bool waiting =
+            !progress.answered && !progress.given_up && !has_live_attempt(s.state, shard);
+        const bool due = !progress.retry_at.has_value() || *progress.retry_at <= s.now;
+        if (waiting && due) {
+            ask(s, shard);
+        }
+    }
+}
+
+void pin(Step& s, const Snapshot& snapshot) {
+    s.state.pinned = &snapshot;
+    s.state.shards.assign(snapshot.shards.size(), ShardProgress{});
+}
+
+void cancel_attempt(Step& s, const Attempt& attempt) {
+    on_cancelled(s.context.scores, attempt.target, s.now - attempt.sent, s.now);
+    // The time until the cancellation is a lower bound, which still marks a straggler as slow.
+    add_sample(s.context.latencies, s.now - attempt.sent);
+    s.actions.emplace_back(CancelAttempt{attempt.id, attempt.target});
+}
+
+void cancel_all(Step& s) {
+    for (const Attempt& attempt : s.state.live) {
+        cancel_attempt(s, attempt);
+    }
+    s.state.live.clear();
+}
+
+void cancel_shard(Step& s, std::size_t shard) {
+    for (const Attempt& attempt : s.state.live) {
+        if (attempt.shard == shard) {
+            cancel_attempt(s, attempt);
+        }
+    }
+    std::erase_if(s.state.live, [shard](const Attempt& attempt) { return attempt.shard == shard; });
+}
+
+void finish_as(Step& s, GatherEnd end) {
+    GatherState& state = s.state;
+    GatherOutcome outcome;
+    outcome.end = end;
+    outcome.verdict =
+        state.live.empty() ? state.worst : combine(state.worst, Verdict::may_have_run);
+    outcome.coverage = coverage_of(state);
+    if (state.pinned != nullptr) {
+        outcome.snapshot = state.pinned->id;
+    }
+    for (ShardProgress& progress : state.shards) {
+        outcome.results.push_back(progress.answered
+                                      ? std::optional<std::string>(std::move(progress.result))
+                                      : std::nullopt);
+    }
+    cancel_all(s);
+    state.finished = true;
+    s.actions.emplace_back(Finish{std::move(outcome)});
+}
+
+GatherEnd end_by_coverage(const GatherState& state) {
+    const Coverage coverage = coverage_of(state);
+    if (is_whole(coverage)) {
+        return GatherEnd::complete;
+    }
+    if (state.convicted) {
+        return GatherEnd::quarantined;
+    }
+    return coverage.shards_answered == 0 ? GatherEnd::no_answer : GatherEnd::partial;
+}
+
+bool is_settled(const GatherState& state) {
+    const auto settled = [](const ShardProgress& progress) {
+        return progress.answered || progress.given_up;
+    };
+    return std::all_of(state.shards.begin(), state.shards.end(), settled);
+}
+
+/// True when the soft deadline may end the request with what has been gathered.
+bool is_enough(const GatherState& state, const ServiceRow& row) {
+    const Coverage coverage = coverage_of(state);
+    return state.request.idempotent && coverage.shards_answered > 0 &&
+           permille(coverage) >= row.enough_coverage_permille;
+}
+
+/// Finishes when there is nothing left to wait for, or no time left to wait.
+void finish_if_done(Step& s) {
+    GatherState& state = s.state;
+    if (state.finished) {
+        return;
+    }
+    const bool soft = s.now >= state.soft_deadline && is_enough(state, s.context.row);
+    const bool hard = s.now >= state.hard_deadline;
+    if (is_settled(state) || soft || hard) {
+        finish_as(s, end_by_coverage(state));
+    }
+}
+
+/// Starts again on the next older or newer snapshot that has not been pinned yet.
+bool try_restart(Step& s) {
+    GatherState& state = s.state;
+    if (state.restarts >= MOST_RESTARTS) {
+        return false;
+    }
+    for (const Snapshot& snapshot : placement_of(s)->snapshots) {
+        if (snapshot.id != state.pinned->id) {
+            ++state.restarts;
+            cancel_all(s);
+            pin(s, snapshot);
+            ask_waiting_shards(s);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool is_truthful(const GatherState& state, const Attempt& attempt, const AttemptOutcome& outcome) {
+    const Shard& shard = state.pinned->shards.at(attempt.shard);
+    const bool same_digest = shard.digest.empty() || shard.digest == outcome.digest;
+    return outcome.snapshot == state.pinned->id && same_digest;
+}
+
+void accept_answer(Step& s, const Attempt& attempt, const AttemptOutcome& outcome) {
+    on_answer(s.context.scores, attempt.target, s.now - attempt.sent, s.now);
+    add_sample(s.context.latencies, s.now - attempt.sent);
+    ShardProgress& progress = s.state.shards.at(attempt.shard);
+    progress.answered = true;
+    progress.given_up = false;
+    progress.result = outcome.result;
+    cancel_shard(s, attempt.shard);
+    if (s.state.on_trial && attempt.trial) {
+        s.state.on_trial = false;
+        s.actions.emplace_back(ChangeStanding{Standing::clear});
+    }
+}
+
+void give_up_waiting_shards(GatherState& state) {
+    for (std::size_t shard = 0; shard < state.shards.size(); ++shard) {
+        if (!state.shards.at(shard).answered && !has_live_attempt(state, shard)) {
+            state.shards.at(shard).given_up = true;
+        }
+    }
+}
+
+/// A target was lost while running the request: put the request on trial, or convict it.
+void count_loss(Step& s, const Attempt& attempt) {
+    ++s.state.losses;
+    if (attempt.trial) {
+        s.state.convicted = true;
+        s.actions.emplace_back(ChangeStanding{Standing::convicted});
+        give_up_waiting_shards(s.state);
+        return;
+    }
+    if (s.state.losses == 1) {
+        s.state.on_trial = true;
+        s.actions.emplace_back(ChangeStanding{Standing::suspect});
+    }
+}
+
+void note_missing_snapshot(Step& s, std::size_t shard) {
+    s.state.shards.at(shard).snapshot_missing = true;
+    if (choose_replica(s, shard) == nullptr && !has_live_attempt(s.state, shard)) {
+        try_restart(s);
+    }
+}
+
+bool may_retry(const GatherState& state, const AttemptOutcome& outcome) {
+    if (outcome.status == AttemptStatus::rejected) {
+        return false;
+    }
+    return state.request.idempotent || outcome.verdict == Verdict::not_run;
+}
+
+void accept_failure(Step& s, const Attempt& attempt, const AttemptOutcome& outcome) {
+    GatherState& state = s.state;
+    on_failure(s.context.scores, attempt.target, s.now);
+    ShardProgress& progress = state.shards.at(attempt.shard);
+    if (reached_target(outcome.status)) {
+        ++progress.attempts;
+    } else {
+        ++progress.refusals;
+    }
+    if (outcome.status == AttemptStatus::target_lost) {
+        count_loss(s, attempt);
+    }
+    if (!may_retry(state, outcome)) {
+        progress.given_up = true;
+    }
+    if (outcome.status == AttemptStatus::rejected) {
+        finish_as(s, GatherEnd::rejected);
+        return;
+    }
+    if (outcome.status == AttemptStatus::snapshot_missing) {
+        note_missing_snapshot(s, attempt.shard);
+    }
+}
+
+void handle_outcome(Step& s, const AttemptOutcome& reported) {
+    GatherState& state = s.state;
+    const auto same = [&reported](const Attempt& attempt) {
+        return attempt.id == reported.attempt;
+    };
+    const auto found = std::find_if(state.live.begin(), state.live.end(), same);
+    if (found == state.live.end()) {
+        ++state.late_answers;
+        return;
+    }
+    const Attempt attempt = *found;
+    state.live.erase(found);
+    AttemptOutcome outcome = reported;
+    state.worst = combine(state.worst, outcome.verdict);
+    if (outcome.status == AttemptStatus::answered && !is_truthful(state, attempt, outcome)) {
+        outcome.status = AttemptStatus::snapshot_missing;
+    }
+    if (outcome.status == AttemptStatus::answered) {
+        accept_answer(s, attempt, outcome);
+    } else {
+        accept_failure(s, attempt, outcome);
+    }
+}
+
+void begin(Step& s) {
+    GatherState& state = s.state;
+    state.started = s.now;
+    const Duration allowed =
+        std::min(state.request.allowed, from_ms(s.context.row.hard_deadline_ms));
+    state.hard_deadline = s.now + allowed;
+    state.soft_deadline =
+        std::min(state.hard_deadline, s.now + from_ms(s.context.row.soft_deadline_ms));
+    const Placement* placement = placement_of(s);
+    if (placement == nullptr || placement->snapshots.empty()) {
+        finish_as(s, GatherEnd::unknown_service);
+        return;
+    }
+    pin(s, placement->snapshots.front());
+    if (s.context.standing == Standing::convicted) {
+        finish_as(s, GatherEnd::quarantined);
+        return;
+    }
+    state.on_trial = s.context.standing == Standing::suspect;
+    earn(s.context.budget, static_cast<std::int64_t>(state.shards.size()),
+         s.context.row.extra_load_permille);
+}
+
+bool may_hedge(const GatherState& state, const GatherContext& context, const Attempt& attempt) {
+    return state.request.idempotent && !state.on_trial && state.losses == 0 && !attempt.hedged &&
+           context.hedge_delay > Duration::zero() && context.row.hedge_quantile_permille < 1000;
+}
+
+void hedge_stragglers(Step& s) {
+    const std::vector<Attempt> waiting = s.state.live;
+    for (const Attempt& attempt : waiting) {
+        const bool due = attempt.sent + s.context.hedge_delay <= s.now;
+        if (!due || !may_hedge(s.state, s.context, attempt)) {
+            continue;
+        }
+        for (Attempt& live : s.state.live) {
+            live.hedged = live.hedged || live.shard == attempt.shard;
+        }
+        const Target* target = choose_replica(s, attempt.shard);
+        if (target != nullptr && try_spend(s.context.budget)) {
+            send(s, attempt.shard, *target, true);
+            s.state.live.back().hedged = true;
+        }
+    }
+}
+
+}  // namespace
+
+const char* name_of(AttemptStatus status) {
+    switch (status) {
+        case AttemptStatus::answered:
+            return "answered";
+        case AttemptStatus::rejected:
+            return "rejected";
+        case AttemptStatus::overloaded:
+            return "overloaded";
+        case AttemptStatus::not_owner:
+            return "not_owner";
+        case AttemptStatus::out_of_service:
+            return "out_of_service";
+        case AttemptStatus::unreachable:
+            return "unreachable";
+        case AttemptStatus::shed:
+            return "shed";
+        case AttemptStatus::snapshot_missing:
+            return "snapshot_missing";
+        case AttemptStatus::target_lost:
+            return "target_lost";
+        case AttemptStatus::relay_lost:
+            return "relay_lost";
+        case AttemptStatus::timed_out:
+            return "timed_out";
+        case AttemptStatus::cancelled:
+            return "cancelled";
+    }
+    return "unknown";
+}
+
+const char* name_of(GatherEnd end) {
+    switch (end) {
+        case GatherEnd::complete:
+            return "complete";
+        case GatherEnd::partial:
+            return "partial";
+        case GatherEnd::no_answer:
+            return "no_answer";
+        case GatherEnd::rejected:
+            return "rejected";
+        case GatherEnd::quarantined:
+            return "quarantined";
+        case GatherEnd::unknown_service:
+            return "unknown_service";
+    }
+    return "unknown";
+}
+
+bool reached_target(AttemptStatus status) {
+    switch (status) {
+        case AttemptStatus::overloaded:
+        case AttemptStatus::not_owner:
+        case AttemptStatus::out_of_service:
+        case AttemptStatus::unreachable:
+            return false;
+        default:
+            return true;
+    }
+}
+
+std::vector<GatherAction> step(GatherState& state, const GatherEvent& event,
+                               const GatherContext& context, Time now, Random& random) {
+    Step s{state, context, now, random, {}};
+    if (state.finished) {
+        state.late_answers += std::holds_alternative<AttemptOutcome>(event) ? 1 : 0;
+        return {};
+    }
+    if (std::holds_alternative<BeginEvent>(event)) {
+        begin(s);
+    } else if (const AttemptOutcome* outcome = std::get_if<AttemptOutcome>(&event)) {
+        handle_outcome(s, *outcome);
+    }
+    if (!state.finished && now < state.hard_deadline) {
+        ask_waiting_shards(s);
+        hedge_stragglers(s);
+    }
+    finish_if_done(s);
+    return std::move(s.actions);
+}
+
+Time next_tick(const GatherState& state, const GatherContext& context) {
+    Time next = state.hard_deadline;
+    if (is_enough(state, context.row)) {
+        next = std::min(next, state.soft_deadline);
+    }
+    const bool trial_runs = state.on_trial && has_live_trial(state);
+    for (const ShardProgress& progress : state.shards) {
+        if (!progress.answered && !trial_runs && progress.retry_at.has_value()) {
+            next = std::min(next, *progress.retry_at);
+        }
+    }
+    for (const Attempt& attempt : state.live) {
+        if (may_hedge(state, context, attempt)) {
+            next = std::min(next, attempt.sent + context.hedge_delay);
+        }
+    }
+    return next;
+}
+
+Coverage coverage_of(const GatherState& state) {
+    Coverage coverage;
+    if (state.pinned == nullptr) {
+        return coverage;
+    }
+    for (std::size_t shard = 0; shard < state.shards.size(); ++shard) {
+        const std::int64_t documents = state.pinned->shards.at(shard).documents;
+        ++coverage.shards_total;
+        coverage.documents_total += documents;
+        if (state.shards.at(shard).answered) {
+            ++coverage.shards_answered;
+            coverage.documents_answered += documents;
+        }
+    }
+    return coverage;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/gather.h
@@ -0,0 +1,190 @@
+// The life of one request at the gateway: plan, hedge, retry, gather, finish.
+//
+// `step` takes one event and the time and returns the actions to carry out. It reads no clock and
+// does no I/O, so the daemon, the scenario runner and tests all drive this same function.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "base/verdict.h"
+#include "policy/coverage.h"
+#include "policy/extra_load.h"
+#include "policy/latency.h"
+#include "policy/routing_view.h"
+#include "policy/suspicion.h"
+#include "policy/target_score.h"
+
+namespace ebonymount {
+
+/// How one attempt at a target ended.
+enum class AttemptStatus : std::uint8_t {
+    answered,          ///< The target ran the request and its whole answer arrived.
+    rejected,          ///< The target refused the request for its content.
+    overloaded,        ///< The relay could not start it in time; never sent.
+    not_owner,         ///< The relay does not hold the target's seat; never sent.
+    out_of_service,    ///< Target, host or data centre is out; never sent.
+    unreachable,       ///< No connection to target or relay; never sent.
+    shed,              ///< The target refused it before it started.
+    snapshot_missing,  ///< The target does not hold the pinned snapshot.
+    target_lost,       ///< The connection to the target broke while it may have been running.
+    relay_lost,        ///< The link to the relay broke after the request was sent to it.
+    timed_out,         ///< No answer before the deadline.
+    cancelled,         ///< Cancelled at the gateway's wish.
+};
+
+/// Name of a status in traces and errors.
+const char* name_of(AttemptStatus status);
+
+/// True when the attempt put load on a target.
+bool reached_target(AttemptStatus status);
+
+/// What a relay reports of one attempt.
+struct AttemptOutcome {
+    std::uint64_t attempt = 0;
+    AttemptStatus status = AttemptStatus::unreachable;
+    Verdict verdict = Verdict::not_run;
+    std::string snapshot;
+    std::string digest;
+    std::string result;
+
+    friend bool operator==(const AttemptOutcome&, const AttemptOutcome&) = default;
+};
+
+/// Why a gather ended as it did.
+enum class GatherEnd : std::uint8_t {
+    complete,         ///< Every shard answered.
+    partial,          ///< Some shards are missing; coverage says how many.
+    no_answer,        ///< No shard answered.
+    rejected,         ///< The targets refuse the request for its content.
+    quarantined,      ///< The request crashed targets and is refused.
+    unknown_service,  ///< No placement for the service.
+};
+
+/// Name of an end in answers.
+const char* name_of(GatherEnd end);
+
+/// The answer to the caller.
+struct GatherOutcome {
+    GatherEnd end = GatherEnd::no_answer;
+    Verdict verdict = Verdict::not_run;
+    std::string snapshot;
+    Coverage coverage;
+    /// Results by shard in map order; empty where the shard did not answer.
+    std::vector<std::optional<std::string>> results;
+};
+
+/// What the caller asked for.
+struct GatherRequest {
+    std::string service;
+    bool idempotent = true;
+    std::uint64_t fingerprint = 0;
+    /// Time allowed by the caller; the table's hard deadline can only shorten it.
+    Duration allowed = from_ms(60000);
+};
+
+/// One sub-query on its way.
+struct Attempt {
+    std::uint64_t id = 0;
+    std::size_t shard = 0;
+    std::string target;
+    Time sent{};
+    bool hedged = false;
+    bool trial = false;
+};
+
+/// Progress of one shard of the pinned snapshot.
+struct ShardProgress {
+    bool answered = false;
+    bool given_up = false;
+    /// Attempts that put load on a target, and those that ended before that.
+    int attempts = 0;
+    int refusals = 0;
+    /// True when every replica tried so far lacks the pinned snapshot.
+    bool snapshot_missing = false;
+    std::optional<Time> retry_at;
+    std::set<std::string> tried;
+    std::string result;
+};
+
+/// The whole state of one request.
+struct GatherState {
+    GatherRequest request;
+    Time started{};
+    Time soft_deadline{};
+    Time hard_deadline{};
+    const Snapshot* pinned = nullptr;
+    std::vector<ShardProgress> shards;
+    std::vector<Attempt> live;
+    std::uint64_t next_attempt = 1;
+    Verdict worst = Verdict::not_run;
+    int losses = 0;
+    int restarts = 0;
+    bool on_trial = false;
+    bool convicted = false;
+    bool finished = false;
+    int late_answers = 0;
+};
+
+struct BeginEvent {};
+struct TickEvent {};
+using GatherEvent = std::variant<BeginEvent, AttemptOutcome, TickEvent>;
+
+/// Sends one sub-query.
+struct SendAttempt {
+    std::uint64_t attempt = 0;
+    std::string shard;
+    std::string target;
+    std::string snapshot;
+    Time deadline{};
+    bool extra = false;
+};
+
+/// Cancels an attempt whose answer is no longer wanted.
+struct CancelAttempt {
+    std::uint64_t attempt = 0;
+    std::string target;
+};
+
+/// Changes the request's standing and tells peers.
+struct ChangeStanding {
+    Standing standing = Standing::clear;
+};
+
+/// Ends the request.
+struct Finish {
+    GatherOutcome outcome;
+};
+
+using GatherAction = std::variant<SendAttempt, CancelAttempt, ChangeStanding, Finish>;
+
+/// What a step may read and update besides the request's own state. All of it belongs to one
+/// service at one gateway, under one lock.
+struct GatherContext {
+    const RoutingView& view;
+    const ServiceRow& row;
+    std::string own_data_centre;
+    Duration hedge_delay{};
+    Standing standing = Standing::clear;
+    ExtraLoadBudget& budget;
+    TargetScores& scores;
+    LatencyHistogram& latencies;
+};
+
+/// Advances the request by one event.
+std::vector<GatherAction> step(GatherState& state, const GatherEvent& event,
+                               const GatherContext& context, Time now, Random& random);
+
+/// The next time at which a `TickEvent` is due.
+Time next_tick(const GatherState& state, const GatherContext& context);
+
+/// Coverage as it stands.
+Coverage coverage_of(const GatherState& state);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/latency.cpp
@@ -0,0 +1,56 @@
+#include "policy/latency.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebonymount {
+namespace {
+
+constexpr double BUCKETS_PER_DOUBLING = 8.0;
+
+/// Samples after which all counts are halved, so that old behaviour fades.
+constexpr std::uint32_t FULL = 4000;
+
+std::size_t bucket_of(Duration sample) {
+    const double microseconds = std::max(1.0, static_cast<double>(sample.count()));
+    const double position = std::log2(microseconds) * BUCKETS_PER_DOUBLING;
+    return std::min<std::size_t>(static_cast<std::size_t>(position), LatencyHistogram::BUCKETS - 1);
+}
+
+Duration upper_bound_of(std::size_t bucket) {
+    const double exponent = (static_cast<double>(bucket) + 1.0) / BUCKETS_PER_DOUBLING;
+    return Duration(static_cast<std::int64_t>(std::exp2(exponent)));
+}
+
+void halve(LatencyHistogram& histogram) {
+    histogram.total = 0;
+    for (std::uint32_t& count : histogram.counts) {
+        count /= 2;
+        histogram.total += count;
+    }
+}
+
+}  // namespace
+
+void add_sample(LatencyHistogram& histogram, Duration sample) {
+    if (histogram.total >= FULL) {
+        halve(histogram);
+    }
+    ++histogram.counts.at(bucket_of(sample));
+    ++histogram.total;
+}
+
+Duration quantile(const LatencyHistogram& histogram, std::int64_t permille) {
+    const std::uint64_t wanted =
+        (static_cast<std::uint64_t>(histogram.total) * permille + 999) / 1000;
+    std::uint64_t seen = 0;
+    for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
+        seen += histogram.counts.at(bucket);
+        if (seen >= wanted && seen > 0) {
+            return upper_bound_of(bucket);
+        }
+    }
+    return Duration::zero();
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/table.h
@@ -0,0 +1,94 @@
+// The operators' table: a row per service, a column per weight or limit.
+//
+// `columns()` is the one place that knows each column's name, unit, bounds and what it protects;
+// parsing, checks, output, difference and CSV all walk it. A table is an immutable value: a change
+// makes a new one with the next generation.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+
+namespace ebonymount {
+
+/// Limits and weights of one service. Units are in the names; permille counts thousandths.
+struct ServiceRow {
+    std::string service;
+    std::int64_t slots = 2;
+    std::int64_t connections = 25;
+    std::int64_t cold_limit = 1;
+    std::int64_t cold_rate_per_s = 20;
+    std::int64_t ramp_successes = 10;
+    std::int64_t ramp_stage_ms = 200;
+    std::int64_t soft_deadline_ms = 45;
+    std::int64_t hard_deadline_ms = 200;
+    std::int64_t enough_coverage_permille = 900;
+    std::int64_t hedge_quantile_permille = 960;
+    std::int64_t extra_load_permille = 50;
+    std::int64_t attempts_per_shard = 4;
+    std::int64_t suspect_ttl_s = 300;
+    std::int64_t key_retention_s = 86400;
+    std::int64_t trace_permille = 10;
+    /// Why a cell of this row has its value, by column name; empty where the column's text says it.
+    std::map<std::string, std::string> reasons;
+
+    friend bool operator==(const ServiceRow&, const ServiceRow&) = default;
+};
+
+/// Connections to a target that cancellations may use beside one for each slot.
+constexpr std::int64_t CANCEL_CONNECTIONS = 4;
+
+/// One column of the table.
+struct Column {
+    std::string name;
+    std::string unit;
+    std::string protects;
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+    std::int64_t ServiceRow::*member = nullptr;
+};
+
+/// All columns in the order in which they are shown.
+const std::vector<Column>& columns();
+
+/// The column of that name, or null.
+const Column* find_column(const std::string& name);
+
+/// What the cell protects: the row's own reason, or else the column's text.
+const std::string& protection_of(const ServiceRow& row, const Column& column);
+
+/// All that operators have accepted, under one generation.
+struct Configuration {
+    std::int64_t generation = 0;
+    std::vector<ServiceRow> rows;
+    std::vector<std::string> out_data_centres;
+    std::vector<std::string> out_hosts;
+    std::int64_t seats_per_data_centre = 2;
+    /// Identifiers of the last take-outs and bring-backs that this generation includes.
+    std::vector<std::string> applied_operations;
+
+    friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+/// The row of a service, or null.
+const ServiceRow* find_row(const Configuration& configuration, const std::string& service);
+
+/// Checks every cell and the relations between cells; the error names row and column.
+Result<Done> check_configuration(const Configuration& configuration);
+
+/// One changed cell or list entry between two configurations.
+struct Change {
+    std::string where;
+    std::string before;
+    std::string after;
+
+    friend bool operator==(const Change&, const Change&) = default;
+};
+
+/// Everything that differs between two configurations, generation aside.
+std::vector<Change> changes_between(const Configuration& before, const Configuration& after);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/policy/target_score.cpp
@@ -0,0 +1,76 @@
+#include "policy/target_score.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebonymount {
+namespace {
+
+/// Weight of the newest sample.
+constexpr double NEWEST_WEIGHT = 0.2;
+
+/// Time in which a measurement loses two thirds of its weight against the prior.
+constexpr double MEMORY_US = 2'000'000.0;
+
+/// Time for which a failure keeps new work away.
+constexpr Duration FAILURE_MEMORY = from_ms(500);
+
+/// Added to the expectation while a failure is remembered.
+constexpr double FAILURE_PENALTY_US = 1'000'000.0;
+
+void end_one(TargetScore& score) {
+    score.outstanding = std::max(0, score.outstanding - 1);
+}
+
+void add(TargetScore& score, double sample_us, Time now) {
+    if (score.mean_us == 0.0) {
+        score.mean_us = sample_us;
+    }
+    score.mean_us += (sample_us - score.mean_us) * NEWEST_WEIGHT;
+    score.last_answer = now;
+}
+
+}  // namespace
+
+double expected_us(const TargetScores& scores, const std::string& target, double prior_us,
+                   Time now) {
+    const TargetScores::const_iterator found = scores.find(target);
+    if (found == scores.end()) {
+        return prior_us;
+    }
+    const TargetScore& score = found->second;
+    const double age = static_cast<double>((now - score.last_answer).count());
+    const double weight = score.mean_us == 0.0 ? 0.0 : std::exp(-age / MEMORY_US);
+    const double base = prior_us + (score.mean_us - prior_us) * weight;
+    const bool penalised = score.failed && now - score.last_failure < FAILURE_MEMORY;
+    return base * (1.0 + score.outstanding) + (penalised ? FAILURE_PENALTY_US : 0.0);
+}
+
+void on_sent(TargetScores& scores, const std::string& target) {
+    ++scores[target].outstanding;
+}
+
+void on_answer(TargetScores& scores, const std::string& target, Duration latency, Time now) {
+    TargetScore& score = scores[target];
+    end_one(score);
+    add(score, static_cast<double>(latency.count()), now);
+    score.failed = false;
+}
+
+void on_failure(TargetScores& scores, const std::string& target, Time now) {
+    TargetScore& score = scores[target];
+    end_one(score);
+    score.failed = true;
+    score.last_failure = now;
+}
+
+void on_cancelled(TargetScores& scores, const std::string& target, Duration elapsed, Time now) {
+    TargetScore& score = scores[target];
+    end_one(score);
+    const double sample_us = static_cast<double>(elapsed.count());
+    if (sample_us > score.mean_us) {
+        add(score, sample_us, now);
+    }
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/test/standin/deployment.h
@@ -0,0 +1,73 @@
+// The two users' deployments at today's sizes, as files for the stand-ins and nodes.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "fake_target.h"
+#include "policy/placement.h"
+#include "policy/table.h"
+
+namespace standin {
+
+/// One service of a deployment.
+struct ServicePlan {
+    std::string name;
+    /// Shards with a replica in each data centre; 0 for a service without shards.
+    int shards = 0;
+    /// Targets of a service without shards, spread over the data centres.
+    int targets = 0;
+    int slots = 2;
+    int connections = 25;
+    int open_ms = 6;
+    double service_ms = 4.0;
+    ebonymount::ServiceRow row;
+};
+
+/// A whole deployment.
+struct Deployment {
+    std::string name;
+    std::vector<std::string> data_centres;
+    std::vector<double> delays_ms;  ///< One way: 0-1, 0-2, 1-2.
+    int nodes_per_data_centre = 2;
+    std::vector<ServicePlan> services;
+    int base_port = 20000;
+    std::string first_snapshot = "v1";
+};
+
+/// Lathe & Burr: tail latency first.
+Deployment lathe();
+
+/// Cooperativa Quiosques do Sul: coverage first.
+Deployment quiosques();
+
+/// Placement of a service; targets listen on ports from `first_port`.
+ebonymount::Placement placement_of(const Deployment& deployment, const ServicePlan& service,
+                                   int first_port);
+
+/// Targets of all services, with the data centre and service each belongs to.
+struct PlannedTarget {
+    std::string service;
+    std::string data_centre;
+    TargetTraits traits;
+};
+std::vector<PlannedTarget> targets_of(const Deployment& deployment);
+
+/// The accepted configuration, generation 1.
+ebonymount::Configuration configuration_of(const Deployment& deployment);
+
+/// Writes all files of a deployment into a directory.
+void write_files(const Deployment& deployment, const std::string& directory);
+
+/// Names of entry hosts in order of data centres.
+std::vector<std::string> hosts_of(const Deployment& deployment);
+
+int caller_port(const Deployment& deployment, int node);
+int admin_port(const Deployment& deployment, int node);
+int peer_port(const Deployment& deployment, int node);
+int platform_port(const Deployment& deployment);
+int target_control_port(const Deployment& deployment, int data_centre);
+int link_control_port(const Deployment& deployment);
+
+}  // namespace standin
--- /dev/null
+++ b/test/standin/link_fake.cpp
@@ -0,0 +1,78 @@
+// Stand-in for the links between data centres.
+//
+// Usage: link_fake FILE, where FILE has "control" and "links". The control address takes
+//   POST /set?match=TEXT   with any of delay_ms, jitter_ms, cut=0|1, frozen=0|1,
+//                          for all links whose name contains TEXT
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "io/http_server.h"
+#include "link.h"
+#include "stop_signal.h"
+
+namespace {
+
+using Links = std::vector<std::unique_ptr<standin::Link>>;
+
+constexpr int CONTROL_THREADS = 2;
+
+standin::LinkTraits traits_from(const nlohmann::json& document) {
+    standin::LinkTraits traits;
+    traits.name = document.at("name");
+    traits.listen = document.at("listen");
+    traits.forward = document.at("forward");
+    traits.delay_ms = document.at("delay_ms");
+    traits.jitter_ms = document.at("jitter_ms");
+    return traits;
+}
+
+void apply(standin::Link& link, const ebonymount::HttpCall& call) {
+    if (!call.parameter("delay_ms").empty()) {
+        link.set_delay(std::stod(call.parameter("delay_ms")),
+                       std::stod(call.parameter("jitter_ms")));
+    }
+    if (!call.parameter("cut").empty()) {
+        link.set_cut(call.parameter("cut") == "1");
+    }
+    if (!call.parameter("frozen").empty()) {
+        link.set_frozen(call.parameter("frozen") == "1");
+    }
+}
+
+ebonymount::HttpReply control(Links& links, const ebonymount::HttpCall& call) {
+    int matched = 0;
+    for (const std::unique_ptr<standin::Link>& link : links) {
+        if (link->name().find(call.parameter("match")) != std::string::npos) {
+            apply(*link, call);
+            ++matched;
+        }
+    }
+    return ebonymount::make_reply(200, "{\"matched\":" + std::to_string(matched) + "}");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    if (argc != 2) {
+        std::cerr << "usage: link_fake FILE\n";
+        return 2;
+    }
+    const sigset_t signals = standin::block_stop_signals();
+    std::ifstream input(argv[1]);
+    const nlohmann::json file = nlohmann::json::parse(input, nullptr, true, true);
+    Links links;
+    for (const nlohmann::json& document : file.at("links")) {
+        links.push_back(std::make_unique<standin::Link>(traits_from(document)));
+    }
+    ebonymount::Result<std::unique_ptr<ebonymount::HttpServer>> server =
+        ebonymount::HttpServer::start(
+            {file.at("control").get<std::string>(), CONTROL_THREADS},
+            [&links](const ebonymount::HttpCall& call) { return control(links, call); });
+    if (!ebonymount::has_value(server)) {
+        std::cerr << ebonymount::describe(ebonymount::error_of(server)) << "\n";
+        return 1;
+    }
+    standin::wait_for_stop(signals);
+    return 0;
+}
--- /dev/null
+++ b/test/standin/object_store.h
@@ -0,0 +1,53 @@
+// The platform's object API as tests need it: versions, conditional updates, watches, and faults
+// that can be switched while it runs.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "io/http_server.h"
+
+namespace standin {
+
+/// Faults in force.
+struct StoreFaults {
+    bool down = false;
+    int slow_ms = 0;
+    /// Writes that take effect while their answer is lost.
+    int lost_confirmations = 0;
+    /// Milliseconds by which the host list lags.
+    int host_lag_ms = 0;
+};
+
+/// Serves the object API; also /hosts, /fault and /stats for tests.
+class ObjectStore {
+public:
+    ebonymount::HttpReply handle(const ebonymount::HttpCall& call);
+
+private:
+    struct Object {
+        std::int64_t version = 0;
+        std::string value;
+    };
+
+    ebonymount::HttpReply read(const std::string& name);
+    ebonymount::HttpReply write(const ebonymount::HttpCall& call);
+    ebonymount::HttpReply list(const std::string& prefix);
+    ebonymount::HttpReply watch(const ebonymount::HttpCall& call);
+    ebonymount::HttpReply hosts(const ebonymount::HttpCall& call);
+    ebonymount::HttpReply set_faults(const ebonymount::HttpCall& call);
+    ebonymount::HttpReply stats() const;
+    std::int64_t highest(const std::string& prefix) const;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Object> m_objects;
+    std::int64_t m_version = 0;
+    std::string m_hosts = "{\"hosts\":[]}";
+    StoreFaults m_faults;
+    std::map<std::string, std::int64_t> m_counts;
+};
+
+}  // namespace standin
--- /dev/null
+++ b/test/standin/stop_signal.h
@@ -0,0 +1,25 @@
+// Lets a stand-in run until it is asked to stop.
+#pragma once
+
+#include <csignal>
+
+namespace standin {
+
+/// Blocks SIGTERM and SIGINT; call before any thread is started.
+inline sigset_t block_stop_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// Waits for one of the signals.
+inline void wait_for_stop(const sigset_t& signals) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+}  // namespace standin
