Decide seats and claims in step functions and explore them at random

Cause: the seat keeper and the claimer decided while they did I/O, so their promises could only be tried with sockets and real time. Change: SeatMachine and ClaimMachine take events and return actions; the daemon carries them out. Random schedules drive seats, claims, gather, exchange and admission in virtual time with the promises as invariants. ebonymountctl speaks the administration API.

--- a/src/admin/commands.cpp
+++ b/src/admin/commands.cpp
@@ -81,10 +81,10 @@
 
 Result<Draft> read_draft(PlatformClient& platform) {
     const PlatformRead read = platform.read(DRAFT_OBJECT);
-    if (read.status == PlatformStatus::absent) {
+    if (read.status == StoreStatus::absent) {
         return Error{ErrorCode::not_found, "there is no draft", DRAFT_OBJECT};
     }
-    if (read.status != PlatformStatus::done) {
+    if (read.status != StoreStatus::done) {
         return Error{ErrorCode::unavailable, "the platform does not answer", DRAFT_OBJECT};
     }
     const Result<Json> document = parse_json(read.object.value, DRAFT_OBJECT);
@@ -111,16 +111,16 @@
     draft.configuration = value_of(configuration);
     draft.base_generation = draft.configuration.generation;
     const PlatformRead old = m_platform.read(DRAFT_OBJECT);
-    if (old.status == PlatformStatus::unknown) {
+    if (old.status == StoreStatus::unknown) {
         return Error{ErrorCode::unavailable, "the platform does not answer", DRAFT_OBJECT};
     }
     const PlatformWrite write =
         m_platform.write(DRAFT_OBJECT, old.object.version, draft_document(draft).dump());
-    if (write.status == PlatformStatus::conflict) {
+    if (write.status == StoreStatus::conflict) {
         return Error{ErrorCode::conflict, "another operator stored a draft at the same moment",
                      DRAFT_OBJECT};
     }
-    if (write.status != PlatformStatus::done) {
+    if (write.status != StoreStatus::done) {
         return Error{ErrorCode::unavailable, "the platform did not confirm the draft",
                      DRAFT_OBJECT};
     }
@@ -144,7 +144,7 @@
             m_platform.read(HISTORY_PREFIX + std::to_string(value_of(draft).base_generation));
         Configuration before;
         const Result<Json> document = parse_json(old.object.value, "history");
-        if (old.status == PlatformStatus::done && has_value(document)) {
+        if (old.status == StoreStatus::done && has_value(document)) {
             const Result<Configuration> parsed = configuration_from(value_of(document));
             before = has_value(parsed) ? value_of(parsed) : before;
         }
--- /dev/null
+++ b/src/admin/ctl_print.h
@@ -0,0 +1,28 @@
+// Prints the administration API's documents for people.
+#pragma once
+
+#include <ostream>
+
+#include "io/documents.h"
+
+namespace ebonymount {
+
+/// A row per cell: service, column, value, unit, what it protects.
+void print_table(const Json& table, std::ostream& output);
+
+/// A line per changed cell.
+void print_changes(const Json& changes, std::ostream& output);
+
+/// Accepted generations with their changes.
+void print_history(const Json& history, std::ostream& output);
+
+/// What a node knows, holds and does.
+void print_status(const Json& status, std::ostream& output);
+
+/// Traces with an indented line per hop.
+void print_traces(const Json& traces, std::ostream& output);
+
+/// End, verdict, coverage and results of a request.
+void print_answer(const Json& answer, std::ostream& output);
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/cluster/claim_machine.cpp
@@ -0,0 +1,70 @@
+#include "cluster/claim_machine.h"
+
+namespace ebonymount {
+namespace {
+
+ClaimAction give_up() {
+    return BatchDone{false, {}};
+}
+
+ClaimAction read_again(ClaimMachine& machine, const ClaimTimes& times, bool after_pause) {
+    machine.loaded = false;
+    if (times.now >= times.deadline) {
+        return give_up();
+    }
+    return ReadBucket{after_pause};
+}
+
+/// Applies the batch to the known content and decides what has to happen next.
+ClaimAction apply(ClaimMachine& machine, const ClaimTimes& times) {
+    machine.proposed = apply_batch(machine.content, machine.batch, times.wall_clock_s);
+    if (machine.proposed.changed) {
+        if (times.now >= times.deadline) {
+            return give_up();
+        }
+        return WriteBucket{machine.version, machine.proposed.bucket};
+    }
+    // What others did to the keys since the bucket was read decides the answer.
+    if (!machine.fresh) {
+        return read_again(machine, times, false);
+    }
+    return BatchDone{true, machine.proposed.decisions};
+}
+
+ClaimAction on_read(ClaimMachine& machine, const BucketRead& read, const ClaimTimes& times) {
+    if (read.status == StoreStatus::unknown) {
+        return read_again(machine, times, true);
+    }
+    machine.loaded = true;
+    machine.fresh = true;
+    machine.version = read.version;
+    machine.content = read.bucket;
+    return apply(machine, times);
+}
+
+ClaimAction on_written(ClaimMachine& machine, const BucketWritten& written,
+                       const ClaimTimes& times) {
+    if (written.status != StoreStatus::done) {
+        // Another node wrote first, or the confirmation was lost.
+        return read_again(machine, times, written.status == StoreStatus::unknown);
+    }
+    machine.version = written.version;
+    machine.content = machine.proposed.bucket;
+    return BatchDone{true, machine.proposed.decisions};
+}
+
+}  // namespace
+
+ClaimAction step(ClaimMachine& machine, const ClaimEvent& event, const ClaimTimes& times) {
+    if (const BeginBatch* begin = std::get_if<BeginBatch>(&event)) {
+        machine.batch = begin->batch;
+        machine.fresh = false;
+        return machine.loaded ? apply(machine, times) : read_again(machine, times, false);
+    }
+    if (const BucketRead* read = std::get_if<BucketRead>(&event)) {
+        return on_read(machine, *read, times);
+    }
+    return on_written(machine, std::get<BucketWritten>(event), times);
+}
+
+}  // namespace ebonymount
--- a/src/cluster/exchange.cpp
+++ b/src/cluster/exchange.cpp
@@ -292,7 +292,8 @@
 }
 
 std::vector<SeatUse> known_gone(const ClusterKnowledge& knowledge, const std::string& seat,
-                                const std::vector<SeatUse>& uses, Time now) {
+                                const std::vector<SeatUse>& uses, Duration /*longest_request*/,
+                                Time now) {
     std::vector<SeatUse> gone;
     for (const SeatUse& use : uses) {
         const auto missing = knowledge.missing_since.find(use.node);
--- a/src/cluster/exchange.h
+++ b/src/cluster/exchange.h
@@ -150,7 +150,8 @@
 /// Uses of the seat that have ended: the node has been missing for longer than the host list can
 /// lag, a later incarnation runs in its place, or it said itself that it has left the epoch.
 std::vector<SeatUse> known_gone(const ClusterKnowledge& knowledge, const std::string& seat,
-                                const std::vector<SeatUse>& uses, Time now);
+                                const std::vector<SeatUse>& uses, Duration longest_request,
+                                Time now);
 
 /// The view for routing that follows from what is known.
 RoutingView make_view(const ClusterKnowledge& knowledge);
--- /dev/null
+++ b/src/cluster/seat_machine.cpp
@@ -0,0 +1,335 @@
+#include "cluster/seat_machine.h"
+
+namespace ebonymount {
+namespace {
+
+/// A seat is handed over only after another node has been its assigned holder for this long.
+constexpr Duration UNWANTED_FOR = from_ms(3000);
+
+/// Writes of a release before the seat is left to lapse.
+constexpr int MOST_RELEASE_TRIES = 3;
+
+struct Step {
+    SeatMachine& machine;
+    const SeatSurroundings& around;
+    Time now;
+    std::vector<SeatAction> actions;
+};
+
+Duration renewal_interval(const SeatSurroundings& around) {
+    return around.lease / 3;
+}
+
+Duration poll_interval(const SeatSurroundings& around) {
+    return around.lease / 4;
+}
+
+void watch_again(Step& s, Duration pause) {
+    s.machine.phase = SeatPhase::watching;
+    s.machine.due = s.now + pause;
+}
+
+void stop_holding(Step& s) {
+    s.machine.lease = SeatLease{};
+    s.machine.lease.lost = true;
+    s.machine.watch = SeatWatch{};
+    s.machine.unwanted_since.reset();
+    watch_again(s, Duration::zero());
+}
+
+void drain(Step& s, SeatPhase phase) {
+    s.machine.phase = phase;
+    s.machine.lease.draining = true;
+    s.actions.emplace_back(DrainSeat{});
+}
+
+bool should_hand_over(Step& s) {
+    SeatMachine& machine = s.machine;
+    if (s.around.stopping) {
+        return true;
+    }
+    if (s.around.wanted) {
+        machine.unwanted_since.reset();
+        return false;
+    }
+    if (!machine.unwanted_since.has_value()) {
+        machine.unwanted_since = s.now;
+    }
+    return s.now - *machine.unwanted_since > UNWANTED_FOR;
+}
+
+void renew(Step& s) {
+    SeatMachine& machine = s.machine;
+    machine.proposed = renewed(machine.record, s.around.known_gone);
+    machine.sent = s.now;
+    machine.due = s.now + renewal_interval(s.around);
+    machine.phase = SeatPhase::renewing;
+    s.actions.emplace_back(WriteSeat{machine.version, machine.proposed});
+}
+
+void on_tick(Step& s) {
+    SeatMachine& machine = s.machine;
+    if (machine.phase == SeatPhase::holding) {
+        if (should_hand_over(s)) {
+            drain(s, SeatPhase::draining);
+        } else if (s.now >= machine.due) {
+            renew(s);
+        }
+        return;
+    }
+    const bool due = s.now >= machine.due || machine.handover_epoch.has_value();
+    if (machine.phase == SeatPhase::watching && due && !s.around.stopping) {
+        machine.phase = SeatPhase::polling;
+        s.actions.emplace_back(ReadSeat{});
+    }
+}
+
+/// True for a record with this node's name that it never served under: the write that took the
+/// seat was not confirmed.
+bool is_unused_own(const Step& s, const SeatRecord& record) {
+    return record.holder == s.around.node && !record.released &&
+           s.machine.still_running_epoch != record.epoch;
+}
+
+bool may_take_now(const Step& s) {
+    const SeatWatch& watch = s.machine.watch;
+    const bool preferred = s.around.wanted || s.machine.handover_epoch.has_value();
+    if (is_unused_own(s, watch.last_seen)) {
+        return true;
+    }
+    // Another node than the assigned one leaves it half a lease to come first.
+    const Duration patience = preferred ? Duration::zero() : s.around.lease / 2;
+    const bool is_free = watch.last_seen.released || watch.last_seen.holder.empty();
+    if (is_free) {
+        return s.now - watch.unchanged_since >= patience;
+    }
+    return may_take(watch, s.around.lease, s.around.longest_request, s.now - patience);
+}
+
+void take(Step& s) {
+    SeatMachine& machine = s.machine;
+    SeatWatch watch = machine.watch;
+    watch.known_gone = s.around.known_gone;
+    if (is_unused_own(s, watch.last_seen)) {
+        watch.known_gone.push_back({watch.last_seen.holder, watch.last_seen.epoch});
+    }
+    machine.proposed = taken_by(watch, s.around.node, s.around.address);
+    machine.sent = s.now;
+    machine.phase = SeatPhase::taking;
+    s.actions.emplace_back(WriteSeat{machine.version, machine.proposed});
+}
+
+void on_polled(Step& s, const SeatRead& read) {
+    SeatMachine& machine = s.machine;
+    watch_again(s, poll_interval(s.around));
+    if (read.status == StoreStatus::unknown) {
+        return;
+    }
+    const bool first = machine.watch.unchanged_since == Time{};
+    if (first || read.version != machine.version) {
+        machine.watch.unchanged_since = s.now;
+    }
+    machine.version = read.version;
+    machine.watch.last_seen = read.record;
+    s.actions.emplace_back(PublishSeat{read.record});
+    if (!s.around.stopping && may_take_now(s)) {
+        take(s);
+    }
+}
+
+void on_taken(Step& s, const SeatWritten& written) {
+    SeatMachine& machine = s.machine;
+    if (written.status != StoreStatus::done) {
+        // Somebody else was faster, or the confirmation was lost: the next poll tells.
+        watch_again(s, Duration::zero());
+        return;
+    }
+    const SeatRecord last = machine.watch.last_seen;
+    const bool warm = last.released && machine.handover_epoch == last.epoch;
+    machine.handover_epoch.reset();
+    machine.record = machine.proposed;
+    machine.version = written.version;
+    machine.phase = SeatPhase::holding;
+    machine.due = machine.sent + renewal_interval(s.around);
+    machine.lease = SeatLease{};
+    machine.lease.epoch = machine.record.epoch;
+    machine.lease.share_64ths = machine.record.share_64ths;
+    on_renewed(machine.lease, s.around.lease, machine.sent);
+    s.actions.emplace_back(PublishSeat{machine.record});
+    s.actions.emplace_back(OpenSeat{warm, last.epoch});
+}
+
+void accept_renewal(Step& s, const SeatRecord& record, std::int64_t version) {
+    SeatMachine& machine = s.machine;
+    machine.record = record;
+    machine.version = version;
+    machine.phase = SeatPhase::holding;
+    machine.lease.share_64ths = record.share_64ths;
+    on_renewed(machine.lease, s.around.lease, machine.sent);
+    s.actions.emplace_back(PublishSeat{record});
+}
+
+void on_renewal_written(Step& s, const SeatWritten& written) {
+    if (written.status == StoreStatus::done) {
+        accept_renewal(s, s.machine.proposed, written.version);
+        return;
+    }
+    s.machine.phase = SeatPhase::verifying;
+    s.actions.emplace_back(ReadSeat{});
+}
+
+bool is_mine(const Step& s, const SeatRead& read) {
+    return read.status == StoreStatus::done && read.record.holder == s.around.node &&
+           read.record.epoch == s.machine.record.epoch;
+}
+
+void on_verified(Step& s, const SeatRead& read) {
+    SeatMachine& machine = s.machine;
+    if (read.status == StoreStatus::unknown) {
+        on_platform_failure(machine.lease, machine.sent);
+        machine.phase = SeatPhase::holding;
+        return;
+    }
+    if (!is_mine(s, read) || read.record.released) {
+        on_seat_lost(machine.lease);
+        drain(s, SeatPhase::ending);
+        return;
+    }
+    if (read.record.renewal > machine.record.renewal) {
+        accept_renewal(s, read.record, read.version);
+        return;
+    }
+    machine.version = read.version;
+    machine.phase = SeatPhase::holding;
+    machine.due = s.now;
+}
+
+void write_release(Step& s) {
+    SeatMachine& machine = s.machine;
+    machine.proposed = released(machine.record);
+    machine.phase = SeatPhase::releasing;
+    ++machine.release_tries;
+    s.actions.emplace_back(WriteSeat{machine.version, machine.proposed});
+}
+
+void finish_release(Step& s, bool confirmed) {
+    SeatMachine& machine = s.machine;
+    if (confirmed) {
+        s.actions.emplace_back(PublishSeat{machine.proposed});
+        s.actions.emplace_back(TellSuccessor{machine.proposed.epoch});
+    }
+    stop_holding(s);
+}
+
+void on_drained(Step& s, const SeatDrained& drained) {
+    SeatMachine& machine = s.machine;
+    const bool planned = machine.phase == SeatPhase::draining;
+    if (!drained.idle) {
+        machine.still_running_epoch = machine.record.epoch;
+        stop_holding(s);
+        return;
+    }
+    s.actions.emplace_back(LeaveEpoch{machine.record.epoch});
+    if (planned) {
+        machine.release_tries = 0;
+        write_release(s);
+    } else {
+        stop_holding(s);
+    }
+}
+
+void on_release_written(Step& s, const SeatWritten& written) {
+    if (written.status == StoreStatus::done) {
+        finish_release(s, true);
+        return;
+    }
+    s.machine.phase = SeatPhase::checking;
+    s.actions.emplace_back(ReadSeat{});
+}
+
+void on_release_checked(Step& s, const SeatRead& read) {
+    SeatMachine& machine = s.machine;
+    const bool mine = is_mine(s, read);
+    if (mine && read.record.released) {
+        finish_release(s, true);
+    } else if (mine && machine.release_tries < MOST_RELEASE_TRIES) {
+        machine.version = read.version;
+        machine.record = read.record;
+        write_release(s);
+    } else {
+        finish_release(s, false);
+    }
+}
+
+void on_read(Step& s, const SeatRead& read) {
+    switch (s.machine.phase) {
+        case SeatPhase::polling:
+            on_polled(s, read);
+            break;
+        case SeatPhase::verifying:
+            on_verified(s, read);
+            break;
+        case SeatPhase::checking:
+            on_release_checked(s, read);
+            break;
+        default:
+            break;
+    }
+}
+
+void on_written(Step& s, const SeatWritten& written) {
+    switch (s.machine.phase) {
+        case SeatPhase::taking:
+            on_taken(s, written);
+            break;
+        case SeatPhase::renewing:
+            on_renewal_written(s, written);
+            break;
+        case SeatPhase::releasing:
+            on_release_written(s, written);
+            break;
+        default:
+            break;
+    }
+}
+
+}  // namespace
+
+std::vector<SeatAction> step(SeatMachine& machine, const SeatEvent& event,
+                             const SeatSurroundings& around, Time now) {
+    Step s{machine, around, now, {}};
+    if (std::holds_alternative<SeatTick>(event)) {
+        on_tick(s);
+    } else if (const SeatRead* read = std::get_if<SeatRead>(&event)) {
+        on_read(s, *read);
+    } else if (const SeatWritten* written = std::get_if<SeatWritten>(&event)) {
+        on_written(s, *written);
+    } else if (const SeatDrained* drained = std::get_if<SeatDrained>(&event)) {
+        on_drained(s, *drained);
+    } else if (const HandoverHeard* heard = std::get_if<HandoverHeard>(&event)) {
+        machine.handover_epoch = heard->epoch;
+    }
+    return std::move(s.actions);
+}
+
+bool is_held(const SeatMachine& machine) {
+    switch (machine.phase) {
+        case SeatPhase::watching:
+        case SeatPhase::polling:
+        case SeatPhase::taking:
+            return false;
+        default:
+            return true;
+    }
+}
+
+std::vector<SeatUse> uses_in_question(const SeatMachine& machine) {
+    const SeatRecord& record = is_held(machine) ? machine.record : machine.watch.last_seen;
+    std::vector<SeatUse> uses = record.remnants;
+    if (!is_held(machine) && !record.holder.empty()) {
+        uses.push_back({record.holder, record.epoch});
+    }
+    return uses;
+}
+
+}  // namespace ebonymount
--- a/src/io/http2_session.cpp
+++ b/src/io/http2_session.cpp
@@ -16,11 +16,12 @@
 constexpr std::int32_t WINDOW_BYTES = 1 << 20;
 
 constexpr std::uint32_t MOST_STREAMS = 10000;
-constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
+constexpr std::size_t READ_CHUNK_BYTES = 65536;
 
 nghttp2_nv header(const char* name, const std::string& value) {
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast): nghttp2 copies and never writes.
+    // nghttp2 takes pointers to bytes that may be written, but copies them and never writes.
     const auto bytes = [](const char* text) {
+        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
         return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text));
     };
     return {bytes(name), bytes(value.c_str()), std::strlen(name), value.size(),
@@ -145,10 +146,10 @@
     m_on_cancel = std::move(on_cancel);
 }
 
-std::shared_ptr<Http2Session> Http2Session::serve(EventLoop& loop, Poco::Net::StreamSocket socket,
+std::shared_ptr<Http2Session> Http2Session::serve(EventLoop& loop,
+                                                  const Poco::Net::StreamSocket& socket,
                                                   StreamHandler handler, TrafficCounters& traffic) {
-    const std::shared_ptr<Http2Session> session(
-        new Http2Session(loop, std::move(socket), true, traffic));
+    const std::shared_ptr<Http2Session> session(new Http2Session(loop, socket, true, traffic));
     session->m_handler = std::move(handler);
     session->m_connected = true;
     session->start();
@@ -168,9 +169,9 @@
     return session;
 }
 
-Http2Session::Http2Session(EventLoop& loop, Poco::Net::StreamSocket socket, bool is_server,
+Http2Session::Http2Session(EventLoop& loop, const Poco::Net::StreamSocket& socket, bool is_server,
                            TrafficCounters& traffic)
-    : m_loop(loop), m_socket(std::move(socket)), m_is_server(is_server), m_traffic(traffic) {
+    : m_loop(loop), m_socket(socket), m_is_server(is_server), m_traffic(traffic) {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
@@ -371,7 +372,7 @@
         return read_answer(*stream, buffer, length, flags);
     }
     const std::size_t count = std::min(length, stream->body.size() - stream->body_sent);
-    std::memcpy(buffer, stream->body.data() + stream->body_sent, count);
+    std::copy_n(stream->body.data() + stream->body_sent, count, buffer);
     stream->body_sent += count;
     if (stream->body_sent == stream->body.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -383,7 +384,7 @@
                                   std::uint32_t* flags) {
     ServerStream& server = *stream.server;
     const std::size_t count = std::min(length, server.m_pending.size());
-    std::memcpy(buffer, server.m_pending.data(), count);
+    std::copy_n(server.m_pending.data(), count, buffer);
     server.m_pending.erase(0, count);
     if (server.m_pending.empty() && server.m_finished) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/io/http2_session.h
+++ b/src/io/http2_session.h
@@ -78,7 +78,8 @@
 class Http2Session : public SocketOwner, public std::enable_shared_from_this<Http2Session> {
 public:
     /// The accepting end of an established connection.
-    static std::shared_ptr<Http2Session> serve(EventLoop& loop, Poco::Net::StreamSocket socket,
+    static std::shared_ptr<Http2Session> serve(EventLoop& loop,
+                                               const Poco::Net::StreamSocket& socket,
                                                StreamHandler handler, TrafficCounters& traffic);
 
     /// The opening end; the connection is established in the background.
@@ -117,7 +118,7 @@
         std::shared_ptr<ServerStream> server;
     };
 
-    Http2Session(EventLoop& loop, Poco::Net::StreamSocket socket, bool is_server,
+    Http2Session(EventLoop& loop, const Poco::Net::StreamSocket& socket, bool is_server,
                  TrafficCounters& traffic);
 
     void start();
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -11,19 +11,19 @@
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_CONFLICT = 412;
 
-PlatformStatus status_of(const HttpAnswer& answer) {
+StoreStatus status_of(const HttpAnswer& answer) {
     if (answer.stage != ExchangeStage::answered) {
-        return PlatformStatus::unknown;
+        return StoreStatus::unknown;
     }
     switch (answer.status) {
         case HTTP_OK:
-            return PlatformStatus::done;
+            return StoreStatus::done;
         case HTTP_NOT_FOUND:
-            return PlatformStatus::absent;
+            return StoreStatus::absent;
         case HTTP_CONFLICT:
-            return PlatformStatus::conflict;
+            return StoreStatus::conflict;
         default:
-            return PlatformStatus::unknown;
+            return StoreStatus::unknown;
     }
 }
 
@@ -80,11 +80,11 @@
     const HttpAnswer answer = call({"GET", "/list?prefix=" + escape(prefix), {}, ""}, m_timeout);
     PlatformList list;
     list.status = status_of(answer);
-    if (list.status == PlatformStatus::done) {
+    if (list.status == StoreStatus::done) {
         try {
             list.objects = parse_list(answer.body);
         } catch (const std::exception&) {
-            list.status = PlatformStatus::unknown;
+            list.status = StoreStatus::unknown;
         }
     }
     return list;
@@ -110,7 +110,7 @@
     if (connection->ensure_connected() != ConnectResult::failed) {
         answer = connection->exchange(request, timeout);
     }
-    if (status_of(answer) == PlatformStatus::unknown) {
+    if (status_of(answer) == StoreStatus::unknown) {
         ++m_failures;
     }
     if (answer.stage == ExchangeStage::answered) {
--- a/src/io/platform_client.h
+++ b/src/io/platform_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/store_status.h"
 #include "io/http_client.h"
 #include "io/metrics.h"
 
@@ -24,20 +25,18 @@
     friend bool operator==(const PlatformObject&, const PlatformObject&) = default;
 };
 
-enum class PlatformStatus : std::uint8_t { done, conflict, absent, unknown };
-
 struct PlatformRead {
-    PlatformStatus status = PlatformStatus::unknown;
+    StoreStatus status = StoreStatus::unknown;
     PlatformObject object;
 };
 
 struct PlatformWrite {
-    PlatformStatus status = PlatformStatus::unknown;
+    StoreStatus status = StoreStatus::unknown;
     std::int64_t version = 0;
 };
 
 struct PlatformList {
-    PlatformStatus status = PlatformStatus::unknown;
+    StoreStatus status = StoreStatus::unknown;
     std::vector<PlatformObject> objects;
 };
 
--- a/src/node/claimer.cpp
+++ b/src/node/claimer.cpp
@@ -88,13 +88,12 @@
         deadline = std::min(deadline, waiter->deadline);
     }
     lock.unlock();
-    std::vector<ClaimDecision> decisions;
-    const bool stored = write_batch(name, bucket, batch, deadline, decisions);
+    const BatchDone done = store(name, bucket.machine, batch, deadline);
     lock.lock();
     bucket.busy = false;
     for (std::size_t index = 0; index < waiters.size(); ++index) {
-        if (stored) {
-            waiters[index]->result = decisions[index];
+        if (done.stored) {
+            waiters[index]->result = done.decisions[index];
             continue;
         }
         waiters[index]->result =
@@ -103,68 +102,54 @@
         const ClaimRequest& request = batch.requests[index];
         bucket.updates.push_back({request.key, request.claimant, ClaimState::not_run, ""});
     }
-    if (!stored) {
+    if (!done.stored) {
         bucket.updates.insert(bucket.updates.end(), batch.updates.begin(), batch.updates.end());
     }
     m_changed.notify_all();
 }
 
-/// Reads, applies and writes until the platform has confirmed the batch or the time is over.
-bool Claimer::write_batch(const std::string& name, Bucket& bucket, const ClaimBatch& batch,
-                          Time deadline, std::vector<ClaimDecision>& decisions) {
-    while (monotonic_now() < deadline) {
-        const bool was_cached = bucket.loaded;
-        if (!bucket.loaded && !load(name, bucket)) {
-            std::this_thread::sleep_for(RETRY_PAUSE);
-            continue;
-        }
-        const ClaimResult result = apply_batch(bucket.content, batch, wall_clock_s());
-        decisions = result.decisions;
-        if (!result.changed && was_cached) {
-            // What others did to the key since the bucket was read decides the answer.
-            bucket.loaded = false;
-            continue;
-        }
-        if (!result.changed) {
-            return true;
+/// Drives the bucket's machine until the batch has ended.
+BatchDone Claimer::store(const std::string& name, ClaimMachine& machine, const ClaimBatch& batch,
+                         Time deadline) {
+    ClaimEvent event = BeginBatch{batch};
+    while (true) {
+        const ClaimAction action =
+            step(machine, event, {monotonic_now(), deadline, wall_clock_s()});
+        if (const BatchDone* done = std::get_if<BatchDone>(&action)) {
+            return *done;
         }
-        ++m_writes;
-        const PlatformWrite write =
-            m_platform.write(name, bucket.version, to_document(result.bucket).dump());
-        if (write.status == PlatformStatus::done) {
-            bucket.content = result.bucket;
-            bucket.version = write.version;
-            return true;
+        if (const ReadBucket* read = std::get_if<ReadBucket>(&action)) {
+            event = read_bucket(name, *read);
+        } else {
+            event = write_bucket(name, std::get<WriteBucket>(action));
         }
-        // Another node wrote first, or the confirmation was lost: the bucket must be read again.
-        bucket.loaded = false;
     }
-    return false;
 }
 
-bool Claimer::load(const std::string& name, Bucket& bucket) {
-    const PlatformRead read = m_platform.read(name);
-    if (read.status == PlatformStatus::absent) {
-        bucket.content.clear();
-        bucket.version = 0;
-        bucket.loaded = true;
-        return true;
+BucketRead Claimer::read_bucket(const std::string& name, const ReadBucket& read) {
+    if (read.after_pause) {
+        std::this_thread::sleep_for(RETRY_PAUSE);
     }
-    if (read.status != PlatformStatus::done) {
-        return false;
+    const PlatformRead answer = m_platform.read(name);
+    if (answer.status != StoreStatus::done) {
+        return {answer.status, 0, {}};
     }
-    const Result<Json> document = parse_json(read.object.value, name);
+    const Result<Json> document = parse_json(answer.object.value, name);
     const Result<ClaimBucket> content = has_value(document)
                                             ? claim_bucket_from(value_of(document))
                                             : Result<ClaimBucket>(error_of(document));
     if (!has_value(content)) {
         log_error("claims", "A bucket cannot be read. " + describe(error_of(content)));
-        return false;
+        return {StoreStatus::unknown, 0, {}};
     }
-    bucket.content = value_of(content);
-    bucket.version = read.object.version;
-    bucket.loaded = true;
-    return true;
+    return {StoreStatus::done, answer.object.version, value_of(content)};
+}
+
+BucketWritten Claimer::write_bucket(const std::string& name, const WriteBucket& write) {
+    ++m_writes;
+    const PlatformWrite answer =
+        m_platform.write(name, write.version, to_document(write.bucket).dump());
+    return {answer.status, answer.version};
 }
 
 void Claimer::run() {
--- a/src/node/claimer.h
+++ b/src/node/claimer.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "base/result.h"
+#include "cluster/claim_machine.h"
 #include "io/platform_client.h"
 #include "node/node_state.h"
-#include "policy/claim.h"
 
 namespace ebonymount {
 
@@ -50,15 +50,14 @@
         std::vector<std::shared_ptr<Waiter>> waiting;
         std::vector<ClaimUpdate> updates;
         bool busy = false;
-        std::int64_t version = 0;
-        ClaimBucket content;
-        bool loaded = false;
+        ClaimMachine machine;
     };
 
     void write_waiting(const std::string& name, std::unique_lock<std::mutex>& lock);
-    bool write_batch(const std::string& name, Bucket& bucket, const ClaimBatch& batch,
-                     Time deadline, std::vector<ClaimDecision>& decisions);
-    bool load(const std::string& name, Bucket& bucket);
+    BatchDone store(const std::string& name, ClaimMachine& machine, const ClaimBatch& batch,
+                    Time deadline);
+    BucketRead read_bucket(const std::string& name, const ReadBucket& read);
+    BucketWritten write_bucket(const std::string& name, const WriteBucket& write);
     void run();
     std::string next_bucket_with_updates() const;
 
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -14,19 +14,20 @@
     return found == m_leases.end() ? 0 : ebonymount::usable_share(found->second, now);
 }
 
-void LeaseTable::update(const std::string& seat, const std::function<void(SeatLease&)>& change) {
+void LeaseTable::set(const std::string& seat, const SeatLease& lease) {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    change(m_leases[seat]);
-}
-
-void LeaseTable::erase(const std::string& seat) {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_leases.erase(seat);
+    m_leases[seat] = lease;
 }
 
 std::map<std::string, SeatLease> LeaseTable::all() const {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_leases;
+    std::map<std::string, SeatLease> held;
+    for (const auto& [seat, lease] : m_leases) {
+        if (lease.epoch > 0 && !lease.lost) {
+            held[seat] = lease;
+        }
+    }
+    return held;
 }
 
 NodeState::NodeState(const NodeSettings& settings, std::int64_t incarnation)
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -27,13 +27,10 @@
     /// Part of each limit that may be used for the seat at this moment, in 1/64ths.
     std::int64_t usable_share(const std::string& seat, Time now) const;
 
-    /// Runs `change` on the lease under the lock, making the lease if it is absent.
-    void update(const std::string& seat, const std::function<void(SeatLease&)>& change);
+    /// Sets what the seat's machine knows of its lease.
+    void set(const std::string& seat, const SeatLease& lease);
 
-    /// Drops a lease that was left.
-    void erase(const std::string& seat);
-
-    /// All leases as they stand.
+    /// The leases of seats that are held.
     std::map<std::string, SeatLease> all() const;
 
 private:
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -27,10 +27,10 @@
 
 Result<StoredConfiguration> read_configuration(PlatformClient& platform) {
     const PlatformRead read = platform.read(CONFIGURATION_OBJECT);
-    if (read.status == PlatformStatus::absent) {
+    if (read.status == StoreStatus::absent) {
         return StoredConfiguration{};
     }
-    if (read.status != PlatformStatus::done) {
+    if (read.status != StoreStatus::done) {
         return Error{ErrorCode::unavailable, "the platform does not answer", CONFIGURATION_OBJECT};
     }
     const Result<Json> document = parse_json(read.object.value, CONFIGURATION_OBJECT);
@@ -49,9 +49,9 @@
     const PlatformWrite write =
         platform.write(CONFIGURATION_OBJECT, base.version, to_document(next).dump());
     switch (write.status) {
-        case PlatformStatus::done:
+        case StoreStatus::done:
             return Done{};
-        case PlatformStatus::conflict:
+        case StoreStatus::conflict:
             return Error{ErrorCode::conflict, "another generation was accepted first",
                          std::to_string(next.generation)};
         default:
@@ -119,9 +119,9 @@
             continue;
         }
         const PlatformWrite seen =
-            m_seen_version < 0 ? PlatformWrite{PlatformStatus::done, 0}
+            m_seen_version < 0 ? PlatformWrite{StoreStatus::done, 0}
                                : m_platform.watch(CONFIGURATION_PREFIX, m_seen_version, WATCH_WAIT);
-        const bool fresh = seen.status == PlatformStatus::done && seen.version == m_seen_version;
+        const bool fresh = seen.status == StoreStatus::done && seen.version == m_seen_version;
         if (fresh) {
             m_state.change_knowledge([](ClusterKnowledge& knowledge, SuspicionList&) {
                 knowledge.platform_heard = monotonic_now();
@@ -129,7 +129,7 @@
             });
             continue;
         }
-        if (seen.status != PlatformStatus::done || !load()) {
+        if (seen.status != StoreStatus::done || !load()) {
             pause(RETRY_PAUSE);
         }
     }
@@ -145,7 +145,7 @@
 
 bool PlatformSync::load() {
     const PlatformList list = m_platform.list(CONFIGURATION_PREFIX);
-    if (list.status != PlatformStatus::done) {
+    if (list.status != StoreStatus::done) {
         return false;
     }
     std::int64_t highest = 0;
@@ -190,7 +190,7 @@
 
 void PlatformSync::load_hosts() {
     const PlatformRead read = m_platform.hosts();
-    if (read.status != PlatformStatus::done) {
+    if (read.status != StoreStatus::done) {
         return;
     }
     const Result<Json> document = parse_json(read.object.value, "host list");
--- a/src/node/target_worker.cpp
+++ b/src/node/target_worker.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-void TargetWorker::submit(std::shared_ptr<RelayJob> job) {
+void TargetWorker::submit(const std::shared_ptr<RelayJob>& job) {
     const Time now = monotonic_now();
     const ServiceRow the_row = row();
     std::optional<AttemptStatus> refused = refusal(*job, now);
--- a/src/node/target_worker.h
+++ b/src/node/target_worker.h
@@ -57,7 +57,7 @@
     TargetWorker& operator=(TargetWorker&&) = delete;
 
     /// Queues the job, or refuses it at once when it could not start in time.
-    void submit(std::shared_ptr<RelayJob> job);
+    void submit(const std::shared_ptr<RelayJob>& job);
 
     /// Cancels a waiting job. A running one is marked and returned, to be cancelled at the target.
     std::shared_ptr<RelayJob> cancel(const std::string& query_id, std::uint64_t attempt);
--- a/src/policy/seat.cpp
+++ b/src/policy/seat.cpp
@@ -40,12 +40,11 @@
     return limit * share_64ths / WHOLE_SHARE;
 }
 
-bool may_take(const SeatWatch& watch, Duration lease_duration, Time now) {
+bool may_take(const SeatWatch& watch, Duration lease_duration, Duration longest_request, Time now) {
     if (watch.last_seen.released || watch.last_seen.holder.empty()) {
         return true;
     }
-    // A quarter more than the lease covers requests that the last holder still has running.
-    return now - watch.unchanged_since >= lease_duration + lease_duration / 4;
+    return now - watch.unchanged_since >= lease_duration + longest_request;
 }
 
 SeatRecord taken_by(const SeatWatch& watch, const std::string& node, const std::string& address) {
--- a/src/policy/seat.h
+++ b/src/policy/seat.h
@@ -74,8 +74,9 @@
 /// Slots out of `limit` that a share allows, rounded down.
 std::int64_t share_of(std::int64_t limit, std::int64_t share_64ths);
 
-/// True when a candidate may try to take the seat.
-bool may_take(const SeatWatch& watch, Duration lease_duration, Time now);
+/// True when a candidate may try to take the seat. Requests that the last holder had started
+/// before its lease lapsed are over by then, if none lasts longer than `longest_request`.
+bool may_take(const SeatWatch& watch, Duration lease_duration, Duration longest_request, Time now);
 
 /// The record that a candidate writes to take the seat.
 SeatRecord taken_by(const SeatWatch& watch, const std::string& node, const std::string& address);
--- /dev/null
+++ b/src/scenario/explore_admission.cpp
@@ -0,0 +1,102 @@
+#include <algorithm>
+
+#include "base/random.h"
+#include "policy/admission.h"
+#include "scenario/explore.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int STEPS = 4000;
+
+/// The target as it really is.
+struct ColdTarget {
+    std::int64_t incarnation = 1;
+    bool cold = true;
+    std::int64_t warm_work = 0;
+    std::vector<Time> running;
+    /// Set once an answer or a broken connection could have told the owner that it is cold.
+    bool told = true;
+};
+
+ServiceRow make_row() {
+    ServiceRow row;
+    row.service = "svc";
+    row.slots = 4;
+    row.cold_limit = 1;
+    row.ramp_successes = 20;
+    return row;
+}
+
+std::int64_t bearable(const ColdTarget& target, const ServiceRow& row) {
+    return target.cold ? row.cold_limit : row.slots;
+}
+
+/// Turns the target cold: by a restart, which breaks its connections, or without any notice.
+void turn_cold(ColdTarget& target, TargetLedger& ledger, Time now, bool restart) {
+    target.cold = true;
+    target.warm_work = 0;
+    target.told = restart;
+    if (!restart) {
+        return;
+    }
+    ++target.incarnation;
+    for (std::size_t index = 0; index < target.running.size(); ++index) {
+        on_broken(ledger, now);
+    }
+    target.running.clear();
+    on_connection_replaced(ledger, now);
+}
+
+void finish(ColdTarget& target, TargetLedger& ledger, const ServiceRow& row, Time now) {
+    const auto done = [now](Time end) {
+        return end <= now;
+    };
+    const std::int64_t count = std::count_if(target.running.begin(), target.running.end(), done);
+    std::erase_if(target.running, done);
+    for (std::int64_t index = 0; index < count; ++index) {
+        if (++target.warm_work >= row.ramp_successes) {
+            target.cold = false;
+        }
+        target.told = true;
+        on_success(ledger, row, std::to_string(target.incarnation), from_ms(5), now);
+    }
+}
+
+}  // namespace
+
+ExploreResult explore_admission(std::uint64_t seed) {
+    Random random(seed);
+    const ServiceRow row = make_row();
+    TargetLedger ledger;
+    ColdTarget target;
+    ExploreResult result;
+    Time now = Time{} + from_ms(1000);
+    for (int index = 0; index < STEPS; ++index) {
+        now += from_ms(2);
+        ++result.steps;
+        finish(target, ledger, row, now);
+        if (random() % 500 == 0) {
+            turn_cold(target, ledger, now, random() % 2 == 0);
+        }
+        if (admit(ledger, row, 64, now) != Admission::start) {
+            continue;
+        }
+        on_start(ledger, row, now);
+        if (static_cast<std::int64_t>(target.running.size()) < bearable(target, row)) {
+            target.running.push_back(now + from_ms(2 + static_cast<std::int64_t>(random() % 8)));
+            continue;
+        }
+        if (target.told) {
+            result.failure = std::to_string(target.running.size() + 1) + " requests at a " +
+                             (target.cold ? "cold" : "warm") + " target in step " +
+                             std::to_string(index);
+            return result;
+        }
+        target.told = true;
+        on_shed(ledger, now);
+    }
+    return result;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/scenario/explore_claims.cpp
@@ -0,0 +1,146 @@
+#include <map>
+#include <set>
+
+#include "base/random.h"
+#include "cluster/claim_machine.h"
+#include "scenario/explore.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int ROUNDS = 60;
+constexpr int NODES = 3;
+constexpr int KEYS = 4;
+
+/// The bucket object with the platform's faults.
+struct BucketStore {
+    ClaimBucket bucket;
+    std::int64_t version = 0;
+};
+
+/// One node's claimer with the batch that it stores.
+struct ClaimNode {
+    ClaimMachine machine;
+    bool busy = false;
+    ClaimEvent next;
+    Time deadline{};
+    std::vector<ClaimUpdate> updates;
+    std::vector<ClaimRequest> requests;
+};
+
+/// What the callers were told and what ran.
+struct Ledger {
+    std::map<std::string, int> runs;
+    std::set<std::string> told_not_run;
+};
+
+ClaimEvent read(const BucketStore& store, Random& random) {
+    if (random() % 5 == 0) {
+        return BucketRead{};
+    }
+    const StoreStatus status = store.version == 0 ? StoreStatus::absent : StoreStatus::done;
+    return BucketRead{status, store.version, store.bucket};
+}
+
+/// A write can be refused by its condition, be lost, or take effect with its answer lost.
+ClaimEvent write(BucketStore& store, const WriteBucket& action, Random& random) {
+    const std::uint64_t fault = random() % 6;
+    if (fault == 0) {
+        return BucketWritten{};
+    }
+    if (action.version != store.version) {
+        return BucketWritten{StoreStatus::conflict, store.version};
+    }
+    store.bucket = action.bucket;
+    ++store.version;
+    return fault == 1 ? BucketWritten{} : BucketWritten{StoreStatus::done, store.version};
+}
+
+/// Sends granted requests, each of which may turn out not to have run, and notes their ends.
+void settle(ClaimNode& node, const BatchDone& done, Ledger& ledger, Random& random) {
+    for (std::size_t index = 0; index < node.requests.size(); ++index) {
+        const ClaimRequest& request = node.requests[index];
+        if (!done.stored) {
+            ledger.told_not_run.insert(request.claimant);
+            node.updates.push_back({request.key, request.claimant, ClaimState::not_run, ""});
+            continue;
+        }
+        if (done.decisions.at(index).answer != ClaimAnswer::granted) {
+            continue;
+        }
+        const std::uint64_t luck = random() % 4;
+        if (luck == 0) {
+            node.updates.push_back({request.key, request.claimant, ClaimState::not_run, ""});
+        } else if (luck == 1) {
+            // The claimant is frozen for good after its send: no outcome is recorded.
+            ++ledger.runs[request.key];
+        } else {
+            ++ledger.runs[request.key];
+            node.updates.push_back({request.key, request.claimant, ClaimState::ran, "done"});
+        }
+    }
+    node.requests.clear();
+    node.busy = false;
+}
+
+void begin(ClaimNode& node, int number, int round, Time now, Random& random) {
+    ClaimBatch batch;
+    batch.updates.swap(node.updates);
+    const std::uint64_t count = random() % 3;
+    for (std::uint64_t index = 0; index < count; ++index) {
+        const std::string key = "k" + std::to_string(random() % KEYS);
+        const std::string claimant =
+            std::to_string(number) + "/" + std::to_string(round) + "/" + std::to_string(index);
+        batch.requests.push_back({key, 1, claimant});
+    }
+    node.requests = batch.requests;
+    node.next = BeginBatch{batch};
+    node.deadline = now + from_ms(static_cast<std::int64_t>(random() % 12));
+    node.busy = true;
+}
+
+void advance(ClaimNode& node, BucketStore& store, Ledger& ledger, Time now, Random& random) {
+    const ClaimAction action = step(node.machine, node.next, {now, node.deadline, 1000});
+    if (const BatchDone* done = std::get_if<BatchDone>(&action)) {
+        if (!done->stored) {
+            node.updates.insert(node.updates.end(), node.machine.batch.updates.begin(),
+                                node.machine.batch.updates.end());
+        }
+        settle(node, *done, ledger, random);
+    } else if (const WriteBucket* bucket = std::get_if<WriteBucket>(&action)) {
+        node.next = write(store, *bucket, random);
+    } else {
+        node.next = read(store, random);
+    }
+}
+
+}  // namespace
+
+ExploreResult explore_claims(std::uint64_t seed) {
+    Random random(seed);
+    BucketStore store;
+    Ledger ledger;
+    std::vector<ClaimNode> nodes(NODES);
+    ExploreResult result;
+    Time now = Time{} + from_ms(1000);
+    for (int round = 0; round < ROUNDS * NODES; ++round) {
+        now += from_ms(1);
+        ++result.steps;
+        const std::size_t number = random() % NODES;
+        ClaimNode& node = nodes.at(number);
+        if (!node.busy) {
+            begin(node, static_cast<int>(number), round, now, random);
+        }
+        advance(node, store, ledger, now, random);
+        for (const auto& [key, runs] : ledger.runs) {
+            if (runs > 1) {
+                result.failure = "key " + key + " ran " + std::to_string(runs) +
+                                 " times in round " + std::to_string(round);
+                return result;
+            }
+        }
+    }
+    return result;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/scenario/seat_group.cpp
@@ -0,0 +1,269 @@
+#include "scenario/seat_group.h"
+
+#include <algorithm>
+
+#include "base/check.h"
+
+namespace ebonymount {
+namespace {
+
+const std::string SEAT = "dc/0";
+
+constexpr Duration STEP = from_ms(10);
+constexpr Duration TICK = from_ms(100);
+
+void drop_finished(std::vector<Time>& ends, Time now) {
+    std::erase_if(ends, [now](Time end) { return end <= now; });
+}
+
+std::string name_of(const GroupNode& node) {
+    return node_name(node.host, node.incarnation);
+}
+
+}  // namespace
+
+SeatGroup::SeatGroup(SeatGroupOptions options, const std::vector<std::string>& hosts,
+                     std::uint64_t seed)
+    : m_options(options), m_random(seed), m_now(from_ms(1000)) {
+    for (const std::string& host : hosts) {
+        m_nodes[host].host = host;
+    }
+}
+
+void SeatGroup::start(const std::string& host) {
+    GroupNode& node = m_nodes.at(host);
+    internal_check(!node.alive) << host << " runs already";
+    const std::int64_t incarnation = node.incarnation + 1;
+    node = GroupNode{};
+    node.host = host;
+    node.incarnation = incarnation;
+    node.alive = true;
+}
+
+void SeatGroup::kill(const std::string& host) {
+    GroupNode& node = m_nodes.at(host);
+    node.alive = false;
+    m_orphans.insert(m_orphans.end(), node.running.begin(), node.running.end());
+    node.running.clear();
+    node.arriving.clear();
+}
+
+void SeatGroup::stop(const std::string& host) {
+    m_nodes.at(host).stopping = true;
+}
+
+void SeatGroup::pause(const std::string& host) {
+    m_nodes.at(host).paused = true;
+}
+
+void SeatGroup::resume(const std::string& host) {
+    m_nodes.at(host).paused = false;
+}
+
+void SeatGroup::cut(const std::string& host, bool is_cut) {
+    m_nodes.at(host).cut = is_cut;
+}
+
+void SeatGroup::set_platform_down(bool down) {
+    m_platform_down = down;
+}
+
+void SeatGroup::lose_confirmations(int count) {
+    m_lost_confirmations = count;
+}
+
+std::optional<std::string> SeatGroup::run_for(Duration duration) {
+    const Time end = m_now + duration;
+    while (m_now < end) {
+        m_now += STEP;
+        drop_finished(m_orphans, m_now);
+        land_writes();
+        gossip();
+        assign();
+        for (auto& [host, node] : m_nodes) {
+            drop_finished(node.running, m_now);
+            if (!node.alive || node.paused) {
+                continue;
+            }
+            deliver(node);
+            if (m_now.time_since_epoch() % TICK == Duration::zero()) {
+                tick(node);
+            }
+            send_requests(node);
+        }
+        if (running() > m_options.limit) {
+            return std::to_string(running()) + " requests run at " +
+                   std::to_string(m_now.time_since_epoch().count() / 1000) + " ms, the limit is " +
+                   std::to_string(m_options.limit);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string SeatGroup::holder() const {
+    return m_stored.released ? "" : host_of(m_stored.holder);
+}
+
+std::int64_t SeatGroup::share(const std::string& host) const {
+    return usable_share(m_nodes.at(host).machine.lease, m_now);
+}
+
+std::int64_t SeatGroup::running() const {
+    std::size_t count = m_orphans.size();
+    for (const auto& [host, node] : m_nodes) {
+        count += node.running.size();
+    }
+    return static_cast<std::int64_t>(count);
+}
+
+std::vector<std::string> SeatGroup::hosts() const {
+    std::vector<std::string> hosts;
+    for (const auto& [host, node] : m_nodes) {
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+void SeatGroup::tick(GroupNode& node) {
+    if (node.draining && node.running.empty()) {
+        node.draining = false;
+        advance(node, SeatDrained{true});
+    }
+    advance(node, SeatTick{});
+    if (node.stopping && !is_held(node.machine) && node.running.empty()) {
+        node.alive = false;
+        node.arriving.clear();
+    }
+}
+
+/// Applies writes that reach the store now, whatever has become of their sender.
+void SeatGroup::land_writes() {
+    std::vector<PendingWrite> later;
+    for (const PendingWrite& pending : m_pending) {
+        if (pending.lands > m_now) {
+            later.push_back(pending);
+            continue;
+        }
+        SeatWritten written{StoreStatus::conflict, m_version};
+        if (pending.write.version == m_version) {
+            m_stored = pending.write.record;
+            written = {StoreStatus::done, ++m_version};
+        }
+        GroupNode& node = m_nodes.at(pending.host);
+        if (!node.alive) {
+            continue;
+        }
+        if (m_lost_confirmations > 0) {
+            --m_lost_confirmations;
+            written.status = StoreStatus::unknown;
+        }
+        node.arriving.emplace_back(m_now + m_options.store_latency, written);
+    }
+    m_pending = std::move(later);
+}
+
+void SeatGroup::deliver(GroupNode& node) {
+    while (!node.arriving.empty() && node.arriving.front().first <= m_now) {
+        const SeatEvent event = node.arriving.front().second;
+        node.arriving.pop_front();
+        advance(node, event);
+    }
+}
+
+void SeatGroup::advance(GroupNode& node, const SeatEvent& event) {
+    for (const SeatAction& action : step(node.machine, event, surroundings(node), m_now)) {
+        carry_out(node, action);
+    }
+}
+
+void SeatGroup::carry_out(GroupNode& node, const SeatAction& action) {
+    if (std::holds_alternative<ReadSeat>(action)) {
+        if (reaches_platform(node)) {
+            node.arriving.emplace_back(m_now + m_options.store_latency * 2,
+                                       SeatRead{StoreStatus::done, m_version, m_stored});
+        } else {
+            node.arriving.emplace_back(m_now + m_options.store_timeout, SeatRead{});
+        }
+    } else if (const WriteSeat* write = std::get_if<WriteSeat>(&action)) {
+        if (reaches_platform(node)) {
+            WriteSeat sent = *write;
+            if (!m_options.halve_share) {
+                sent.record.share_64ths = WHOLE_SHARE;
+                node.machine.proposed.share_64ths = WHOLE_SHARE;
+            }
+            m_pending.push_back({node.host, m_now + m_options.store_latency, sent});
+        } else {
+            node.arriving.emplace_back(m_now + m_options.store_timeout, SeatWritten{});
+        }
+    } else if (std::holds_alternative<DrainSeat>(action)) {
+        node.draining = true;
+    } else if (const LeaveEpoch* leave = std::get_if<LeaveEpoch>(&action)) {
+        node.left.push_back({SEAT, leave->epoch});
+    }
+}
+
+/// Starts as many requests as the lease allows, so that every excess would show.
+void SeatGroup::send_requests(GroupNode& node) {
+    std::int64_t usable = usable_share(node.machine.lease, m_now);
+    if (!m_options.check_lease && is_held(node.machine) && !node.draining) {
+        usable = node.machine.lease.share_64ths;
+    }
+    const std::int64_t allowed = share_of(m_options.limit, usable);
+    while (static_cast<std::int64_t>(node.running.size()) < allowed) {
+        const double part = 0.05 + 0.95 * uniform(m_random);
+        const double longest = static_cast<double>(m_options.longest_request.count());
+        node.running.push_back(m_now + Duration(static_cast<std::int64_t>(part * longest)));
+    }
+}
+
+/// Spreads who is alive and what they have left.
+void SeatGroup::gossip() {
+    if (m_now < m_next_gossip) {
+        return;
+    }
+    m_next_gossip = m_now + m_options.gossip_delay;
+    for (auto& [host, node] : m_nodes) {
+        for (const auto& [other_host, other] : m_nodes) {
+            if (host == other_host || !other.alive || other.paused) {
+                continue;
+            }
+            Exchange exchange;
+            exchange.from.host = other_host;
+            exchange.from.node = name_of(other);
+            exchange.from.incarnation = other.incarnation;
+            exchange.from.data_centre = "dc";
+            exchange.left_seats = other.left;
+            SuspicionList suspicions;
+            merge(node.knowledge, suspicions, exchange, m_now);
+        }
+    }
+}
+
+/// The first host that runs is the assigned holder.
+void SeatGroup::assign() {
+    bool found = false;
+    for (auto& [host, node] : m_nodes) {
+        node.wanted = !found && node.alive && !node.paused && !node.stopping;
+        found = found || node.wanted;
+    }
+}
+
+bool SeatGroup::reaches_platform(const GroupNode& node) const {
+    return !m_platform_down && !node.cut;
+}
+
+SeatSurroundings SeatGroup::surroundings(GroupNode& node) {
+    SeatSurroundings around;
+    around.node = name_of(node);
+    around.address = node.host;
+    around.lease = m_options.lease;
+    around.longest_request = m_options.longest_request;
+    around.wanted = node.wanted;
+    around.stopping = node.stopping;
+    const std::vector<SeatUse> uses = uses_in_question(node.machine);
+    note_missing(node.knowledge, uses, m_now);
+    around.known_gone = known_gone(node.knowledge, SEAT, uses, m_options.longest_request, m_now);
+    return around;
+}
+
+}  // namespace ebonymount
--- a/test/standin/link.cpp
+++ b/test/standin/link.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t CHUNK_BYTES = 64 * 1024;
+constexpr std::size_t CHUNK_BYTES = 65536;
 const Poco::Timespan POLL_TIME(0, 50000);
 
 std::chrono::microseconds from_ms(double milliseconds) {
