Never restart a non-idempotent request that may have run

Ruled out: the retry path (it asks the verdict of the same attempt) and late answers (they are dropped). Change: a restart needs an idempotent request, or the verdict not_run with nothing on its way.

--- a/src/policy/gather.cpp
+++ b/src/policy/gather.cpp
@@ -235,7 +235,10 @@
 /// Starts again on the next older or newer snapshot that has not been pinned yet.
 bool try_restart(Step& s) {
     GatherState& state = s.state;
-    if (state.restarts >= MOST_RESTARTS) {
+    // A non-idempotent request must not go to another map's shards once it may have run.
+    const bool may_repeat =
+        state.request.idempotent || (state.worst == Verdict::not_run && state.live.empty());
+    if (state.restarts >= MOST_RESTARTS || !may_repeat) {
         return false;
     }
     for (const Snapshot& snapshot : placement_of(s)->snapshots) {
