Wait for a replaced holder's requests, and see a target turn cold by its pace

Cause 1: a later incarnation on a host proved that the old process had ended, and the successor took the whole limit at once, while requests that the old one had just started still ran at the target. Ruled out: the takeover after a lapse, which waits for the longest request. Change: such evidence counts once it is as old as the longest request. Change: only a later incarnation replaces.

Cause: a target that turned cold without notice kept its warm limit until it shed work. Change: four answers in a row at more than 2.5 times the usual service time make it cold; the usual time is not raised while the target warms up, unless it was made cold for its pace eight times without getting warm.

--- a/src/cluster/exchange.cpp
+++ b/src/cluster/exchange.cpp
@@ -1,6 +1,7 @@
 #include "cluster/exchange.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "base/hash.h"
 
@@ -89,12 +90,17 @@
     }
 }
 
+bool has_lasted(const std::map<std::string, Time>& since, const std::string& node,
+                Duration duration, Time now) {
+    const auto found = since.find(node);
+    return found != since.end() && now - found->second >= duration;
+}
+
 /// True when a later incarnation was heard from the node's host: the old process has ended, because
 /// both would need the same address.
 bool is_replaced(const ClusterKnowledge& knowledge, const std::string& node) {
     const auto found = knowledge.peers.find(host_of(node));
-    return found != knowledge.peers.end() && !found->second.node.empty() &&
-           found->second.node != node;
+    return found != knowledge.peers.end() && found->second.incarnation > incarnation_of(node);
 }
 
 }  // namespace
@@ -107,6 +113,15 @@
     return node.substr(0, node.find('#'));
 }
 
+std::int64_t incarnation_of(const std::string& node) {
+    const std::size_t mark = node.find('#');
+    std::int64_t incarnation = 0;
+    if (mark != std::string::npos) {
+        std::from_chars(node.data() + mark + 1, node.data() + node.size(), incarnation);
+    }
+    return incarnation;
+}
+
 bool adopt(ClusterKnowledge& knowledge, const Configuration& configuration) {
     if (configuration.generation <= knowledge.configuration.generation) {
         return false;
@@ -288,21 +303,24 @@
         } else {
             knowledge.missing_since.try_emplace(use.node, now);
         }
+        if (is_replaced(knowledge, use.node)) {
+            knowledge.replaced_since.try_emplace(use.node, now);
+        }
     }
 }
 
 std::vector<SeatUse> known_gone(const ClusterKnowledge& knowledge, const std::string& seat,
-                                const std::vector<SeatUse>& uses, Duration /*longest_request*/,
+                                const std::vector<SeatUse>& uses, Duration longest_request,
                                 Time now) {
     std::vector<SeatUse> gone;
     for (const SeatUse& use : uses) {
-        const auto missing = knowledge.missing_since.find(use.node);
-        const bool long_missing =
-            missing != knowledge.missing_since.end() && now - missing->second >= HOST_LIST_LAG;
+        const bool long_missing = has_lasted(knowledge.missing_since, use.node, HOST_LIST_LAG, now);
+        const bool long_replaced =
+            has_lasted(knowledge.replaced_since, use.node, longest_request, now);
         const auto left = knowledge.left_seats.find(use.node);
         const bool says_left =
             left != knowledge.left_seats.end() && contains(left->second, SeatLeft{seat, use.epoch});
-        if (long_missing || says_left || is_replaced(knowledge, use.node)) {
+        if (long_missing || says_left || long_replaced) {
             gone.push_back(use);
         }
     }
--- a/src/cluster/exchange.h
+++ b/src/cluster/exchange.h
@@ -95,6 +95,8 @@
     std::map<std::string, std::vector<SeatLeft>> left_seats;
     /// When a node that is asked about was first found on no host list.
     std::map<std::string, Time> missing_since;
+    /// When a node that is asked about was first found replaced by a later incarnation.
+    std::map<std::string, Time> replaced_since;
     std::set<std::string> leaving_hosts;
     std::optional<Time> platform_heard;
 };
@@ -105,6 +107,9 @@
 /// The host in a node's name.
 std::string host_of(const std::string& node);
 
+/// The incarnation in a node's name; 0 when it has none.
+std::int64_t incarnation_of(const std::string& node);
+
 /// Adopts a configuration if its generation is higher; older ones are ignored.
 bool adopt(ClusterKnowledge& knowledge, const Configuration& configuration);
 
@@ -144,11 +149,13 @@
 /// that it could have missed a take-out. Such a node sends no new work.
 bool is_isolated(const ClusterKnowledge& knowledge, const Peer& self, Duration limit, Time now);
 
-/// Notes which nodes of `uses` are on no host list and have not been heard from.
+/// Notes which nodes of `uses` are on no host list and have not been heard from, and which have
+/// been replaced by a later incarnation.
 void note_missing(ClusterKnowledge& knowledge, const std::vector<SeatUse>& uses, Time now);
 
 /// Uses of the seat that have ended: the node has been missing for longer than the host list can
-/// lag, a later incarnation runs in its place, or it said itself that it has left the epoch.
+/// lag, a later incarnation has run in its place for as long as its last requests may run on at
+/// their targets, or it said itself that it has left the epoch.
 std::vector<SeatUse> known_gone(const ClusterKnowledge& knowledge, const std::string& seat,
                                 const std::vector<SeatUse>& uses, Duration longest_request,
                                 Time now);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -8,6 +8,7 @@
 void make_cold(TargetLedger& ledger, Time now) {
     ledger.stage = 0;
     ledger.successes_in_stage = 0;
+    ledger.slow_in_a_row = 0;
     ledger.stage_since = now;
 }
 
@@ -26,6 +27,7 @@
     const bool long_enough = now - ledger.stage_since >= from_ms(row.ramp_stage_ms);
     if (enough && long_enough) {
         ++ledger.stage;
+        ledger.slow_turns = ledger.stage == WARM_STAGE ? 0 : ledger.slow_turns;
         ledger.successes_in_stage = 0;
         ledger.stage_since = now;
     }
@@ -42,9 +44,50 @@
 /// Pause before a target that was leaving is asked again, as a cold one.
 constexpr Duration DRAINING_PAUSE = from_ms(2000);
 
+/// An answer is slow when it takes more than this many tenths of the usual time.
+constexpr int SLOW_TENTHS = 25;
+
+/// Turns to cold for its pace, without getting warm between, after which a target's new pace is
+/// taken for the usual one.
+constexpr int TURNS_FOR_NEW_PACE = 8;
+
+/// Weights of a new sample in the usual service time, as one in so many.
+constexpr int FASTER_WINDOW = 4;
+constexpr int SLOWER_WINDOW = 32;
+constexpr int FAR_SLOWER_WINDOW = 256;
+
+/// Slow answers in a row that show a target has turned cold; fewer would convict stragglers.
+constexpr int SLOW_RUN = 4;
+
 /// Weight of the newest sample in the mean service time, as one in this many.
 constexpr int MEAN_WINDOW = 16;
 
+/// Compares an answer with the usual time, counts slow ones in a row, and learns from it.
+void learn_usual(TargetLedger& ledger, Duration service_time) {
+    if (ledger.usual_service == Duration::zero()) {
+        ledger.usual_service = service_time;
+    }
+    const bool is_slow = service_time > ledger.usual_service * SLOW_TENTHS / 10;
+    ledger.slow_in_a_row = is_slow ? ledger.slow_in_a_row + 1 : 0;
+    if (service_time > ledger.usual_service && ledger.stage < WARM_STAGE) {
+        return;
+    }
+    const Duration difference = service_time - ledger.usual_service;
+    const int slower_window = is_slow ? FAR_SLOWER_WINDOW : SLOWER_WINDOW;
+    ledger.usual_service +=
+        difference / (difference < Duration::zero() ? FASTER_WINDOW : slower_window);
+}
+
+/// Makes the target cold. One that stays slow through several warm-ups has changed its pace for
+/// good, and the new pace becomes the usual one.
+void turn_cold_for_pace(TargetLedger& ledger, Time now) {
+    make_cold(ledger, now);
+    if (++ledger.slow_turns >= TURNS_FOR_NEW_PACE) {
+        ledger.slow_turns = 0;
+        ledger.usual_service = ledger.mean_service;
+    }
+}
+
 }  // namespace
 
 std::int64_t concurrency_limit(const TargetLedger& ledger, const ServiceRow& row,
@@ -92,12 +135,17 @@
 void on_success(TargetLedger& ledger, const ServiceRow& row, const std::string& incarnation,
                 Duration service_time, Time now) {
     end_one(ledger);
+    learn_usual(ledger, service_time);
     ledger.mean_service += (service_time - ledger.mean_service) / MEAN_WINDOW;
     if (incarnation != ledger.incarnation) {
         ledger.incarnation = incarnation;
         make_cold(ledger, now);
         return;
     }
+    if (ledger.slow_in_a_row >= SLOW_RUN && ledger.stage > 0) {
+        turn_cold_for_pace(ledger, now);
+        return;
+    }
     climb(ledger, row, now);
 }
 
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,9 +1,10 @@
 // Admission to one target, kept by the holder of the target's seat.
 //
 // The ledger counts what runs at the target and decides whether one more request may start. A
-// target is cold when it is new to its owner, its incarnation changed, its connection broke, or it
-// shed work. A cold target starts at the table's cold limit and rate; both double with each stage,
-// and a stage lasts until enough requests have succeeded and enough time has passed.
+// target is cold when it is new to its owner, its incarnation changed, its connection broke, it
+// shed work, or several answers in a row took far longer than usual. A cold target starts at the
+// table's cold limit and rate; both double with each stage, and a stage lasts until enough requests
+// have succeeded and enough time has passed.
 #pragma once
 
 #include <cstdint>
@@ -26,6 +27,13 @@
     Time stage_since{};
     Time next_start{};
     Duration mean_service = from_ms(5);
+    /// Usual service time while warm. It follows faster answers at once. Slower ones it follows
+    /// slowly, and while warming up not at all, so that cold spells do not pass for the usual.
+    Duration usual_service{};
+    /// Times the target was made cold for its pace since it was last warm.
+    int slow_turns = 0;
+    /// Answers in a row that took far longer than usual.
+    int slow_in_a_row = 0;
     /// Set while the target refuses connections; only a connection probe may go to it then.
     bool broken = false;
     /// Until then nothing is sent, because the target said that it is leaving.
--- a/src/scenario/explore_admission.cpp
+++ b/src/scenario/explore_admission.cpp
@@ -9,14 +9,24 @@
 
 constexpr int STEPS = 4000;
 
+/// Fast answers from which an owner knows how fast the target is when it is warm.
+constexpr int ANSWERS_THAT_TEACH = 10;
+
+/// Slow answers in a row that tell a cold target from one straggler.
+constexpr int ANSWERS_THAT_TELL = 4;
+
 /// The target as it really is.
 struct ColdTarget {
     std::int64_t incarnation = 1;
     bool cold = true;
     std::int64_t warm_work = 0;
     std::vector<Time> running;
-    /// Set once an answer or a broken connection could have told the owner that it is cold.
+    /// Set once the owner could have known that it is cold: by a broken connection, by a request
+    /// that was shed, or by several slow answers in a row.
     bool told = true;
+    int slow_answers = 0;
+    /// Answers that the target has given while warm: without some, slow answers tell nothing.
+    int fast_answers = 0;
 };
 
 ServiceRow make_row() {
@@ -37,6 +47,7 @@
     target.cold = true;
     target.warm_work = 0;
     target.told = restart;
+    target.slow_answers = 0;
     if (!restart) {
         return;
     }
@@ -58,8 +69,11 @@
         if (++target.warm_work >= row.ramp_successes) {
             target.cold = false;
         }
-        target.told = true;
-        on_success(ledger, row, std::to_string(target.incarnation), from_ms(5), now);
+        const bool slow = target.cold;
+        target.fast_answers += slow ? 0 : 1;
+        target.slow_answers += slow && target.fast_answers >= ANSWERS_THAT_TEACH ? 1 : 0;
+        target.told = target.told || target.slow_answers >= ANSWERS_THAT_TELL;
+        on_success(ledger, row, std::to_string(target.incarnation), from_ms(slow ? 15 : 5), now);
     }
 }
 
@@ -90,7 +104,9 @@
         if (target.told) {
             result.failure = std::to_string(target.running.size() + 1) + " requests at a " +
                              (target.cold ? "cold" : "warm") + " target in step " +
-                             std::to_string(index);
+                             std::to_string(index) + ", stage " + std::to_string(ledger.stage) +
+                             ", usual " + std::to_string(ledger.usual_service.count()) +
+                             " us, slow in a row " + std::to_string(ledger.slow_in_a_row);
             return result;
         }
         target.told = true;
