Keep seats where they are when the platform cannot be reached

Cause: the scenario of an hour's outage showed a seat without a holder: the assigned node was cut off from the platform, its successor handed the seat back to it, and the write that takes it could not be made; and a holder that rebalances in an outage drains a seat that it cannot release. Ruled out: the lease shares, which held throughout. Change: nodes tell their peers whether they reach the platform; only those are assigned seats, and a holder that does not reach it keeps its seats. Before: platform_outage failed with holder "" at 3625 s.

--- a/src/cluster/exchange.cpp
+++ b/src/cluster/exchange.cpp
@@ -269,6 +269,24 @@
     return nodes;
 }
 
+std::vector<std::string> seat_candidates(const ClusterKnowledge& knowledge, const Peer& self,
+                                         Time now) {
+    const auto cannot = [&knowledge, &self](const std::string& node) {
+        const auto peer = knowledge.peers.find(host_of(node));
+        const bool own = node == self.node;
+        const bool reaches = own ? self.reaches_platform
+                                 : peer != knowledge.peers.end() && peer->second.reaches_platform;
+        return !reaches;
+    };
+    std::vector<std::string> nodes = live_nodes(knowledge, self, now);
+    std::erase_if(nodes, cannot);
+    return nodes;
+}
+
+bool reaches_platform(const ClusterKnowledge& knowledge, Duration lately, Time now) {
+    return knowledge.platform_heard.has_value() && now - *knowledge.platform_heard < lately;
+}
+
 bool is_platform_watcher(const ClusterKnowledge& knowledge, const Peer& self, Time now) {
     const std::vector<std::string> order =
         rendezvous_order("watch", live_nodes(knowledge, self, now));
--- a/src/cluster/exchange.h
+++ b/src/cluster/exchange.h
@@ -33,6 +33,8 @@
     std::string data_centre;
     std::string address;
     bool leaving = false;
+    /// What the node said of itself; a node that cannot reach the platform cannot take seats.
+    bool reaches_platform = false;
 
     friend bool operator==(const Peer&, const Peer&) = default;
 };
@@ -142,6 +144,13 @@
 /// Nodes of a data centre that were heard lately, with this node if it belongs there.
 std::vector<std::string> live_nodes(const ClusterKnowledge& knowledge, const Peer& self, Time now);
 
+/// Of the live nodes those that reach the platform, and so can take a seat.
+std::vector<std::string> seat_candidates(const ClusterKnowledge& knowledge, const Peer& self,
+                                         Time now);
+
+/// True when the platform has answered this node lately.
+bool reaches_platform(const ClusterKnowledge& knowledge, Duration lately, Time now);
+
 /// True when this node is one of the few of its data centre that watch the platform.
 bool is_platform_watcher(const ClusterKnowledge& knowledge, const Peer& self, Time now);
 
--- a/src/io/documents.cpp
+++ b/src/io/documents.cpp
@@ -230,14 +230,19 @@
     peer.incarnation = reader.integer_or("incarnation", 0, ANY, 0);
     peer.address = reader.text_or("address", "");
     peer.leaving = reader.boolean_or("leaving", false);
+    peer.reaches_platform = reader.boolean_or("reaches_platform", false);
     reader.finish();
     return peer;
 }
 
 Json peer_document(const Peer& peer) {
-    return {{"host", peer.host},       {"data_centre", peer.data_centre},
-            {"node", peer.node},       {"incarnation", peer.incarnation},
-            {"address", peer.address}, {"leaving", peer.leaving}};
+    return {{"host", peer.host},
+            {"data_centre", peer.data_centre},
+            {"node", peer.node},
+            {"incarnation", peer.incarnation},
+            {"address", peer.address},
+            {"leaving", peer.leaving},
+            {"reaches_platform", peer.reaches_platform}};
 }
 
 std::vector<Peer> read_hosts(const Json& document) {
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -39,6 +39,19 @@
     m_self.address = settings.peer_address;
 }
 
+Peer NodeState::described_self(Time now) const {
+    const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+    Peer self = m_self;
+    self.reaches_platform = reaches_platform(m_knowledge, m_settings.lease, now);
+    self.leaving = m_draining;
+    return self;
+}
+
+void NodeState::hear_platform(Time now) {
+    const std::lock_guard<std::mutex> lock(m_knowledge_mutex);
+    m_knowledge.platform_heard = now;
+}
+
 std::shared_ptr<const RoutingView> NodeState::view() const {
     const std::lock_guard<std::mutex> lock(m_view_mutex);
     return m_view;
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -48,6 +48,10 @@
     const Peer& self() const {
         return m_self;
     }
+    /// This node as it describes itself to peers at this moment.
+    Peer described_self(Time now) const;
+    /// Notes that the platform has answered.
+    void hear_platform(Time now);
     Metrics& metrics() {
         return m_metrics;
     }
--- a/src/node/peer_exchanger.cpp
+++ b/src/node/peer_exchanger.cpp
@@ -49,11 +49,12 @@
     if (is_behind) {
         exchange_with(value_of(exchange).from);
     }
-    return m_state.query_knowledge(
-        [this, &exchange](const ClusterKnowledge& knowledge, const SuspicionList& suspicions) {
-            return encode(make_exchange(knowledge, suspicions, m_state.self(), m_state.left_seats(),
-                                        &value_of(exchange), monotonic_now()));
-        });
+    const Peer self = m_state.described_self(monotonic_now());
+    return m_state.query_knowledge([this, &self, &exchange](const ClusterKnowledge& knowledge,
+                                                            const SuspicionList& suspicions) {
+        return encode(make_exchange(knowledge, suspicions, self, m_state.left_seats(),
+                                    &value_of(exchange), monotonic_now()));
+    });
 }
 
 void PeerExchanger::run() {
@@ -77,10 +78,11 @@
 }
 
 void PeerExchanger::exchange_with(const Peer& peer) {
+    const Peer self = m_state.described_self(monotonic_now());
     const std::string bytes = m_state.query_knowledge(
-        [this](const ClusterKnowledge& knowledge, const SuspicionList& suspicions) {
-            return encode(make_exchange(knowledge, suspicions, m_state.self(), m_state.left_seats(),
-                                        nullptr, monotonic_now()));
+        [this, &self](const ClusterKnowledge& knowledge, const SuspicionList& suspicions) {
+            return encode(make_exchange(knowledge, suspicions, self, m_state.left_seats(), nullptr,
+                                        monotonic_now()));
         });
     const std::shared_ptr<std::string> received = std::make_shared<std::string>();
     StreamEvents events;
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -123,10 +123,7 @@
                                : m_platform.watch(CONFIGURATION_PREFIX, m_seen_version, WATCH_WAIT);
         const bool fresh = seen.status == StoreStatus::done && seen.version == m_seen_version;
         if (fresh) {
-            m_state.change_knowledge([](ClusterKnowledge& knowledge, SuspicionList&) {
-                knowledge.platform_heard = monotonic_now();
-                return false;
-            });
+            m_state.hear_platform(monotonic_now());
             continue;
         }
         if (seen.status != StoreStatus::done || !load()) {
@@ -154,10 +151,7 @@
         adopt_object(object);
     }
     m_seen_version = highest;
-    m_state.change_knowledge([](ClusterKnowledge& knowledge, SuspicionList&) {
-        knowledge.platform_heard = monotonic_now();
-        return false;
-    });
+    m_state.hear_platform(monotonic_now());
     return true;
 }
 
--- a/src/node/seat_keeper.cpp
+++ b/src/node/seat_keeper.cpp
@@ -125,10 +125,7 @@
         return;
     }
     m_is_stopping_now = stopping;
-    std::vector<std::string> nodes = live_others();
-    if (!stopping) {
-        nodes.push_back(m_state.self().node);
-    }
+    const std::vector<std::string> nodes = candidates(stopping);
     const std::vector<std::string> seats =
         seat_names(m_state.self().data_centre, view->configuration.seats_per_data_centre);
     const std::vector<std::string> wanted = assign_seats(seats, nodes);
@@ -136,6 +133,7 @@
     for (std::size_t index = 0; index < wanted.size(); ++index) {
         m_wanted[seats[index]] = wanted[index];
     }
+    m_may_rebalance = m_state.described_self(monotonic_now()).reaches_platform && !nodes.empty();
     for (const std::string& seat : seats) {
         advance(seat, m_machines[seat], SeatTick{});
     }
@@ -203,6 +201,9 @@
 SeatEvent SeatKeeper::write_seat(const std::string& seat, const WriteSeat& write) {
     const PlatformWrite written =
         m_platform.write(object_name(seat), write.version, to_document(write.record).dump());
+    if (written.status != StoreStatus::unknown) {
+        m_state.hear_platform(monotonic_now());
+    }
     return SeatWritten{written.status, written.version};
 }
 
@@ -269,7 +270,9 @@
     around.address = m_state.self().address;
     around.lease = m_state.settings().lease;
     around.longest_request = longest_request(m_state.view()->configuration);
-    around.wanted = successor_of(seat) == around.node;
+    // Without the platform a release could not be stored, so every seat stays where it is.
+    const bool keeps = is_held(machine) && !m_may_rebalance;
+    around.wanted = successor_of(seat) == around.node || keeps;
     around.stopping = m_is_stopping_now;
     const std::vector<SeatUse> uses = uses_in_question(machine);
     const Time now = monotonic_now();
@@ -294,13 +297,17 @@
     return found == m_wanted.end() ? "" : found->second;
 }
 
-std::vector<std::string> SeatKeeper::live_others() const {
+/// Nodes that can hold seats of this data centre; without this one while it is stopping.
+std::vector<std::string> SeatKeeper::candidates(bool stopping) const {
     const Time now = monotonic_now();
+    const Peer self = m_state.described_self(now);
     std::vector<std::string> nodes = m_state.query_knowledge(
-        [this, now](const ClusterKnowledge& knowledge, const SuspicionList&) {
-            return live_nodes(knowledge, m_state.self(), now);
+        [&self, now](const ClusterKnowledge& knowledge, const SuspicionList&) {
+            return seat_candidates(knowledge, self, now);
         });
-    std::erase(nodes, m_state.self().node);
+    if (stopping) {
+        std::erase(nodes, self.node);
+    }
     return nodes;
 }
 
--- a/src/node/seat_keeper.h
+++ b/src/node/seat_keeper.h
@@ -54,7 +54,7 @@
     SeatSurroundings surroundings(const std::string& seat, const SeatMachine& machine);
     bool holds_any() const;
     std::string successor_of(const std::string& seat) const;
-    std::vector<std::string> live_others() const;
+    std::vector<std::string> candidates(bool stopping) const;
 
     NodeState& m_state;
     PlatformClient& m_platform;
@@ -65,6 +65,7 @@
     std::map<std::string, std::string> m_wanted;
     std::map<std::string, WarmLedgers> m_drained_ledgers;
     bool m_is_stopping_now = false;
+    bool m_may_rebalance = false;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::map<std::string, Handover> m_handovers;
--- a/src/program/ebonymount_scenario.cpp
+++ b/src/program/ebonymount_scenario.cpp
@@ -2,15 +2,49 @@
 //
 // Exit codes: 0 when all outcomes are as stated, 1 when one is not, 2 for bad arguments or files.
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 #include "scenario/explore.h"
+#include "scenario/script.h"
 
 namespace {
 
 constexpr int EXIT_BROKEN = 1;
 constexpr int EXIT_BAD_INPUT = 2;
 
+/// Runs script files; prints what was not as stated.
+int run_files(const std::vector<std::string>& files) {
+    int exit_code = 0;
+    for (const std::string& file : files) {
+        std::ifstream input(file);
+        const std::string text((std::istreambuf_iterator<char>(input)),
+                               std::istreambuf_iterator<char>());
+        const ebonymount::Result<ebonymount::Json> script = ebonymount::parse_json(text, file);
+        const ebonymount::Result<ebonymount::ScriptResult> result =
+            ebonymount::has_value(script)
+                ? ebonymount::run_script(ebonymount::value_of(script))
+                : ebonymount::Result<ebonymount::ScriptResult>(ebonymount::error_of(script));
+        if (!ebonymount::has_value(result)) {
+            std::cerr << "ebonymount_scenario: " << file << ": "
+                      << ebonymount::describe(ebonymount::error_of(result)) << "\n";
+            return EXIT_BAD_INPUT;
+        }
+        const ebonymount::ScriptResult& ended = ebonymount::value_of(result);
+        std::cout << (ebonymount::passed(ended) ? "ok      " : "FAILED  ") << ended.name
+                  << (ended.has_twin ? ", with twin" : "") << "\n";
+        for (const std::string& difference : ended.differences) {
+            std::cout << "        " << difference << "\n";
+        }
+        if (ended.has_twin && !ended.twin_failed) {
+            std::cout << "        the twin passed although a mechanism is switched off\n";
+        }
+        exit_code = ebonymount::passed(ended) ? exit_code : EXIT_BROKEN;
+    }
+    return exit_code;
+}
+
 /// Runs seeds `first` to `first + count - 1` of each kind; prints the first failure of a kind.
 int explore(const std::string& kind, std::uint64_t first, std::uint64_t count) {
     int exit_code = 0;
@@ -49,7 +83,10 @@
         "kind", "only this kind of schedule", cxxopts::value<std::string>()->default_value(""))(
         "first", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("100"))(
-        "help", "show this text");
+        "help", "show this text")("files", "scenario scripts",
+                                  cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"files"});
+    options.positional_help("FILE ...");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         if (arguments.count("explore") > 0) {
@@ -57,6 +94,9 @@
                            arguments["first"].as<std::uint64_t>(),
                            arguments["seeds"].as<std::uint64_t>());
         }
+        if (arguments.count("files") > 0) {
+            return run_files(arguments["files"].as<std::vector<std::string>>());
+        }
         std::cout << options.help();
         return arguments.count("help") > 0 ? 0 : EXIT_BAD_INPUT;
     } catch (const cxxopts::exceptions::exception& error) {
--- /dev/null
+++ b/src/scenario/gather_script.cpp
@@ -0,0 +1,299 @@
+#include <algorithm>
+#include <map>
+
+#include "base/check.h"
+#include "io/json_reader.h"
+#include "policy/gather.h"
+#include "scenario/script.h"
+
+namespace ebonymount {
+namespace {
+
+/// Seed of the random source; scripts state outcomes that do not hang on it.
+constexpr std::uint64_t SEED = 1;
+
+/// Names by which scripts call the ends of attempts.
+const std::vector<AttemptStatus>& all_statuses() {
+    static const std::vector<AttemptStatus> all = {
+        AttemptStatus::answered,   AttemptStatus::rejected,         AttemptStatus::overloaded,
+        AttemptStatus::not_owner,  AttemptStatus::out_of_service,   AttemptStatus::unreachable,
+        AttemptStatus::shed,       AttemptStatus::snapshot_missing, AttemptStatus::target_lost,
+        AttemptStatus::relay_lost, AttemptStatus::timed_out,        AttemptStatus::cancelled};
+    return all;
+}
+
+AttemptStatus status_from(const std::string& name) {
+    for (const AttemptStatus status : all_statuses()) {
+        if (name == name_of(status)) {
+            return status;
+        }
+    }
+    throw UserError("unknown status \"" + name + "\"");
+}
+
+Verdict usual_verdict(AttemptStatus status) {
+    switch (status) {
+        case AttemptStatus::answered:
+            return Verdict::ran;
+        case AttemptStatus::target_lost:
+        case AttemptStatus::relay_lost:
+        case AttemptStatus::timed_out:
+        case AttemptStatus::cancelled:
+            return Verdict::may_have_run;
+        default:
+            return Verdict::not_run;
+    }
+}
+
+Standing standing_from(const std::string& name) {
+    if (name == "clear") {
+        return Standing::clear;
+    }
+    if (name == "suspect") {
+        return Standing::suspect;
+    }
+    user_check(name == "convicted") << "unknown standing \"" << name << "\"";
+    return Standing::convicted;
+}
+
+/// One request driven by a script.
+class GatherDriver {
+public:
+    GatherDriver(const Json& script, const std::string& switch_off);
+
+    /// Runs all steps and returns what was not as stated.
+    std::vector<std::string> run(const Json& steps);
+
+private:
+    void read_placement(const Json& placement);
+    void read_row(const Json& row, const std::string& switch_off);
+    void run_to(Time time);
+    void take_step(const Json& step);
+    void begin(const Json& document);
+    void give_outcome(const Json& document);
+    void feed(const GatherEvent& event);
+    void expect(const Json& document);
+    void compare(const std::string& what, const Json& stated, const Json& found);
+    const SendAttempt* last_sent(const std::string& name) const;
+    GatherContext context();
+
+    RoutingView m_view;
+    ServiceRow m_row;
+    std::string m_data_centre;
+    Duration m_hedge_delay{};
+    ExtraLoadBudget m_budget;
+    TargetScores m_scores;
+    LatencyHistogram m_latencies;
+    GatherState m_state;
+    Standing m_standing = Standing::clear;
+    Random m_random{SEED};
+    Time m_start = Time{} + from_ms(1000);
+    Time m_now = m_start;
+    /// Sub-queries in the order of their sending, as "shard@target".
+    std::vector<std::pair<std::string, SendAttempt>> m_sent;
+    std::vector<std::string> m_cancelled;
+    std::optional<GatherOutcome> m_outcome;
+    std::optional<Duration> m_ended_after;
+    std::vector<std::string> m_differences;
+};
+
+GatherDriver::GatherDriver(const Json& script, const std::string& switch_off) {
+    JsonReader reader(script, "script");
+    m_row.service = "svc";
+    m_data_centre = reader.text_or("data_centre", "x");
+    m_hedge_delay = from_ms(reader.integer_or("hedge_delay_ms", 0, 60000, 10));
+    read_placement(reader.member("placement"));
+    if (const Json* row = reader.find("row")) {
+        read_row(*row, switch_off);
+    }
+    for (const std::string& out : reader.texts("out_data_centres")) {
+        m_view.configuration.out_data_centres.push_back(out);
+    }
+    if (switch_off == "take_out") {
+        m_view.configuration.out_data_centres.clear();
+    }
+    if (switch_off == "budget") {
+        m_budget.milli_tokens = 1'000'000;
+    } else {
+        m_budget.milli_tokens = reader.integer_or("tokens", 0, 1000, 2) * 1000;
+    }
+    if (switch_off == "hedging") {
+        m_hedge_delay = Duration::zero();
+    }
+    if (switch_off == "suspicion") {
+        m_standing = Standing::clear;
+    }
+}
+
+void GatherDriver::read_placement(const Json& document) {
+    Json whole = document;
+    whole["service"] = "svc";
+    whole["version"] = 1;
+    const Result<Placement> placement = placement_from(whole);
+    user_check(has_value(placement)) << describe(error_of(placement));
+    m_view.placements["svc"] = value_of(placement);
+}
+
+void GatherDriver::read_row(const Json& row, const std::string& switch_off) {
+    for (const auto& [name, value] : row.items()) {
+        const Column* column = find_column(name);
+        user_check(column != nullptr) << "row names an unknown column " << name;
+        m_row.*column->member = value.get<std::int64_t>();
+    }
+    if (switch_off == "enough_coverage") {
+        m_row.enough_coverage_permille = 1000;
+    }
+}
+
+std::vector<std::string> GatherDriver::run(const Json& steps) {
+    for (const Json& step : steps) {
+        take_step(step);
+    }
+    return m_differences;
+}
+
+GatherContext GatherDriver::context() {
+    return {m_view,     m_row,    m_data_centre, m_hedge_delay,
+            m_standing, m_budget, m_scores,      m_latencies};
+}
+
+/// Advances virtual time and gives each tick that falls due on the way.
+void GatherDriver::run_to(Time time) {
+    while (m_state.started != Time{} && !m_outcome.has_value()) {
+        const Time tick = std::max(m_now, next_tick(m_state, context()));
+        if (tick > time) {
+            break;
+        }
+        m_now = tick;
+        feed(TickEvent{});
+    }
+    m_now = std::max(m_now, time);
+}
+
+void GatherDriver::take_step(const Json& document) {
+    JsonReader reader(document, "step");
+    const std::int64_t now_ms = (m_now - m_start).count() / 1000;
+    run_to(m_start + from_ms(reader.integer_or("at_ms", 0, 3'600'000, now_ms)));
+    if (const Json* begin_step = reader.find("begin")) {
+        begin(*begin_step);
+    }
+    if (const Json* outcome = reader.find("outcome")) {
+        give_outcome(*outcome);
+    }
+    if (const Json* stated = reader.find("expect")) {
+        expect(*stated);
+    }
+    reader.text_or("note", "");
+    reader.finish();
+}
+
+void GatherDriver::begin(const Json& document) {
+    JsonReader reader(document, "begin");
+    m_state.request.service = "svc";
+    m_state.request.idempotent = reader.boolean_or("idempotent", true);
+    m_state.request.allowed = from_ms(reader.integer_or("allowed_ms", 0, 60000, 60000));
+    m_standing = standing_from(reader.text_or("standing", "clear"));
+    reader.finish();
+    feed(BeginEvent{});
+}
+
+/// The newest sub-query of that name, or null.
+const SendAttempt* GatherDriver::last_sent(const std::string& name) const {
+    for (auto item = m_sent.rbegin(); item != m_sent.rend(); ++item) {
+        if (item->first == name) {
+            return &item->second;
+        }
+    }
+    return nullptr;
+}
+
+void GatherDriver::give_outcome(const Json& document) {
+    JsonReader reader(document, "outcome");
+    const SendAttempt* found = last_sent(reader.text("of"));
+    if (found == nullptr) {
+        m_differences.push_back("nothing was sent as " + reader.text("of"));
+        return;
+    }
+    const SendAttempt sent = *found;
+    AttemptOutcome outcome;
+    outcome.attempt = sent.attempt;
+    outcome.status = status_from(reader.text("status"));
+    outcome.verdict = usual_verdict(outcome.status);
+    outcome.snapshot = reader.text_or("snapshot", sent.snapshot);
+    const Snapshot* snapshot = find_snapshot(m_view.placements.at("svc"), sent.snapshot);
+    for (const Shard& shard : snapshot->shards) {
+        if (shard.id == sent.shard) {
+            outcome.digest = reader.text_or("digest", shard.digest);
+        }
+    }
+    outcome.result = reader.text_or("result", sent.shard);
+    reader.finish();
+    feed(outcome);
+}
+
+void GatherDriver::feed(const GatherEvent& event) {
+    for (const GatherAction& action : step(m_state, event, context(), m_now, m_random)) {
+        if (const SendAttempt* send = std::get_if<SendAttempt>(&action)) {
+            m_sent.emplace_back(send->shard + "@" + send->target, *send);
+        } else if (const CancelAttempt* cancel = std::get_if<CancelAttempt>(&action)) {
+            m_cancelled.push_back(cancel->target);
+        } else if (const ChangeStanding* change = std::get_if<ChangeStanding>(&action)) {
+            m_standing = change->standing;
+        } else if (const Finish* finish = std::get_if<Finish>(&action)) {
+            m_outcome = finish->outcome;
+            m_ended_after = m_now - m_start;
+        }
+    }
+}
+
+void GatherDriver::compare(const std::string& what, const Json& stated, const Json& found) {
+    if (stated != found) {
+        m_differences.push_back("at " + std::to_string((m_now - m_start).count() / 1000) + " ms " +
+                                what + " is " + found.dump() + ", stated is " + stated.dump());
+    }
+}
+
+void GatherDriver::expect(const Json& document) {
+    const GatherOutcome outcome = m_outcome.value_or(GatherOutcome{});
+    std::vector<std::string> sent;
+    for (const auto& [name, attempt] : m_sent) {
+        sent.push_back(name);
+    }
+    std::vector<std::string> results;
+    for (const std::optional<std::string>& result : outcome.results) {
+        results.push_back(result.value_or(""));
+    }
+    std::vector<std::string> cancelled = m_cancelled;
+    std::sort(cancelled.begin(), cancelled.end());
+    const Json found = {
+        {"sent", sent},
+        {"sent_count", sent.size()},
+        {"cancelled", cancelled},
+        {"end", m_outcome.has_value() ? name_of(outcome.end) : "running"},
+        {"verdict", name_of(outcome.verdict)},
+        {"snapshot", outcome.snapshot},
+        {"coverage_permille", permille(outcome.coverage)},
+        {"shards_answered", outcome.coverage.shards_answered},
+        {"results", results},
+        {"extra", m_budget.extra},
+        {"standing", static_cast<int>(m_standing)},
+        {"ended_after_ms", m_ended_after.has_value() ? m_ended_after->count() / 1000 : -1},
+        {"late_answers", m_state.late_answers}};
+    for (const auto& [what, stated] : document.items()) {
+        user_check(found.contains(what)) << "expect names an unknown outcome " << what;
+        compare(what, stated, found.at(what));
+    }
+}
+
+}  // namespace
+
+std::vector<std::string> run_gather_script(const Json& script, const std::string& switch_off) {
+    static const std::vector<std::string> switches = {"",         "hedging",         "budget",
+                                                      "take_out", "enough_coverage", "suspicion"};
+    user_check(std::find(switches.begin(), switches.end(), switch_off) != switches.end())
+        << "unknown twin \"" << switch_off << "\"";
+    GatherDriver driver(script, switch_off);
+    return driver.run(script.at("steps"));
+}
+
+}  // namespace ebonymount
--- a/src/scenario/seat_group.cpp
+++ b/src/scenario/seat_group.cpp
@@ -239,12 +239,15 @@
     }
 }
 
-/// The first host that runs is the assigned holder.
+/// The first host that runs and reaches the platform is the assigned holder. A holder that does
+/// not reach the platform keeps its seat, since it could not release it.
 void SeatGroup::assign() {
     bool found = false;
     for (auto& [host, node] : m_nodes) {
-        node.wanted = !found && node.alive && !node.paused && !node.stopping;
-        found = found || node.wanted;
+        const bool reaches = reaches_platform(node);
+        const bool candidate = node.alive && !node.paused && !node.stopping && reaches;
+        node.wanted = (candidate && !found) || !reaches;
+        found = found || candidate;
     }
 }
 
--- /dev/null
+++ b/test/correctness/test_admission.cpp
@@ -0,0 +1,118 @@
+// Admission to one target: limits, warm-up, refusal of what cannot start in time.
+#include <catch2/catch.hpp>
+
+#include "policy/admission.h"
+
+using namespace ebonymount;
+
+namespace {
+
+const Time START = Time{} + from_ms(100000);
+
+ServiceRow make_row() {
+    ServiceRow row;
+    row.slots = 4;
+    row.cold_limit = 1;
+    row.cold_rate_per_s = 10;
+    row.ramp_successes = 5;
+    row.ramp_stage_ms = 100;
+    return row;
+}
+
+TargetLedger warm() {
+    TargetLedger ledger;
+    ledger.stage = WARM_STAGE;
+    ledger.incarnation = "1";
+    return ledger;
+}
+
+}  // namespace
+
+TEST_CASE("a target new to its owner is cold: one request, spaced by the cold rate") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger;
+    REQUIRE(admit(ledger, row, 64, START) == Admission::start);
+    on_start(ledger, row, START);
+    CHECK(admit(ledger, row, 64, START) == Admission::wait);
+    on_success(ledger, row, "1", from_ms(5), START + from_ms(5));
+    CHECK(admit(ledger, row, 64, START + from_ms(99)) == Admission::wait);
+    CHECK(admit(ledger, row, 64, START + from_ms(100)) == Admission::start);
+}
+
+TEST_CASE("a stage needs both successes and time") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger;
+    ledger.incarnation = "1";
+    ledger.stage_since = START;
+    for (int count = 0; count < 10; ++count) {
+        on_success(ledger, row, "1", from_ms(5), START + from_ms(50));
+    }
+    CHECK(ledger.stage == 0);
+    on_success(ledger, row, "1", from_ms(5), START + from_ms(100));
+    CHECK(ledger.stage == 1);
+    CHECK(concurrency_limit(ledger, row, 64) == 2);
+}
+
+TEST_CASE("each sign of a cold target takes the limit back at once") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger = warm();
+    REQUIRE(concurrency_limit(ledger, row, 64) == 4);
+    SECTION("its incarnation changed") {
+        on_success(ledger, row, "2", from_ms(5), START);
+    }
+    SECTION("it shed work") {
+        on_shed(ledger, START);
+    }
+    SECTION("its connection broke") {
+        on_broken(ledger, START);
+    }
+    SECTION("it closed an idle connection") {
+        on_connection_replaced(ledger, START);
+    }
+    SECTION("several answers in a row were slow") {
+        on_success(ledger, row, "1", from_ms(5), START);
+        for (int count = 0; count < 4; ++count) {
+            on_success(ledger, row, "1", from_ms(15), START);
+        }
+    }
+    CHECK(concurrency_limit(ledger, row, 64) == 1);
+}
+
+TEST_CASE("a single straggler does not make a target cold") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger = warm();
+    for (int count = 0; count < 100; ++count) {
+        on_success(ledger, row, "1", from_ms(count % 10 == 0 ? 50 : 5), START);
+    }
+    CHECK(ledger.stage == WARM_STAGE);
+}
+
+TEST_CASE("a share lowers the limit, and no share closes the target") {
+    const ServiceRow row = make_row();
+    const TargetLedger ledger = warm();
+    CHECK(concurrency_limit(ledger, row, 32) == 2);
+    CHECK(admit(ledger, row, 0, START) == Admission::closed);
+    CHECK(expected_wait(ledger, row, 0, 0, START) == Duration::max());
+}
+
+TEST_CASE("the expected wait grows with the queue and with the cold rate") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger = warm();
+    CHECK(expected_wait(ledger, row, 64, 0, START) == Duration::zero());
+    ledger.running = 4;
+    CHECK(expected_wait(ledger, row, 64, 7, START) == ledger.mean_service * 2);
+    TargetLedger cold;
+    CHECK(expected_wait(cold, row, 64, 3, START) == from_ms(300));
+}
+
+TEST_CASE("an unreachable target is closed until a connection opens, then it is cold") {
+    const ServiceRow row = make_row();
+    TargetLedger ledger = warm();
+    on_start(ledger, row, START);
+    on_connect_failed(ledger);
+    CHECK(ledger.running == 0);
+    CHECK(admit(ledger, row, 64, START) == Admission::closed);
+    on_reachable_again(ledger, START);
+    CHECK(admit(ledger, row, 64, START) == Admission::start);
+    CHECK(ledger.stage == 0);
+}
--- /dev/null
+++ b/test/correctness/test_exchange.cpp
@@ -0,0 +1,143 @@
+// News between nodes: knowledge only moves forward.
+#include <catch2/catch.hpp>
+
+#include "cluster/exchange.h"
+#include "io/documents.h"
+
+using namespace ebonymount;
+
+namespace {
+
+const Time START = Time{} + from_ms(100000);
+
+Peer make_peer(const std::string& host, std::int64_t incarnation) {
+    Peer peer;
+    peer.host = host;
+    peer.incarnation = incarnation;
+    peer.node = node_name(host, incarnation);
+    peer.data_centre = "x";
+    peer.address = "127.0.0.1:1";
+    return peer;
+}
+
+Exchange from(const std::string& host, std::int64_t incarnation) {
+    Exchange exchange;
+    exchange.from = make_peer(host, incarnation);
+    return exchange;
+}
+
+Configuration generation(std::int64_t number) {
+    Configuration configuration;
+    configuration.generation = number;
+    return configuration;
+}
+
+}  // namespace
+
+TEST_CASE("a lower generation never replaces a higher one") {
+    ClusterKnowledge knowledge;
+    CHECK(adopt(knowledge, generation(5)));
+    CHECK_FALSE(adopt(knowledge, generation(5)));
+    CHECK_FALSE(adopt(knowledge, generation(4)));
+    CHECK(knowledge.configuration.generation == 5);
+}
+
+TEST_CASE("whoever is behind gets the documents it lacks") {
+    ClusterKnowledge ahead;
+    adopt(ahead, generation(2));
+    Placement placement;
+    placement.service = "svc";
+    placement.version = 4;
+    adopt(ahead, placement);
+    ClusterKnowledge behind;
+    SuspicionList none;
+    const Exchange question = make_exchange(behind, none, make_peer("b", 1), {}, nullptr, START);
+    CHECK_FALSE(question.configuration.has_value());
+    const Exchange answer = make_exchange(ahead, none, make_peer("a", 1), {}, &question, START);
+    CHECK(merge(behind, none, answer, START));
+    CHECK(behind.configuration.generation == 2);
+    CHECK(behind.placements.at("svc").version == 4);
+}
+
+TEST_CASE("a take-out spreads until the generation that stores it arrives") {
+    ClusterKnowledge knowledge;
+    SuspicionList none;
+    Exchange news = from("b", 1);
+    news.pending.push_back({"op1", true, "west"});
+    CHECK(merge(knowledge, none, news, START));
+    CHECK(is_data_centre_out(make_view(knowledge), "west"));
+    Configuration stored = generation(1);
+    stored.applied_operations = {"op1"};
+    stored.out_data_centres = {"west"};
+    adopt(knowledge, stored);
+    CHECK(knowledge.pending.empty());
+    CHECK_FALSE(merge(knowledge, none, news, START));
+    Configuration back = stored;
+    back.generation = 2;
+    back.out_data_centres.clear();
+    adopt(knowledge, back);
+    CHECK_FALSE(merge(knowledge, none, news, START));
+    CHECK_FALSE(is_data_centre_out(make_view(knowledge), "west"));
+}
+
+TEST_CASE("only a later incarnation replaces a node, and only after its requests are over") {
+    ClusterKnowledge knowledge;
+    SuspicionList none;
+    merge(knowledge, none, from("a", 1), START);
+    const std::vector<SeatUse> uses = {{"a#2", 7}};
+    note_missing(knowledge, uses, START);
+    CHECK(known_gone(knowledge, "x/0", uses, from_ms(1000), START + from_ms(5000)).empty());
+    merge(knowledge, none, from("a", 3), START);
+    note_missing(knowledge, uses, START);
+    CHECK(known_gone(knowledge, "x/0", uses, from_ms(1000), START + from_ms(999)).empty());
+    CHECK(known_gone(knowledge, "x/0", uses, from_ms(1000), START + from_ms(1000)) == uses);
+}
+
+TEST_CASE("a late message of an ended incarnation is not taken for its successor") {
+    ClusterKnowledge knowledge;
+    SuspicionList none;
+    merge(knowledge, none, from("a", 3), START);
+    merge(knowledge, none, from("a", 2), START);
+    CHECK(knowledge.peers.at("a").node == "a#3");
+}
+
+TEST_CASE("a node that hears neither platform nor peers is isolated") {
+    ClusterKnowledge knowledge;
+    SuspicionList none;
+    const Peer self = make_peer("a", 1);
+    CHECK_FALSE(is_isolated(knowledge, self, from_ms(4000), START));
+    merge(knowledge, none, from("b", 1), START);
+    CHECK_FALSE(is_isolated(knowledge, self, from_ms(4000), START + from_ms(3999)));
+    CHECK(is_isolated(knowledge, self, from_ms(4000), START + from_ms(4000)));
+    knowledge.platform_heard = START + from_ms(3000);
+    CHECK_FALSE(is_isolated(knowledge, self, from_ms(4000), START + from_ms(4000)));
+}
+
+TEST_CASE("an empty host list is a fault of its source and changes nothing") {
+    ClusterKnowledge knowledge;
+    Peer leaving = make_peer("h", 0);
+    leaving.leaving = true;
+    adopt_hosts(knowledge, {leaving}, START);
+    adopt_hosts(knowledge, {}, START);
+    CHECK(knowledge.leaving_hosts.count("h") == 1);
+}
+
+TEST_CASE("an exchange survives its encoding; another version is refused") {
+    Exchange exchange = from("a", 4);
+    exchange.seats.push_back({"x/0", SeatRecord{"a#4", "addr", 3, 9, 32, false, {{"b#1", 2}}}});
+    exchange.left_seats.push_back({"x/1", 8});
+    exchange.pending.push_back({"op", false, "host-1"});
+    exchange.suspicions.push_back({~0ULL, Standing::convicted, from_ms(10)});
+    exchange.configuration = generation(3);
+    const Result<Exchange> read = decode_exchange(encode(exchange));
+    REQUIRE(has_value(read));
+    CHECK(value_of(read).seats == exchange.seats);
+    CHECK(value_of(read).left_seats == exchange.left_seats);
+    CHECK(value_of(read).pending == exchange.pending);
+    CHECK(value_of(read).suspicions == exchange.suspicions);
+    CHECK(value_of(read).configuration == exchange.configuration);
+    exchange.protocol = PEER_PROTOCOL_VERSION + 1;
+    const Result<Exchange> refused = decode_exchange(encode(exchange));
+    REQUIRE_FALSE(has_value(refused));
+    CHECK(error_of(refused).message.find("protocol 2") != std::string::npos);
+}
--- /dev/null
+++ b/test/error/test_bad_input.cpp
@@ -0,0 +1,143 @@
+// Bad input from callers, operators and peers: a typed error with the offender named.
+#include <catch2/catch.hpp>
+#include <sstream>
+
+#include "admin/ctl.h"
+#include "io/documents.h"
+#include "node/caller_api.h"
+#include "node/settings.h"
+#include "scenario/script.h"
+
+using namespace ebonymount;
+
+namespace {
+
+HttpCall submit_call() {
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/v1/services/booking/submit";
+    call.body = "{}";
+    return call;
+}
+
+std::string refusal_of(const HttpCall& call) {
+    const Result<CallerRequest> request = caller_request_from(call);
+    return has_value(request) ? "" : error_of(request).offender;
+}
+
+std::string valid_settings() {
+    return R"({
+        // Comments are allowed.
+        "host": "h1", "data_centre": "x",
+        "caller_address": "127.0.0.1:1", "admin_address": "127.0.0.1:2",
+        "peer_address": "127.0.0.1:3", "platform_address": "127.0.0.1:4"
+    })";
+}
+
+std::string settings_error(const std::string& key, const Json& value) {
+    Json document = Json::parse(valid_settings(), nullptr, true, true);
+    document[key] = value;
+    const Result<NodeSettings> settings = settings_from(document.dump(), "node.json");
+    return has_value(settings) ? "" : error_of(settings).message;
+}
+
+}  // namespace
+
+TEST_CASE("a caller's request is taken as it is meant") {
+    HttpCall call = submit_call();
+    call.headers["idempotency-key"] = "k";
+    call.headers["x-timeout-ms"] = "50";
+    const Result<CallerRequest> request = caller_request_from(call);
+    REQUIRE(has_value(request));
+    CHECK(value_of(request).service == "booking");
+    CHECK_FALSE(value_of(request).idempotent);
+    CHECK(value_of(request).key == "k");
+    CHECK(value_of(request).allowed == from_ms(50));
+}
+
+TEST_CASE("a caller's bad request names what is bad") {
+    HttpCall call = submit_call();
+    call.path = "/v2/services/booking/submit";
+    CHECK(refusal_of(call) == call.path);
+    call = submit_call();
+    call.path = "/v1/services/booking";
+    CHECK(refusal_of(call) == call.path);
+    call = submit_call();
+    call.method = "GET";
+    CHECK(refusal_of(call) == "GET");
+    call = submit_call();
+    call.body = "{\"stand\": ";
+    CHECK(refusal_of(call) == call.body);
+    for (const char* timeout : {"0", "-5", "abc", "5x", "99999999999999999999"}) {
+        call = submit_call();
+        call.headers["x-timeout-ms"] = timeout;
+        CHECK(refusal_of(call) == timeout);
+    }
+    call = submit_call();
+    call.headers["idempotency-key"] = std::string(129, 'k');
+    CHECK(refusal_of(call) == std::string(40, 'k'));
+}
+
+TEST_CASE("settings are read with comments and defaults") {
+    const Result<NodeSettings> settings = settings_from(valid_settings(), "node.json");
+    REQUIRE(has_value(settings));
+    CHECK(value_of(settings).host == "h1");
+    CHECK(value_of(settings).lease == from_ms(6000));
+}
+
+TEST_CASE("bad settings name file, key, what was found and what is allowed") {
+    CHECK(settings_error("hots", "x") == "node.json: hots is not a known key");
+    CHECK(settings_error("host", "") ==
+          "node.json: host is \"\", allowed is 1 to 64 characters without #, / and space");
+    CHECK(settings_error("lease_ms", 10) == "node.json: lease_ms is 10, allowed is 500 to 600000");
+    CHECK(settings_error("lease_ms", "6 s") ==
+          "node.json: lease_ms is not a whole number: \"6 s\"");
+    CHECK(settings_error("peer_address", "localhost-") ==
+          "node.json: peer_address is \"localhost-\", allowed is an IP number and a port such as "
+          "127.0.0.1:8080");
+    CHECK(settings_error("log", {{"level", "loud"}}).find("loud") != std::string::npos);
+    CHECK(settings_error("log", {{"form", "xml"}}) ==
+          "node.json: log.form is \"xml\", allowed is text or json");
+    CHECK(error_of(settings_from("{", "node.json")).message.find("node.json is not JSON") == 0);
+    CHECK(error_of(read_settings("/nonexistent")).code == ErrorCode::not_found);
+}
+
+TEST_CASE("documents with unknown keys, wrong types and unknown targets are refused") {
+    CHECK_FALSE(has_value(configuration_from(Json::array())));
+    CHECK_FALSE(has_value(configuration_from({{"tabel", Json::array()}})));
+    CHECK_FALSE(has_value(configuration_from({{"generation", -1}})));
+    CHECK_FALSE(has_value(
+        configuration_from({{"table", {{{"service", "a"}, {"cells", {{"slots", "many"}}}}}}})));
+    const Json placement = {
+        {"service", "a"},
+        {"version", 1},
+        {"snapshots",
+         {{{"id", "v"}, {"shards", {{{"id", "s"}, {"documents", 1}, {"replicas", {"t"}}}}}}}}};
+    const Result<Placement> refused = placement_from(placement);
+    REQUIRE_FALSE(has_value(refused));
+    CHECK(error_of(refused).message.find("unknown target t") != std::string::npos);
+}
+
+TEST_CASE("bytes that are no exchange are refused") {
+    CHECK(error_of(decode_exchange("")).code == ErrorCode::protocol);
+    CHECK(error_of(decode_exchange("\xc1")).code == ErrorCode::protocol);
+    CHECK_FALSE(has_value(decode_exchange("\x01")));
+}
+
+TEST_CASE("the command line refuses bad words before it sends anything") {
+    std::ostringstream output;
+    std::ostringstream errors;
+    const CtlOptions options;
+    CHECK(run_ctl(options, {}, output, errors) == CtlExit::bad_input);
+    CHECK(run_ctl(options, {"dc", "sideways", "x"}, output, errors) == CtlExit::bad_input);
+    CHECK(run_ctl(options, {"dc", "out"}, output, errors) == CtlExit::bad_input);
+    CHECK(run_ctl(options, {"check", "/nonexistent"}, output, errors) == CtlExit::bad_input);
+    CHECK(errors.str().find("use: dc out NAME") != std::string::npos);
+}
+
+TEST_CASE("a scenario that cannot be read says why") {
+    CHECK_FALSE(has_value(run_script(Json::array())));
+    const Json unknown = {
+        {"name", "n"}, {"promise", "p"}, {"kind", "magic"}, {"steps", Json::array()}};
+    CHECK(error_of(run_script(unknown)).message.find("magic") != std::string::npos);
+}
