Add tests of the promises with real sockets, demo, load tool and experiments

Cause: the promises were tried in virtual time only. Found by the new tests and mended here: accepting over a newer generation listed no changes, because generation 1 has no history; the draft now keeps the configuration it is made over, and a draft over another generation is refused.

--- a/src/admin/commands.cpp
+++ b/src/admin/commands.cpp
@@ -15,6 +15,7 @@
 
 Json draft_document(const Draft& draft) {
     return {{"base_generation", draft.base_generation},
+            {"base", to_document(draft.base)},
             {"configuration", to_document(draft.configuration)}};
 }
 
@@ -23,6 +24,11 @@
         JsonReader reader(document, "draft");
         Draft draft;
         draft.base_generation = reader.integer("base_generation", 0, INT64_MAX);
+        const Result<Configuration> base = configuration_from(reader.member("base"));
+        if (!has_value(base)) {
+            return error_of(base);
+        }
+        draft.base = value_of(base);
         const Result<Configuration> configuration =
             configuration_from(reader.member("configuration"));
         if (!has_value(configuration)) {
@@ -109,7 +115,14 @@
     }
     Draft draft;
     draft.configuration = value_of(configuration);
-    draft.base_generation = draft.configuration.generation;
+    draft.base = value_of(base).configuration;
+    draft.base_generation = draft.base.generation;
+    if (draft.configuration.generation != draft.base_generation) {
+        return Error{ErrorCode::conflict,
+                     "the draft is made over another generation than the accepted one, " +
+                         std::to_string(draft.base_generation),
+                     std::to_string(draft.configuration.generation)};
+    }
     const PlatformRead old = m_platform.read(DRAFT_OBJECT);
     if (old.status == StoreStatus::unknown) {
         return Error{ErrorCode::unavailable, "the platform does not answer", DRAFT_OBJECT};
@@ -140,15 +153,8 @@
     }
     const Configuration& stored = value_of(base).configuration;
     if (stored.generation != value_of(draft).base_generation) {
-        const PlatformRead old =
-            m_platform.read(HISTORY_PREFIX + std::to_string(value_of(draft).base_generation));
-        Configuration before;
-        const Result<Json> document = parse_json(old.object.value, "history");
-        if (old.status == StoreStatus::done && has_value(document)) {
-            const Result<Configuration> parsed = configuration_from(value_of(document));
-            before = has_value(parsed) ? value_of(parsed) : before;
-        }
-        return conflict_with(value_of(base), value_of(draft), changes_between(before, stored));
+        const std::vector<Change> changes = changes_between(value_of(draft).base, stored);
+        return conflict_with(value_of(base), value_of(draft), changes);
     }
     Configuration next = value_of(draft).configuration;
     next.generation = stored.generation + 1;
--- a/src/admin/commands.h
+++ b/src/admin/commands.h
@@ -14,6 +14,8 @@
 /// A draft of the next configuration with the generation that it changes.
 struct Draft {
     std::int64_t base_generation = 0;
+    /// The configuration of that generation, to show what others have changed since.
+    Configuration base;
     Configuration configuration;
 };
 
--- a/src/admin/ctl.cpp
+++ b/src/admin/ctl.cpp
@@ -208,7 +208,8 @@
 
 using Arguments = std::vector<std::string>;
 
-std::vector<Entry> make_entries() {
+/// Commands on the table.
+std::vector<Entry> table_entries() {
     return {
         {{"table show", "", "show the table in force"},
          0,
@@ -244,6 +245,12 @@
          [](const Session& s, const Arguments&) {
              return get(s, "/history", print_history);
          }},
+    };
+}
+
+/// Commands on data centres, hosts and nodes.
+std::vector<Entry> service_entries() {
+    return {
         {{"dc out", "NAME", "take a data centre out of service"},
          1,
          1,
@@ -296,6 +303,13 @@
     };
 }
 
+std::vector<Entry> make_entries() {
+    std::vector<Entry> all = table_entries();
+    const std::vector<Entry> others = service_entries();
+    all.insert(all.end(), others.begin(), others.end());
+    return all;
+}
+
 const std::vector<Entry>& entries() {
     static const std::vector<Entry> all = make_entries();
     return all;
--- a/src/io/http2_session.cpp
+++ b/src/io/http2_session.cpp
@@ -292,7 +292,7 @@
             close();
             return;
         }
-        m_traffic.bytes_in += static_cast<std::uint64_t>(received);
+        m_traffic.bytes_in += received;
         const ssize_t taken = nghttp2_session_mem_recv(
             m_session, reinterpret_cast<const std::uint8_t*>(buffer.data()),
             static_cast<std::size_t>(received));
@@ -322,7 +322,7 @@
             if (sent <= 0) {
                 break;
             }
-            m_traffic.bytes_out += static_cast<std::uint64_t>(sent);
+            m_traffic.bytes_out += sent;
             m_output.erase(0, static_cast<std::size_t>(sent));
         }
     } catch (const Poco::TimeoutException&) {
--- a/src/io/http2_session.h
+++ b/src/io/http2_session.h
@@ -16,6 +16,7 @@
 #include <string_view>
 
 #include "io/event_loop.h"
+#include "io/metrics.h"
 
 namespace ebonymount {
 
@@ -71,8 +72,8 @@
 
 /// Bytes moved by all sessions of a process, for the control-cost measures.
 struct TrafficCounters {
-    std::atomic<std::uint64_t> bytes_in{0};
-    std::atomic<std::uint64_t> bytes_out{0};
+    Counter& bytes_in;
+    Counter& bytes_out;
 };
 
 class Http2Session : public SocketOwner, public std::enable_shared_from_this<Http2Session> {
--- /dev/null
+++ b/src/load/bench.cpp
@@ -0,0 +1,167 @@
+#include "load/bench.h"
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "base/check.h"
+#include "io/http_client.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int HTTP_OK = 200;
+constexpr Duration TIMEOUT = from_ms(10000);
+constexpr Duration READY_LIMIT = from_ms(30000);
+constexpr std::chrono::milliseconds POLL(50);
+
+Json read_file(const std::filesystem::path& file) {
+    std::ifstream input(file);
+    return Json::parse(input, nullptr, true, true);
+}
+
+Json call(const std::string& address, const std::string& method, const std::string& path,
+          const std::string& body) {
+    const HttpAnswer answer = exchange_once(address, {method, path, {}, body}, TIMEOUT);
+    const Json document = Json::parse(answer.body, nullptr, false);
+    internal_check(answer.status == HTTP_OK && !document.is_discarded())
+        << method << " " << path << " at " << address << " gave status " << answer.status << " "
+        << answer.error << answer.body;
+    return document;
+}
+
+bool is_settled(const Json& status, std::size_t seats) {
+    std::size_t held = 0;
+    for (const auto& [seat, record] : status.at("seats").items()) {
+        held += record.at("released").get<bool>() ? 0 : 1;
+    }
+    return status.at("ready").get<bool>() && held >= seats;
+}
+
+}  // namespace
+
+Result<Bench> bench_from_directory(const std::string& directory) {
+    try {
+        Bench bench;
+        std::vector<std::filesystem::path> files;
+        for (const auto& entry : std::filesystem::directory_iterator(directory)) {
+            files.push_back(entry.path());
+        }
+        std::sort(files.begin(), files.end());
+        for (const std::filesystem::path& file : files) {
+            const std::string name = file.filename().string();
+            if (file.extension() != ".json") {
+                continue;
+            }
+            const Json document = read_file(file);
+            if (name.rfind("node-", 0) == 0) {
+                bench.callers.push_back(document.at("caller_address"));
+                bench.admins.push_back(document.at("admin_address"));
+            } else if (name.rfind("targets-", 0) == 0) {
+                bench.target_controls.push_back(document.at("control"));
+            } else if (name == "platform.json") {
+                bench.platform = document.at("address");
+            }
+        }
+        return bench;
+    } catch (const std::exception& error) {
+        return Error{ErrorCode::invalid_input, error.what(), directory};
+    }
+}
+
+bool wait_until_ready(const Bench& bench) {
+    const Time limit = monotonic_now() + READY_LIMIT;
+    while (monotonic_now() < limit) {
+        std::size_t settled = 0;
+        for (const std::string& admin : bench.admins) {
+            const HttpAnswer answer =
+                exchange_once(admin, {"GET", "/admin/v1/status", {}, ""}, TIMEOUT);
+            const Json status = Json::parse(answer.body, nullptr, false);
+            settled += status.is_object() && is_settled(status, bench.admins.size()) ? 1 : 0;
+        }
+        if (settled == bench.admins.size()) {
+            return true;
+        }
+        std::this_thread::sleep_for(POLL);
+    }
+    return false;
+}
+
+void set_cells(const Bench& bench, const std::string& service,
+               const std::map<std::string, std::int64_t>& cells) {
+    const std::string& admin = bench.admins.front();
+    Json table = call(admin, "GET", "/admin/v1/table", "");
+    for (Json& row : table.at("table")) {
+        if (row.at("service") != service) {
+            continue;
+        }
+        for (const auto& [name, value] : cells) {
+            row.at("cells").at(name)["value"] = value;
+        }
+    }
+    call(admin, "PUT", "/admin/v1/draft", table.dump());
+    const std::int64_t generation =
+        call(admin, "POST", "/admin/v1/accept", "").at("generation").get<std::int64_t>();
+    for (const std::string& node : bench.admins) {
+        while (call(node, "GET", "/admin/v1/status", "").at("generation") < generation) {
+            std::this_thread::sleep_for(POLL);
+        }
+    }
+}
+
+void control_targets(const Bench& bench, const std::string& match, const std::string& query) {
+    for (const std::string& control : bench.target_controls) {
+        call(control, "POST", "/set?match=" + match + "&" + query, "");
+    }
+}
+
+void set_platform_fault(const Bench& bench, const std::string& query) {
+    call(bench.platform, "POST", "/fault?" + query, "");
+}
+
+void set_data_centre(const Bench& bench, const std::string& name, bool out) {
+    call(bench.admins.front(), "POST", "/admin/v1/data-centres/" + name + (out ? "/out" : "/in"),
+         "");
+}
+
+TargetTotals target_totals(const Bench& bench, const std::string& match) {
+    TargetTotals totals;
+    for (const std::string& control : bench.target_controls) {
+        for (const Json& report : call(control, "GET", "/report", "")) {
+            if (report.at("id").get<std::string>().find(match) == std::string::npos) {
+                continue;
+            }
+            totals.started += report.at("started").get<std::int64_t>();
+            totals.answered += report.at("answered").get<std::int64_t>();
+            totals.overloads += report.at("overloads").get<std::int64_t>();
+            totals.cold_overloads += report.at("cold_overloads").get<std::int64_t>();
+            totals.blind_overloads += report.at("blind_overloads").get<std::int64_t>();
+            totals.duplicate_runs += report.at("duplicate_runs").get<std::int64_t>();
+            totals.crashes += report.at("crashes").get<std::int64_t>();
+            totals.last_start_ms =
+                std::max(totals.last_start_ms, report.at("last_start_ms").get<std::int64_t>());
+        }
+    }
+    return totals;
+}
+
+ExtraTotals extra_totals(const Bench& bench, const std::string& service) {
+    ExtraTotals totals;
+    for (const std::string& admin : bench.admins) {
+        const Json status = call(admin, "GET", "/admin/v1/status", "");
+        const Json load = status.at("extra_load").value(service, Json::object());
+        totals.planned += load.value("planned", 0);
+        totals.extra += load.value("extra", 0);
+    }
+    return totals;
+}
+
+std::int64_t wall_clock_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/load/open_loop.h
@@ -0,0 +1,64 @@
+// Open-loop load: requests are sent at their intended times, whether or not earlier ones have been
+// answered, and latency counts from the intended time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace ebonymount {
+
+/// One stream of requests.
+struct LoadOptions {
+    /// Caller addresses of the nodes, used in turn.
+    std::vector<std::string> callers;
+    std::string service;
+    /// Sends non-idempotent requests, each with a key of its own.
+    bool submit = false;
+    std::string key_prefix = "load";
+    double rate_per_s = 100.0;
+    std::int64_t count = 100;
+    int threads = 64;
+    Duration timeout = from_ms(5000);
+};
+
+/// How one request ended, for the caller.
+struct LoadSample {
+    Duration latency{};
+    int status = 0;
+    std::string end;
+    std::string verdict;
+    std::int64_t coverage_permille = 0;
+    std::string snapshot;
+};
+
+/// Sends the whole stream and returns a sample per request.
+std::vector<LoadSample> run_open_loop(const LoadOptions& options);
+
+/// Figures over the samples of a stream.
+struct LoadSummary {
+    std::int64_t count = 0;
+    std::int64_t whole = 0;
+    std::int64_t partial = 0;
+    std::int64_t refused = 0;
+    std::int64_t failed = 0;
+    double p50_ms = 0.0;
+    double p99_ms = 0.0;
+    double most_ms = 0.0;
+    /// Mean coverage over all requests, in parts of 1; a failed request covers nothing.
+    double coverage = 0.0;
+    double least_coverage = 0.0;
+};
+
+LoadSummary summarize(const std::vector<LoadSample>& samples);
+
+/// One line of figures for people.
+std::string describe(const LoadSummary& summary);
+
+/// A quantile of the latencies, in milliseconds.
+double latency_quantile_ms(std::vector<LoadSample> samples, double quantile);
+
+}  // namespace ebonymount
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,6 +41,8 @@
 
 Node::Node(const NodeSettings& settings)
     : m_state(settings, new_incarnation()),
+      m_traffic{m_state.metrics().counter("ebonymount_peer_bytes_in_total"),
+                m_state.metrics().counter("ebonymount_peer_bytes_out_total")},
       m_peers(m_loop, m_traffic),
       m_platform(settings.platform_address, settings.platform_timeout, m_state.metrics()),
       m_relay(m_state),
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -7,9 +7,6 @@
 namespace ebonymount {
 namespace {
 
-/// Longest wait of one watch call.
-constexpr Duration WATCH_WAIT = from_ms(3000);
-
 constexpr Duration RETRY_PAUSE = from_ms(200);
 
 /// Peers for which the host list is read at its base interval; more peers stretch the interval.
@@ -118,9 +115,10 @@
             pause(RETRY_PAUSE * 5);
             continue;
         }
-        const PlatformWrite seen =
-            m_seen_version < 0 ? PlatformWrite{StoreStatus::done, 0}
-                               : m_platform.watch(CONFIGURATION_PREFIX, m_seen_version, WATCH_WAIT);
+        const PlatformWrite seen = m_seen_version < 0
+                                       ? PlatformWrite{StoreStatus::done, 0}
+                                       : m_platform.watch(CONFIGURATION_PREFIX, m_seen_version,
+                                                          m_state.settings().watch_wait);
         const bool fresh = seen.status == StoreStatus::done && seen.version == m_seen_version;
         if (fresh) {
             m_state.hear_platform(monotonic_now());
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -80,6 +80,7 @@
         read_ms(reader, "platform_timeout_ms", 50, 60000, settings.platform_timeout);
     settings.host_list_interval =
         read_ms(reader, "host_list_interval_ms", 100, 60000, settings.host_list_interval);
+    settings.watch_wait = read_ms(reader, "watch_wait_ms", 50, 60000, settings.watch_wait);
     settings.isolation_limit =
         read_ms(reader, "isolation_limit_ms", 500, 60000, settings.isolation_limit);
     settings.drain = read_ms(reader, "drain_ms", 0, 60000, settings.drain);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -32,6 +32,8 @@
     std::int64_t exchange_fanout = 2;
     Duration platform_timeout = from_ms(1000);
     Duration host_list_interval = from_ms(1000);
+    /// Longest wait of one watch call; a stop waits for the call to end.
+    Duration watch_wait = from_ms(3000);
     /// Silence of platform and peers after which no new work is sent.
     Duration isolation_limit = from_ms(4000);
     /// Time between turning unready and refusing requests, for the balancer to notice.
--- /dev/null
+++ b/test/failure/test_promises.cpp
@@ -0,0 +1,298 @@
+// The promises against real sockets, with faults in platform, targets and nodes.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <thread>
+
+#include "test_cluster.h"
+
+using namespace ebonymount_test;
+using ebonymount::Json;
+
+namespace {
+
+constexpr int BASE_PORT = 31000;
+
+int runs_of(TestCluster& cluster, const std::string& service, const std::string& key) {
+    int runs = 0;
+    for (const standin::FakeTarget* target : cluster.targets_of(service)) {
+        const std::map<std::string, int> by_key = target->runs_by_key();
+        const auto found = by_key.find(key);
+        runs += found == by_key.end() ? 0 : found->second;
+    }
+    return runs;
+}
+
+std::int64_t started_in(TestCluster& cluster, const std::string& data_centre) {
+    std::int64_t started = 0;
+    for (const standin::FakeTarget* target : cluster.targets_of("catalogue")) {
+        const bool there = target->traits().id.find(data_centre) != std::string::npos;
+        started += there ? target->report().started : 0;
+    }
+    return started;
+}
+
+std::int64_t cold_overloads(TestCluster& cluster) {
+    std::int64_t overloads = 0;
+    for (const char* service : {"catalogue", "booking"}) {
+        for (const standin::FakeTarget* target : cluster.targets_of(service)) {
+            overloads += target->report().cold_overloads;
+        }
+    }
+    return overloads;
+}
+
+}  // namespace
+
+TEST_CASE("a query is answered whole, from one snapshot, and traced hop by hop") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    const Answer answer = cluster.query(0, "catalogue", "{\"q\":1}");
+    REQUIRE(answer.status == 200);
+    CHECK(answer.body.at("end") == "complete");
+    CHECK(answer.body.at("snapshot") == "v1");
+    CHECK(answer.body.at("coverage").at("shards_answered") == 4);
+    CHECK(answer.body.at("results").size() == 4);
+    const Json traces = cluster.admin(0, "GET", "/traces", "").body;
+    std::set<std::string> hops;
+    for (const Json& span : traces.at(0).at("spans")) {
+        hops.insert(span.at("name").get<std::string>().substr(0, 7));
+    }
+    CHECK(hops == std::set<std::string>{"gateway", "attempt", "relay", "target"});
+}
+
+TEST_CASE("equal and different requests at once each get their own answer") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller) {
+        callers.emplace_back([&cluster, &wrong, caller] {
+            for (int number = 0; number < 10; ++number) {
+                const Json body = {{"q", number % 2 == 0 ? 0 : caller * 100 + number}};
+                const Answer answer = cluster.query(caller % 3, "catalogue", body.dump());
+                bool right = answer.status == 200;
+                for (const Json& result : answer.body.value("results", Json::array())) {
+                    right = right && result.at("result").at("echo") == body;
+                }
+                wrong += right ? 0 : 1;
+            }
+        });
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    CHECK(wrong == 0);
+}
+
+TEST_CASE("a booking repeated at other nodes at once runs once") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    for (int number = 0; number < 5; ++number) {
+        const std::string key = "k" + std::to_string(number);
+        std::vector<std::thread> callers;
+        for (std::size_t node = 0; node < 3; ++node) {
+            callers.emplace_back(
+                [&cluster, &key, node] { cluster.submit(node, "booking", key, "{\"stand\":1}"); });
+        }
+        for (std::thread& caller : callers) {
+            caller.join();
+        }
+        CHECK(runs_of(cluster, "booking", key) == 1);
+    }
+}
+
+TEST_CASE("a booking whose claim is stored while the confirmation is lost runs once") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    cluster.platform_fault("lost_confirmations", 4);
+    const Answer answer = cluster.submit(0, "booking", "lost", "{}");
+    CHECK(answer.body.at("verdict") == "ran");
+    CHECK(runs_of(cluster, "booking", "lost") == 1);
+}
+
+TEST_CASE("with the platform down a booking is not run, truly, and can be made later") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    cluster.platform_fault("down", 1);
+    const Answer refused = cluster.submit(0, "booking", "later", "{}");
+    CHECK(refused.status == 503);
+    CHECK(refused.body.at("verdict") == "not_run");
+    CHECK(runs_of(cluster, "booking", "later") == 0);
+    const Answer query = cluster.query(1, "catalogue", "{}");
+    CHECK(query.status == 200);
+    CHECK(query.body.at("coverage").at("permille") == 1000);
+    cluster.platform_fault("down", 0);
+    CHECK(eventually([&cluster] {
+        return cluster.submit(2, "booking", "later", "{}").body.value("verdict", "") == "ran";
+    }));
+    CHECK(runs_of(cluster, "booking", "later") == 1);
+}
+
+TEST_CASE("a data centre taken out gets no new work, up or down, and comes back") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    const bool platform_down = GENERATE(false, true);
+    cluster.platform_fault("down", platform_down ? 1 : 0);
+    const Answer out = cluster.admin(0, "POST", "/data-centres/east/out", "");
+    REQUIRE(out.status == 200);
+    CHECK(out.body.at("stored") == !platform_down);
+    for (std::size_t node = 0; node < 3; ++node) {
+        CHECK(eventually([&cluster, node] {
+            const Json status = cluster.status(node);
+            return status.at("out_data_centres") == Json::array({"east"}) ||
+                   status.at("pending_out") == Json::array({"east"});
+        }));
+    }
+    const std::int64_t before = started_in(cluster, "east");
+    for (std::size_t node = 0; node < 3; ++node) {
+        const Answer answer = cluster.query(node, "catalogue", "{}");
+        CHECK(answer.body.at("coverage").at("permille") == 1000);
+    }
+    CHECK(started_in(cluster, "east") == before);
+    cluster.platform_fault("down", 0);
+    CHECK(eventually([&cluster] {
+        return cluster.admin(1, "POST", "/data-centres/east/in", "").status == 200;
+    }));
+    CHECK(eventually([&cluster, before] {
+        cluster.query(0, "catalogue", "{}");
+        return started_in(cluster, "east") > before;
+    }));
+    CHECK(cold_overloads(cluster) == 0);
+}
+
+TEST_CASE("an accepted change reaches every node, and a race has one winner") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    Json table = cluster.admin(0, "GET", "/table", "").body;
+    table["table"][0]["cells"]["hard_deadline_ms"]["value"] = 4000;
+    CHECK(cluster.admin(0, "PUT", "/draft", table.dump()).status == 200);
+    const Answer first = cluster.admin(0, "POST", "/accept", "");
+    CHECK(first.body.at("generation") == 2);
+    const Answer second = cluster.admin(1, "POST", "/accept", "");
+    CHECK(second.status == 409);
+    CHECK(second.body.at("message").get<std::string>().find("hard_deadline_ms") !=
+          std::string::npos);
+    for (std::size_t node = 0; node < 3; ++node) {
+        CHECK(eventually([&cluster, node] { return cluster.status(node).at("generation") == 2; }));
+    }
+}
+
+TEST_CASE("a node that starts while the platform is down is ready once a peer tells it") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    cluster.stop_node(2);
+    cluster.platform_fault("down", 1);
+    cluster.start_node(2);
+    // It learns of its peers when one of them speaks to it.
+    CHECK(eventually([&cluster] { return cluster.is_ready(2); }));
+    CHECK(cluster.status(2).at("generation") == 1);
+}
+
+TEST_CASE("a planned stop of each node in turn cuts off no request") {
+    TestCluster cluster({2, 4, 4, BASE_PORT});
+    cluster.start_all();
+    std::atomic<bool> done{false};
+    std::atomic<int> served{0};
+    std::atomic<int> failed{0};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 4; ++caller) {
+        callers.emplace_back([&cluster, &done, &served, &failed, caller] {
+            for (std::size_t number = 0; !done; ++number) {
+                const std::size_t node = (number + static_cast<std::size_t>(caller)) % 6;
+                if (!cluster.is_ready(node)) {
+                    continue;
+                }
+                const Answer answer = cluster.query(node, "catalogue", "{}");
+                const bool whole =
+                    answer.status == 200 && answer.body.at("coverage").at("permille") == 1000;
+                served += whole ? 1 : 0;
+                failed += whole ? 0 : 1;
+            }
+        });
+    }
+    for (std::size_t node = 0; node < 6; ++node) {
+        cluster.stop_node(node);
+        cluster.start_node(node);
+        CHECK(eventually([&cluster, node] { return cluster.is_ready(node); }));
+    }
+    done = true;
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    CHECK(served > 0);
+    CHECK(failed == 0);
+    CHECK(cold_overloads(cluster) == 0);
+}
+
+TEST_CASE("a request that crashes its targets costs a bounded number, at every node") {
+    TestCluster cluster({1, 1, 4, BASE_PORT});
+    cluster.start_all();
+    const std::string body = "{\"crash\":true}";
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        cluster.query(static_cast<std::size_t>(repeat), "catalogue", body);
+        CHECK(eventually([&cluster, repeat, &body] {
+            return cluster.query(static_cast<std::size_t>((repeat + 1) % 3), "catalogue", body)
+                       .status == 422;
+        }));
+    }
+    std::int64_t crashes = 0;
+    for (const standin::FakeTarget* target : cluster.targets_of("catalogue")) {
+        crashes += target->report().crashes;
+    }
+    // One for the first run, one for the trial, one more if a node had not heard of it yet.
+    CHECK(crashes <= 3);
+    CHECK(eventually([&cluster] {
+        return cluster.query(0, "catalogue", "{\"q\":\"fine\"}").body.value("end", "") ==
+               "complete";
+    }));
+}
+
+TEST_CASE("a replica that claims a snapshot it lacks is not believed") {
+    TestCluster cluster({1, 4, 4, BASE_PORT});
+    cluster.start_all();
+    for (const char* data_centre : {"east", "north", "west"}) {
+        standin::FakeTarget& target = cluster.target(std::string("catalogue-0-") + data_centre);
+        const bool truthful = std::string(data_centre) == "west";
+        target.set_snapshots({truthful ? "v1" : "v0"});
+        target.set_lying(true);
+    }
+    CHECK(eventually([&cluster] {
+        const Answer answer = cluster.query(0, "catalogue", "{}");
+        for (const Json& result : answer.body.value("results", Json::array())) {
+            if (result.at("shard") == "s0") {
+                CHECK(result.at("result").at("target") == "catalogue-0-west");
+            }
+        }
+        return answer.body.value("end", "") == "complete";
+    }));
+}
+
+TEST_CASE("a restarted target gets no more than a cold one can bear") {
+    TestCluster cluster({1, 2, 4, BASE_PORT});
+    cluster.start_all();
+    std::atomic<bool> done{false};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 4; ++caller) {
+        callers.emplace_back([&cluster, &done] {
+            while (!done) {
+                cluster.query(0, "catalogue", "{}");
+            }
+        });
+    }
+    for (int restart = 0; restart < 3; ++restart) {
+        standin::FakeTarget& target = cluster.target("catalogue-0-east");
+        const std::int64_t before = target.report().answered;
+        target.turn_cold(true);
+        const bool recovered =
+            eventually([&target, before] { return target.report().answered > before + 5; });
+        INFO(cluster.status(0).dump(1));
+        CHECK(recovered);
+    }
+    done = true;
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    CHECK(cold_overloads(cluster) == 0);
+}
--- /dev/null
+++ b/tools/deployment.sh
@@ -0,0 +1,46 @@
+# Functions that start and end a deployment's processes. Source this file; set BUILD and DIR first.
+
+PIDS=()
+
+# Starts a program in the background with its output in a file; remembers its process id.
+start_process() {
+    local log="$1"
+    shift
+    "$@" > "$log" 2>&1 &
+    PIDS+=("$!")
+    LAST_PID="$!"
+}
+
+# Starts stand-ins and nodes from the files in DIR.
+start_deployment() {
+    start_process "$DIR/platform.log" "$BUILD/object_api_fake" "$DIR/platform.json"
+    local file
+    for file in "$DIR"/targets-*.json; do
+        start_process "${file%.json}.log" "$BUILD/target_fake" "$file"
+    done
+    start_process "$DIR/links.log" "$BUILD/link_fake" "$DIR/links.json"
+    declare -gA NODE_PID
+    for file in "$DIR"/node-*.json; do
+        start_process "${file%.json}.log" "$BUILD/ebonymountd" --settings "$file"
+        NODE_PID["$(basename "$file" .json)"]="$LAST_PID"
+    done
+    "$BUILD/ebonymount_load" wait --directory "$DIR"
+}
+
+# Ends every process that was started here, nodes first so that they can hand over.
+stop_deployment() {
+    local pid
+    for pid in "${NODE_PID[@]:-}"; do
+        [ -n "$pid" ] && kill -TERM "$pid" 2> /dev/null
+    done
+    for pid in "${NODE_PID[@]:-}"; do
+        [ -n "$pid" ] && wait "$pid" 2> /dev/null
+    done
+    for pid in "${PIDS[@]}"; do
+        kill -TERM "$pid" 2> /dev/null
+    done
+    for pid in "${PIDS[@]}"; do
+        wait "$pid" 2> /dev/null
+    done
+    return 0
+}
