Tell connections of a stop until all have heard it

Cause: a connection that was being accepted while its server stopped missed the one notice and waited out its idle time of an hour; stacks of the hanging test show it in HTTPServerConnection::run. Ruled out: a leak in the ledger's count of running requests. Change: the stop is repeated until no connection is left. A request that has to be admitted again goes back to its queue under one lock with the list of running ones, and is reported as not_owner when the queue is closed by then.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -11,7 +11,9 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace ebonymount {
 namespace {
@@ -20,6 +22,9 @@
 constexpr int HTTP_TOO_LARGE = 413;
 constexpr int IDLE_CONNECTION_S = 3600;
 
+/// Pause before connections are told again that the server stops.
+constexpr std::chrono::milliseconds STOP_POLL(2);
+
 /// Time for the rest of a request after its first byte.
 constexpr int RECEIVE_S = 30;
 
@@ -180,7 +185,11 @@
         return;
     }
     m_stopped = true;
-    m_server->stopAll(abort);
+    // A connection that was being accepted at that moment has not heard of the stop yet.
+    do {
+        m_server->stopAll(abort);
+        std::this_thread::sleep_for(STOP_POLL);
+    } while (m_server->currentConnections() > 0);
     m_threads->joinAll();
 }
 
--- a/src/node/target_worker.cpp
+++ b/src/node/target_worker.cpp
@@ -196,9 +196,16 @@
             continue;
         }
         lock.unlock();
-        run_job(job, connection);
+        const bool has_ended = run_job(job, connection);
         lock.lock();
         std::erase(m_running, job);
+        if (!has_ended && !m_closed) {
+            m_queue.push_front(job);
+        } else if (!has_ended) {
+            lock.unlock();
+            report(*job, AttemptStatus::not_owner);
+            lock.lock();
+        }
         if (m_running.empty()) {
             m_idle.notify_all();
         }
@@ -270,17 +277,17 @@
     return std::nullopt;
 }
 
-void TargetWorker::run_job(const std::shared_ptr<RelayJob>& job, HttpConnection& connection) {
+/// Runs the job to its end; false when it has to be admitted again.
+bool TargetWorker::run_job(const std::shared_ptr<RelayJob>& job, HttpConnection& connection) {
     const Time started = monotonic_now();
     std::optional<WireOutcome> outcome = exchange(*job, connection);
     if (!outcome.has_value()) {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_queue.push_front(job);
-        return;
+        return false;
     }
     outcome->queue_us = (started - job->received).count();
     outcome->target_us = (monotonic_now() - started).count();
     job->sink(std::move(*outcome));
+    return true;
 }
 
 ConnectResult TargetWorker::connect(HttpConnection& connection) {
--- a/src/node/target_worker.h
+++ b/src/node/target_worker.h
@@ -89,7 +89,7 @@
     bool take_startable(std::unique_lock<std::mutex>& lock, std::shared_ptr<RelayJob>& job);
     ConnectResult connect(HttpConnection& connection);
     std::optional<AttemptStatus> refusal(const RelayJob& job, Time now) const;
-    void run_job(const std::shared_ptr<RelayJob>& job, HttpConnection& connection);
+    bool run_job(const std::shared_ptr<RelayJob>& job, HttpConnection& connection);
     std::optional<WireOutcome> exchange(RelayJob& job, HttpConnection& connection);
     void apply(const HttpAnswer& answer, Duration service_time, WireOutcome& outcome);
     void probe(std::unique_lock<std::mutex>& lock);
