Exchange a digest in quiet times, details only when digests differ

Cause: each exchange carried versions of all placements and seat news of the last 15 s; and a node that had read its own data centre's seats never asked for the others', so after a restart it knew other data centres' seats only when they changed. Ruled out for the size: the frames of nghttp2 (some 60 bytes a message). Change: a digest over generation, placements and seats; when it differs the answer carries versions and a hash for each data centre's seats, and one follow-up exchange brings what either side lacks.

--- a/src/cluster/exchange.cpp
+++ b/src/cluster/exchange.cpp
@@ -11,8 +11,8 @@
 /// Nodes of a data centre that watch the platform.
 constexpr std::size_t WATCHERS_PER_DATA_CENTRE = 2;
 
-/// Seat news is repeated to peers for this long after a change.
-constexpr Duration SEAT_NEWS_AGE = from_ms(15000);
+/// Seat news is told unasked for this long after a change; later only when digests differ.
+constexpr Duration SEAT_NEWS_AGE = from_ms(2000);
 
 /// A peer that was silent for longer is not counted on as a watcher.
 constexpr Duration PEER_SILENCE = from_ms(10000);
@@ -56,14 +56,75 @@
     return found != knowledge.seat_changed.end() && now - found->second < SEAT_NEWS_AGE;
 }
 
-void add_seat_news(const ClusterKnowledge& knowledge, bool all, Time now, Exchange& exchange) {
+std::string data_centre_of(const std::string& seat) {
+    return seat.substr(0, seat.find('/'));
+}
+
+std::map<std::string, std::uint64_t> seat_digests(const ClusterKnowledge& knowledge) {
+    std::map<std::string, std::uint64_t> digests;
     for (const auto& [seat, record] : knowledge.seats) {
-        if (all || is_fresh(knowledge, seat, now)) {
+        std::uint64_t& digest = digests[data_centre_of(seat)];
+        const std::string state =
+            seat + " " + std::to_string(record.epoch) + (record.released ? " released" : " held");
+        digest = stable_hash(std::to_string(digest) + state);
+    }
+    return digests;
+}
+
+ExchangeDetails details_of(const ClusterKnowledge& knowledge) {
+    ExchangeDetails details;
+    for (const auto& [service, placement] : knowledge.placements) {
+        details.placement_versions[service] = placement.version;
+    }
+    details.seat_digests = seat_digests(knowledge);
+    return details;
+}
+
+std::uint64_t digest_of(const ClusterKnowledge& knowledge) {
+    const ExchangeDetails details = details_of(knowledge);
+    std::string text = std::to_string(knowledge.configuration.generation);
+    for (const auto& [service, version] : details.placement_versions) {
+        text += " " + service + " " + std::to_string(version);
+    }
+    for (const auto& [data_centre, digest] : details.seat_digests) {
+        text += " " + data_centre + " " + std::to_string(digest);
+    }
+    return stable_hash(text);
+}
+
+/// Adds fresh seat news, and all seats of data centres in which the other side's seats differ.
+void add_seats(const ClusterKnowledge& knowledge, const Exchange* other, Time now,
+               Exchange& exchange) {
+    const std::map<std::string, std::uint64_t> own = seat_digests(knowledge);
+    for (const auto& [seat, record] : knowledge.seats) {
+        bool differs = false;
+        if (other != nullptr && other->details.has_value()) {
+            const std::map<std::string, std::uint64_t>& theirs = other->details->seat_digests;
+            const auto digest = theirs.find(data_centre_of(seat));
+            differs = digest == theirs.end() || digest->second != own.at(data_centre_of(seat));
+        }
+        if (differs || is_fresh(knowledge, seat, now)) {
             exchange.seats.push_back({seat, record});
         }
     }
 }
 
+void add_documents(const ClusterKnowledge& knowledge, const Exchange& other, Exchange& exchange) {
+    if (other.generation < knowledge.configuration.generation) {
+        exchange.configuration = knowledge.configuration;
+    }
+    if (!other.details.has_value()) {
+        return;
+    }
+    const std::map<std::string, std::int64_t>& versions = other.details->placement_versions;
+    for (const auto& [service, placement] : knowledge.placements) {
+        const auto theirs = versions.find(service);
+        if (theirs == versions.end() || theirs->second < placement.version) {
+            exchange.placements.push_back(placement);
+        }
+    }
+}
+
 /// Notes the sender, unless a later incarnation of it has been heard already.
 void hear(ClusterKnowledge& knowledge, const Exchange& exchange, Time now) {
     const Peer& from = exchange.from;
@@ -78,18 +139,6 @@
     knowledge.left_seats[from.node] = exchange.left_seats;
 }
 
-void add_documents(const ClusterKnowledge& knowledge, const Exchange& other, Exchange& exchange) {
-    if (other.generation < knowledge.configuration.generation) {
-        exchange.configuration = knowledge.configuration;
-    }
-    for (const auto& [service, placement] : knowledge.placements) {
-        const auto theirs = other.placement_versions.find(service);
-        if (theirs == other.placement_versions.end() || theirs->second < placement.version) {
-            exchange.placements.push_back(placement);
-        }
-    }
-}
-
 bool has_lasted(const std::map<std::string, Time>& since, const std::string& node,
                 Duration duration, Time now) {
     const auto found = since.find(node);
@@ -216,20 +265,22 @@
     Exchange exchange;
     exchange.from = self;
     exchange.generation = knowledge.configuration.generation;
-    for (const auto& [service, placement] : knowledge.placements) {
-        exchange.placement_versions[service] = placement.version;
-    }
+    exchange.digest = digest_of(knowledge);
     exchange.left_seats = left_seats;
     exchange.pending = knowledge.pending;
     exchange.suspicions = notices(suspicions, MOST_NOTICES, now);
-    exchange.wants_everything = knowledge.seats.empty();
-    add_seat_news(knowledge, other != nullptr && other->wants_everything, now, exchange);
-    if (other != nullptr) {
+    add_seats(knowledge, other, now, exchange);
+    if (other != nullptr && other->digest != exchange.digest) {
+        exchange.details = details_of(knowledge);
         add_documents(knowledge, *other, exchange);
     }
     return exchange;
 }
 
+bool needs_follow_up(const ClusterKnowledge& knowledge, const Exchange& answer) {
+    return answer.digest != digest_of(knowledge) && answer.details.has_value();
+}
+
 std::vector<Peer> choose_peers(const ClusterKnowledge& knowledge, const Peer& self,
                                std::size_t count, Random& random) {
     std::vector<Peer> near;
--- a/src/cluster/exchange.h
+++ b/src/cluster/exchange.h
@@ -64,13 +64,24 @@
     friend bool operator==(const SeatLeft&, const SeatLeft&) = default;
 };
 
-/// What one node sends to another, both ways.
+/// What a node has, part by part; sent only after digests were found to differ.
+struct ExchangeDetails {
+    std::map<std::string, std::int64_t> placement_versions;
+    /// Hash over the seats of each data centre.
+    std::map<std::string, std::uint64_t> seat_digests;
+
+    friend bool operator==(const ExchangeDetails&, const ExchangeDetails&) = default;
+};
+
+/// What one node sends to another, both ways. In quiet times it carries the digest alone. When
+/// digests differ the answer carries details, and the next exchange what either side lacks.
 struct Exchange {
     std::int64_t protocol = PEER_PROTOCOL_VERSION;
     Peer from;
-    bool wants_everything = false;
     std::int64_t generation = 0;
-    std::map<std::string, std::int64_t> placement_versions;
+    /// Hash over generation, placement versions and seats. Equal digests need nothing more.
+    std::uint64_t digest = 0;
+    std::optional<ExchangeDetails> details;
     std::vector<SeatNews> seats;
     /// Seats whose epochs the sender has left for good.
     std::vector<SeatLeft> left_seats;
@@ -137,6 +148,9 @@
                        const Peer& self, const std::vector<SeatLeft>& left_seats,
                        const Exchange* other, Time now);
 
+/// True when the other side's answer calls for one more exchange.
+bool needs_follow_up(const ClusterKnowledge& knowledge, const Exchange& answer);
+
 /// Peers to exchange with in this round: one of the own data centre and others at random.
 std::vector<Peer> choose_peers(const ClusterKnowledge& knowledge, const Peer& self,
                                std::size_t count, Random& random);
--- a/src/io/documents.cpp
+++ b/src/io/documents.cpp
@@ -226,8 +226,8 @@
     Peer peer;
     peer.host = reader.text("host");
     peer.data_centre = reader.text("data_centre");
-    peer.node = reader.text_or("node", "");
     peer.incarnation = reader.integer_or("incarnation", 0, ANY, 0);
+    peer.node = peer.incarnation == 0 ? "" : node_name(peer.host, peer.incarnation);
     peer.address = reader.text_or("address", "");
     peer.leaving = reader.boolean_or("leaving", false);
     peer.reaches_platform = reader.boolean_or("reaches_platform", false);
@@ -236,13 +236,17 @@
 }
 
 Json peer_document(const Peer& peer) {
-    return {{"host", peer.host},
-            {"data_centre", peer.data_centre},
-            {"node", peer.node},
-            {"incarnation", peer.incarnation},
-            {"address", peer.address},
-            {"leaving", peer.leaving},
-            {"reaches_platform", peer.reaches_platform}};
+    Json document = {{"host", peer.host},
+                     {"data_centre", peer.data_centre},
+                     {"incarnation", peer.incarnation},
+                     {"address", peer.address}};
+    if (peer.leaving) {
+        document["leaving"] = true;
+    }
+    if (peer.reaches_platform) {
+        document["reaches_platform"] = true;
+    }
+    return document;
 }
 
 std::vector<Peer> read_hosts(const Json& document) {
@@ -259,9 +263,10 @@
     Json document = {{"protocol", exchange.protocol},
                      {"from", peer_document(exchange.from)},
                      {"generation", exchange.generation},
-                     {"placement_versions", exchange.placement_versions}};
-    if (exchange.wants_everything) {
-        document["wants_everything"] = true;
+                     {"digest", exchange.digest}};
+    if (exchange.details.has_value()) {
+        document["placement_versions"] = exchange.details->placement_versions;
+        document["seat_digests"] = exchange.details->seat_digests;
     }
     for (const SeatNews& news : exchange.seats) {
         document["seats"].push_back({{"seat", news.seat}, {"record", to_document(news.record)}});
@@ -325,9 +330,14 @@
         << PEER_PROTOCOL_VERSION;
     exchange.from = read_peer(reader.member("from"));
     exchange.generation = reader.integer("generation", 0, ANY);
-    exchange.wants_everything = reader.boolean_or("wants_everything", false);
-    exchange.placement_versions =
-        reader.member("placement_versions").get<std::map<std::string, std::int64_t>>();
+    exchange.digest = reader.member("digest").get<std::uint64_t>();
+    if (const Json* versions = reader.find("placement_versions")) {
+        ExchangeDetails details;
+        details.placement_versions = versions->get<std::map<std::string, std::int64_t>>();
+        details.seat_digests =
+            reader.member("seat_digests").get<std::map<std::string, std::uint64_t>>();
+        exchange.details = details;
+    }
     for (const Json& news : reader.array("seats")) {
         exchange.seats.push_back(read_seat_news(news));
     }
--- a/src/node/peer_exchanger.cpp
+++ b/src/node/peer_exchanger.cpp
@@ -45,15 +45,18 @@
         log_warning("peers", "Refused an exchange. " + describe(error_of(exchange)));
         return error_of(exchange);
     }
-    const bool is_behind = take_in(value_of(exchange));
-    if (is_behind) {
-        exchange_with(value_of(exchange).from);
-    }
-    const Peer self = m_state.described_self(monotonic_now());
-    return m_state.query_knowledge([this, &self, &exchange](const ClusterKnowledge& knowledge,
-                                                            const SuspicionList& suspicions) {
-        return encode(make_exchange(knowledge, suspicions, self, m_state.left_seats(),
-                                    &value_of(exchange), monotonic_now()));
+    take_in(value_of(exchange));
+    return encode(own_exchange(&value_of(exchange)));
+}
+
+/// What this node tells, given what the other side has told.
+Exchange PeerExchanger::own_exchange(const Exchange* other) const {
+    const Time now = monotonic_now();
+    const Peer self = m_state.described_self(now);
+    const std::vector<SeatLeft> left = m_state.left_seats();
+    return m_state.query_knowledge([&self, &left, other, now](const ClusterKnowledge& knowledge,
+                                                              const SuspicionList& suspicions) {
+        return make_exchange(knowledge, suspicions, self, left, other, now);
     });
 }
 
@@ -69,7 +72,7 @@
                 return choose_peers(knowledge, m_state.self(), fanout, m_random);
             });
         for (const Peer& peer : chosen) {
-            exchange_with(peer);
+            exchange_with(peer, nullptr);
         }
         lock.lock();
         m_wake.wait_for(lock, m_state.settings().exchange_interval,
@@ -77,53 +80,49 @@
     }
 }
 
-void PeerExchanger::exchange_with(const Peer& peer) {
-    const Peer self = m_state.described_self(monotonic_now());
-    const std::string bytes = m_state.query_knowledge(
-        [this, &self](const ClusterKnowledge& knowledge, const SuspicionList& suspicions) {
-            return encode(make_exchange(knowledge, suspicions, self, m_state.left_seats(), nullptr,
-                                        monotonic_now()));
-        });
+void PeerExchanger::exchange_with(const Peer& peer, const Exchange* other) {
     const std::shared_ptr<std::string> received = std::make_shared<std::string>();
+    const bool is_follow_up = other != nullptr;
     StreamEvents events;
     events.on_data = [received](std::string_view data) {
         received->append(data);
     };
-    events.on_end = [this, received](StreamEnd end) {
-        if (end != StreamEnd::complete) {
-            return;
-        }
-        const Result<Exchange> answer = decode_exchange(*received);
-        if (has_value(answer)) {
-            take_in(value_of(answer));
-        } else {
-            ++m_refused;
+    events.on_end = [this, peer, is_follow_up, received](StreamEnd end) {
+        if (end == StreamEnd::complete) {
+            on_answer(peer, *received, is_follow_up);
         }
     };
     ++m_exchanges;
-    m_peers.call(route_to(m_state.settings(), peer.host, peer.address), "/exchange", bytes,
-                 std::move(events));
+    m_peers.call(route_to(m_state.settings(), peer.host, peer.address), "/exchange",
+                 encode(own_exchange(other)), std::move(events));
+}
+
+void PeerExchanger::on_answer(const Peer& peer, const std::string& bytes, bool is_follow_up) {
+    const Result<Exchange> answer = decode_exchange(bytes);
+    if (!has_value(answer)) {
+        ++m_refused;
+        return;
+    }
+    take_in(value_of(answer));
+    const bool differs =
+        m_state.query_knowledge([&answer](const ClusterKnowledge& knowledge, const SuspicionList&) {
+            return needs_follow_up(knowledge, value_of(answer));
+        });
+    if (differs && !is_follow_up) {
+        exchange_with(peer, &value_of(answer));
+    }
 }
 
-/// Returns true when the other side has documents that this node lacks.
-bool PeerExchanger::take_in(const Exchange& exchange) {
-    bool is_behind = false;
+void PeerExchanger::take_in(const Exchange& exchange) {
     bool news = false;
     m_state.change_knowledge(
-        [&exchange, &is_behind, &news](ClusterKnowledge& knowledge, SuspicionList& suspicions) {
+        [&exchange, &news](ClusterKnowledge& knowledge, SuspicionList& suspicions) {
             news = merge(knowledge, suspicions, exchange, monotonic_now());
-            is_behind = exchange.generation > knowledge.configuration.generation;
-            for (const auto& [service, version] : exchange.placement_versions) {
-                const auto known = knowledge.placements.find(service);
-                is_behind = is_behind || known == knowledge.placements.end() ||
-                            known->second.version < version;
-            }
             return news;
         });
     if (news) {
         spread_now();
     }
-    return is_behind;
 }
 
 std::string route_to(const NodeSettings& settings, const std::string& host,
--- a/src/node/peer_exchanger.h
+++ b/src/node/peer_exchanger.h
@@ -31,8 +31,10 @@
 
 private:
     void run();
-    void exchange_with(const Peer& peer);
-    bool take_in(const Exchange& exchange);
+    void exchange_with(const Peer& peer, const Exchange* other);
+    void on_answer(const Peer& peer, const std::string& bytes, bool is_follow_up);
+    Exchange own_exchange(const Exchange* other) const;
+    void take_in(const Exchange& exchange);
 
     NodeState& m_state;
     PeerPool& m_peers;
--- a/src/scenario/explore_exchange.cpp
+++ b/src/scenario/explore_exchange.cpp
@@ -52,13 +52,13 @@
     return std::stoul(peer.host.substr(1));
 }
 
-/// Delivers a message; the receiver answers, and asks back when it is behind.
+/// Delivers a message; the receiver answers while the two sides differ.
 void deliver(Spread& spread, const Message& message) {
     SpreadNode& node = spread.nodes.at(message.to);
     merge(node.knowledge, node.suspicions, message.exchange, spread.now);
-    const bool is_behind = message.exchange.generation > node.knowledge.configuration.generation;
-    const bool has_more = message.exchange.generation < node.knowledge.configuration.generation;
-    if (is_behind || has_more) {
+    const Exchange own =
+        make_exchange(node.knowledge, node.suspicions, node.self, {}, nullptr, spread.now);
+    if (own.digest != message.exchange.digest) {
         send(spread, message.to, number_of(message.exchange.from), &message.exchange);
     }
 }
--- a/test/correctness/test_exchange.cpp
+++ b/test/correctness/test_exchange.cpp
@@ -42,21 +42,32 @@
     CHECK(knowledge.configuration.generation == 5);
 }
 
-TEST_CASE("whoever is behind gets the documents it lacks") {
+TEST_CASE("whoever is behind gets what it lacks within two exchanges, and then nothing more") {
     ClusterKnowledge ahead;
     adopt(ahead, generation(2));
     Placement placement;
     placement.service = "svc";
     placement.version = 4;
     adopt(ahead, placement);
+    adopt(ahead, "y/0", SeatRecord{"n#1", "addr", 3, 0, 64, false, {}}, START);
     ClusterKnowledge behind;
     SuspicionList none;
-    const Exchange question = make_exchange(behind, none, make_peer("b", 1), {}, nullptr, START);
+    const Time later = START + from_ms(60000);
+    const Exchange question = make_exchange(behind, none, make_peer("b", 1), {}, nullptr, later);
     CHECK_FALSE(question.configuration.has_value());
-    const Exchange answer = make_exchange(ahead, none, make_peer("a", 1), {}, &question, START);
-    CHECK(merge(behind, none, answer, START));
+    const Exchange answer = make_exchange(ahead, none, make_peer("a", 1), {}, &question, later);
+    CHECK(merge(behind, none, answer, later));
     CHECK(behind.configuration.generation == 2);
+    REQUIRE(needs_follow_up(behind, answer));
+    const Exchange second = make_exchange(behind, none, make_peer("b", 1), {}, &answer, later);
+    const Exchange rest = make_exchange(ahead, none, make_peer("a", 1), {}, &second, later);
+    CHECK(merge(behind, none, rest, later));
     CHECK(behind.placements.at("svc").version == 4);
+    CHECK(behind.seats.at("y/0").holder == "n#1");
+    const Exchange quiet = make_exchange(behind, none, make_peer("b", 1), {}, nullptr, later);
+    const Exchange reply = make_exchange(ahead, none, make_peer("a", 1), {}, &quiet, later);
+    CHECK_FALSE(reply.details.has_value());
+    CHECK(reply.seats.empty());
 }
 
 TEST_CASE("a take-out spreads until the generation that stores it arrives") {
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -31,16 +31,16 @@
 stop_deployment() {
     local pid
     for pid in "${NODE_PID[@]:-}"; do
-        [ -n "$pid" ] && kill -TERM "$pid" 2> /dev/null
+        [ -n "$pid" ] && kill -TERM "$pid" 2> /dev/null || true
     done
     for pid in "${NODE_PID[@]:-}"; do
-        [ -n "$pid" ] && wait "$pid" 2> /dev/null
+        [ -n "$pid" ] && wait "$pid" 2> /dev/null || true
     done
     for pid in "${PIDS[@]}"; do
-        kill -TERM "$pid" 2> /dev/null
+        kill -TERM "$pid" 2> /dev/null || true
     done
     for pid in "${PIDS[@]}"; do
-        wait "$pid" 2> /dev/null
+        wait "$pid" 2> /dev/null || true
     done
     return 0
 }
