Tell of live nodes through others, and let two nodes watch a seat

Cause 1: liveness counted only what a node heard itself. With 60 nodes and two exchanges a second a given peer is heard once in 15 s or so, the 10 s of silence passed, and assignments changed for ever: 225 seats taken for 60 seats in 35 s, 11 KB/s a node. Ruled out: start-up (it went on), differing digests in quiet times. Change: exchanges carry the freshest news of live nodes in the own data centre. Cause 2: every node polled every seat of its data centre, so the platform's load grew with the square of the nodes: 5.8, 15.6, 28.1, 161 calls/s at 3, 6, 9, 24 nodes. Change: only the assigned holder and one standby look. Also: smaller files (attempt, peer documents), HTTP status names in one place, ports of the stand-ins apart from 60 nodes, path measurement.

--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -1,13 +1,10 @@
 #include "admin/admin_api.h"
 
+#include "io/http_status.h"
+
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_BAD_REQUEST = 400;
-constexpr int HTTP_NOT_FOUND = 404;
-constexpr int HTTP_CONFLICT = 409;
-constexpr int HTTP_UNAVAILABLE = 503;
-
 constexpr std::size_t MOST_TRACES = 50;
 
 const std::string PREFIX = "/admin/v1";
@@ -15,14 +12,14 @@
 int status_for(ErrorCode code) {
     switch (code) {
         case ErrorCode::not_found:
-            return HTTP_NOT_FOUND;
+            return http::NOT_FOUND;
         case ErrorCode::conflict:
-            return HTTP_CONFLICT;
+            return http::CONFLICT;
         case ErrorCode::unavailable:
         case ErrorCode::timeout:
-            return HTTP_UNAVAILABLE;
+            return http::UNAVAILABLE;
         default:
-            return HTTP_BAD_REQUEST;
+            return http::BAD_REQUEST;
     }
 }
 
@@ -55,7 +52,7 @@
 
 HttpReply AdminApi::handle(const HttpCall& call) {
     if (call.path.rfind(PREFIX, 0) != 0) {
-        return error_reply(HTTP_NOT_FOUND, {ErrorCode::not_found, "unknown path", call.path});
+        return error_reply(http::NOT_FOUND, {ErrorCode::not_found, "unknown path", call.path});
     }
     return call.method == "GET" ? handle_query(call) : handle_command(call);
 }
@@ -77,7 +74,7 @@
     if (path == "/traces") {
         return reply_from(m_queries.traces(MOST_TRACES));
     }
-    return error_reply(HTTP_NOT_FOUND, {ErrorCode::not_found, "unknown query", call.path});
+    return error_reply(http::NOT_FOUND, {ErrorCode::not_found, "unknown query", call.path});
 }
 
 HttpReply AdminApi::handle_command(const HttpCall& call) {
@@ -93,7 +90,7 @@
                           (parts[0] == "data-centres" || parts[0] == "hosts") &&
                           (parts[2] == "out" || parts[2] == "in");
     if (!is_known) {
-        return error_reply(HTTP_NOT_FOUND, {ErrorCode::not_found, "unknown command", call.path});
+        return error_reply(http::NOT_FOUND, {ErrorCode::not_found, "unknown command", call.path});
     }
     const bool is_data_centre = parts[0] == "data-centres";
     return reply_from(parts[2] == "out" ? m_commands.take_out(is_data_centre, parts[1])
--- a/src/admin/ctl.cpp
+++ b/src/admin/ctl.cpp
@@ -7,12 +7,12 @@
 #include "admin/ctl_print.h"
 #include "admin/table_csv.h"
 #include "io/http_client.h"
+#include "io/http_status.h"
 #include "node/settings.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
 constexpr Duration TIMEOUT = from_ms(10000);
 
 /// One run of the command line.
@@ -53,14 +53,14 @@
     }
     if (session.options.json) {
         session.output << document.dump(2) << "\n";
-    } else if (answer.status == HTTP_OK) {
+    } else if (answer.status == http::OK) {
         print(document, session.output);
     } else {
         session.errors << "ebonymountctl: refused (" << document.value("error", "")
                        << "): " << document.value("message", "") << " \""
                        << document.value("offender", "") << "\"\n";
     }
-    return answer.status == HTTP_OK ? CtlExit::ok : CtlExit::refused;
+    return answer.status == http::OK ? CtlExit::ok : CtlExit::refused;
 }
 
 CtlExit get(const Session& session, const std::string& path, const Printer& print) {
--- a/src/cluster/exchange.cpp
+++ b/src/cluster/exchange.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t MOST_NOTICES = 64;
 
+/// Nodes that one exchange tells to be alive.
+constexpr std::size_t MOST_ALIVE_NEWS = 8;
+
 template <typename T>
 bool contains(const std::vector<T>& items, const T& item) {
     return std::find(items.begin(), items.end(), item) != items.end();
@@ -125,6 +128,46 @@
     }
 }
 
+/// True when the host's node is known to have been alive lately.
+bool was_alive(const ClusterKnowledge& knowledge, const std::string& host, Time now) {
+    const auto found = knowledge.alive_at.find(host);
+    return found != knowledge.alive_at.end() && now - found->second < PEER_SILENCE;
+}
+
+/// The freshest news of nodes in the own data centre.
+std::vector<AliveNews> alive_news(const ClusterKnowledge& knowledge, const Peer& self, Time now) {
+    std::vector<AliveNews> news;
+    for (const auto& [host, peer] : knowledge.peers) {
+        const bool near = peer.data_centre == self.data_centre && host != self.host;
+        if (near && !peer.node.empty() && was_alive(knowledge, host, now)) {
+            const Duration age = now - knowledge.alive_at.at(host);
+            news.push_back({host, peer.incarnation, age.count() / 1000, peer.reaches_platform});
+        }
+    }
+    const auto fresher = [](const AliveNews& left, const AliveNews& right) {
+        return left.age_ms < right.age_ms;
+    };
+    std::sort(news.begin(), news.end(), fresher);
+    news.resize(std::min(news.size(), MOST_ALIVE_NEWS));
+    return news;
+}
+
+/// Takes in that a node was alive, if that is fresher than what is known.
+void hear_alive(ClusterKnowledge& knowledge, const std::string& data_centre, const AliveNews& news,
+                Time now) {
+    const Time alive_at = now - from_ms(news.age_ms);
+    Peer& peer = knowledge.peers[news.host];
+    if (news.incarnation < peer.incarnation || alive_at <= knowledge.alive_at[news.host]) {
+        return;
+    }
+    knowledge.alive_at[news.host] = alive_at;
+    peer.host = news.host;
+    peer.data_centre = data_centre;
+    peer.incarnation = news.incarnation;
+    peer.node = node_name(news.host, news.incarnation);
+    peer.reaches_platform = news.reaches_platform;
+}
+
 /// Notes the sender, unless a later incarnation of it has been heard already.
 void hear(ClusterKnowledge& knowledge, const Exchange& exchange, Time now) {
     const Peer& from = exchange.from;
@@ -136,6 +179,7 @@
     known = from;
     known.leaving = known.leaving || leaving;
     knowledge.heard_from[from.host] = now;
+    knowledge.alive_at[from.host] = now;
     knowledge.left_seats[from.node] = exchange.left_seats;
 }
 
@@ -241,6 +285,9 @@
            Time now) {
     bool affected = false;
     hear(knowledge, exchange, now);
+    for (const AliveNews& news : exchange.alive) {
+        hear_alive(knowledge, exchange.from.data_centre, news, now);
+    }
     if (exchange.configuration.has_value()) {
         affected = adopt(knowledge, *exchange.configuration) || affected;
     }
@@ -266,6 +313,7 @@
     exchange.from = self;
     exchange.generation = knowledge.configuration.generation;
     exchange.digest = digest_of(knowledge);
+    exchange.alive = alive_news(knowledge, self, now);
     exchange.left_seats = left_seats;
     exchange.pending = knowledge.pending;
     exchange.suspicions = notices(suspicions, MOST_NOTICES, now);
@@ -286,7 +334,7 @@
     std::vector<Peer> near;
     std::vector<Peer> all;
     for (const auto& [host, peer] : knowledge.peers) {
-        if (host == self.host) {
+        if (host == self.host || peer.address.empty()) {
             continue;
         }
         all.push_back(peer);
@@ -313,7 +361,7 @@
     for (const auto& [host, peer] : knowledge.peers) {
         const bool candidate = peer.data_centre == self.data_centre && host != self.host &&
                                !peer.leaving && !peer.node.empty();
-        if (candidate && was_heard(knowledge, host, now)) {
+        if (candidate && was_alive(knowledge, host, now)) {
             nodes.push_back(peer.node);
         }
     }
--- a/src/cluster/exchange.h
+++ b/src/cluster/exchange.h
@@ -64,6 +64,17 @@
     friend bool operator==(const SeatLeft&, const SeatLeft&) = default;
 };
 
+/// That a node of the sender's data centre was alive a while ago, as the sender knows it. With many
+/// nodes most are not heard from directly for a long time.
+struct AliveNews {
+    std::string host;
+    std::int64_t incarnation = 0;
+    std::int64_t age_ms = 0;
+    bool reaches_platform = false;
+
+    friend bool operator==(const AliveNews&, const AliveNews&) = default;
+};
+
 /// What a node has, part by part; sent only after digests were found to differ.
 struct ExchangeDetails {
     std::map<std::string, std::int64_t> placement_versions;
@@ -82,6 +93,7 @@
     /// Hash over generation, placement versions and seats. Equal digests need nothing more.
     std::uint64_t digest = 0;
     std::optional<ExchangeDetails> details;
+    std::vector<AliveNews> alive;
     std::vector<SeatNews> seats;
     /// Seats whose epochs the sender has left for good.
     std::vector<SeatLeft> left_seats;
@@ -104,6 +116,8 @@
     std::map<std::string, Peer> peers;
     /// When a host's node was last heard, by host.
     std::map<std::string, Time> heard_from;
+    /// When a host's node is known to have been alive, from itself or through others, by host.
+    std::map<std::string, Time> alive_at;
     /// Statements of peers by node, as last heard.
     std::map<std::string, std::vector<SeatLeft>> left_seats;
     /// When a node that is asked about was first found on no host list.
--- a/src/io/documents.cpp
+++ b/src/io/documents.cpp
@@ -1,27 +1,11 @@
 #include "io/documents.h"
 
-#include <limits>
-
 #include "base/check.h"
-#include "io/json_reader.h"
+#include "io/document_reader.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr std::int64_t ANY = std::numeric_limits<std::int64_t>::max();
-
-/// Runs a reader function and turns what it throws into an error.
-template <typename T, typename Read>
-Result<T> read_document(const Json& document, const std::string& what, Read read) {
-    try {
-        return read(document);
-    } catch (const UserError& error) {
-        return Error{ErrorCode::invalid_input, what + ": " + error.what(), what};
-    } catch (const Json::exception& error) {
-        return Error{ErrorCode::invalid_input, what + ": " + error.what(), what};
-    }
-}
-
 void read_cell(const Json& cell, const Column& column, const std::string& path, ServiceRow& row) {
     if (cell.is_number_integer()) {
         row.*column.member = cell.get<std::int64_t>();
@@ -221,144 +205,6 @@
     return bucket;
 }
 
-Peer read_peer(const Json& document) {
-    JsonReader reader(document, "host");
-    Peer peer;
-    peer.host = reader.text("host");
-    peer.data_centre = reader.text("data_centre");
-    peer.incarnation = reader.integer_or("incarnation", 0, ANY, 0);
-    peer.node = peer.incarnation == 0 ? "" : node_name(peer.host, peer.incarnation);
-    peer.address = reader.text_or("address", "");
-    peer.leaving = reader.boolean_or("leaving", false);
-    peer.reaches_platform = reader.boolean_or("reaches_platform", false);
-    reader.finish();
-    return peer;
-}
-
-Json peer_document(const Peer& peer) {
-    Json document = {{"host", peer.host},
-                     {"data_centre", peer.data_centre},
-                     {"incarnation", peer.incarnation},
-                     {"address", peer.address}};
-    if (peer.leaving) {
-        document["leaving"] = true;
-    }
-    if (peer.reaches_platform) {
-        document["reaches_platform"] = true;
-    }
-    return document;
-}
-
-std::vector<Peer> read_hosts(const Json& document) {
-    JsonReader reader(document, "");
-    std::vector<Peer> hosts;
-    for (const Json& host : reader.array("hosts")) {
-        hosts.push_back(read_peer(host));
-    }
-    reader.finish();
-    return hosts;
-}
-
-Json exchange_document(const Exchange& exchange) {
-    Json document = {{"protocol", exchange.protocol},
-                     {"from", peer_document(exchange.from)},
-                     {"generation", exchange.generation},
-                     {"digest", exchange.digest}};
-    if (exchange.details.has_value()) {
-        document["placement_versions"] = exchange.details->placement_versions;
-        document["seat_digests"] = exchange.details->seat_digests;
-    }
-    for (const SeatNews& news : exchange.seats) {
-        document["seats"].push_back({{"seat", news.seat}, {"record", to_document(news.record)}});
-    }
-    for (const SeatLeft& left : exchange.left_seats) {
-        document["left_seats"].push_back({{"seat", left.seat}, {"epoch", left.epoch}});
-    }
-    for (const PendingTakeOut& take_out : exchange.pending) {
-        document["pending"].push_back({{"operation", take_out.operation},
-                                       {"is_data_centre", take_out.is_data_centre},
-                                       {"name", take_out.name}});
-    }
-    for (const SuspicionNotice& notice : exchange.suspicions) {
-        document["suspicions"].push_back({{"fingerprint", std::to_string(notice.fingerprint)},
-                                          {"standing", static_cast<int>(notice.standing)},
-                                          {"remaining_us", notice.remaining.count()}});
-    }
-    if (exchange.configuration.has_value()) {
-        document["configuration"] = to_document(*exchange.configuration);
-    }
-    for (const Placement& placement : exchange.placements) {
-        document["placements"].push_back(to_document(placement));
-    }
-    return document;
-}
-
-SeatNews read_seat_news(const Json& document) {
-    JsonReader reader(document, "seat news");
-    SeatNews news;
-    news.seat = reader.text("seat");
-    news.record = read_seat_record(reader.member("record"));
-    return news;
-}
-
-SeatLeft read_seat_left(const Json& document) {
-    JsonReader reader(document, "left seat");
-    return {reader.text("seat"), reader.integer("epoch", 0, ANY)};
-}
-
-PendingTakeOut read_pending(const Json& document) {
-    JsonReader reader(document, "take-out");
-    return {reader.text("operation"), reader.boolean_or("is_data_centre", true),
-            reader.text("name")};
-}
-
-SuspicionNotice read_notice(const Json& document) {
-    JsonReader reader(document, "suspicion");
-    SuspicionNotice notice;
-    notice.fingerprint = std::stoull(reader.text("fingerprint"));
-    notice.standing = static_cast<Standing>(reader.integer("standing", 0, 2));
-    notice.remaining = Duration(reader.integer("remaining_us", 0, ANY));
-    return notice;
-}
-
-Exchange read_exchange(const Json& document) {
-    JsonReader reader(document, "exchange");
-    Exchange exchange;
-    exchange.protocol = reader.integer("protocol", 0, ANY);
-    user_check(exchange.protocol == PEER_PROTOCOL_VERSION)
-        << "peer speaks protocol " << exchange.protocol << ", this node speaks "
-        << PEER_PROTOCOL_VERSION;
-    exchange.from = read_peer(reader.member("from"));
-    exchange.generation = reader.integer("generation", 0, ANY);
-    exchange.digest = reader.member("digest").get<std::uint64_t>();
-    if (const Json* versions = reader.find("placement_versions")) {
-        ExchangeDetails details;
-        details.placement_versions = versions->get<std::map<std::string, std::int64_t>>();
-        details.seat_digests =
-            reader.member("seat_digests").get<std::map<std::string, std::uint64_t>>();
-        exchange.details = details;
-    }
-    for (const Json& news : reader.array("seats")) {
-        exchange.seats.push_back(read_seat_news(news));
-    }
-    for (const Json& left : reader.array("left_seats")) {
-        exchange.left_seats.push_back(read_seat_left(left));
-    }
-    for (const Json& take_out : reader.array("pending")) {
-        exchange.pending.push_back(read_pending(take_out));
-    }
-    for (const Json& notice : reader.array("suspicions")) {
-        exchange.suspicions.push_back(read_notice(notice));
-    }
-    if (const Json* configuration = reader.find("configuration")) {
-        exchange.configuration = read_configuration(*configuration);
-    }
-    for (const Json& placement : reader.array("placements")) {
-        exchange.placements.push_back(read_placement(placement));
-    }
-    return exchange;
-}
-
 }  // namespace
 
 Result<Json> parse_json(std::string_view text, const std::string& source) {
@@ -458,24 +304,4 @@
     return document;
 }
 
-Result<std::vector<Peer>> hosts_from(const Json& document) {
-    return read_document<std::vector<Peer>>(document, "host list", read_hosts);
-}
-
-std::string encode(const Exchange& exchange) {
-    std::string bytes;
-    Json::to_msgpack(exchange_document(exchange), bytes);
-    return bytes;
-}
-
-Result<Exchange> decode_exchange(std::string_view bytes) {
-    try {
-        const Json document = Json::from_msgpack(bytes.begin(), bytes.end());
-        return read_document<Exchange>(document, "exchange", read_exchange);
-    } catch (const Json::exception& error) {
-        return Error{ErrorCode::protocol,
-                     std::string("exchange is not MessagePack: ") + error.what(), "exchange"};
-    }
-}
-
 }  // namespace ebonymount
--- a/src/io/documents.h
+++ b/src/io/documents.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "base/result.h"
-#include "cluster/exchange.h"
 #include "policy/claim.h"
 #include "policy/placement.h"
 #include "policy/seat.h"
@@ -38,11 +37,4 @@
 
 Json to_document(const std::vector<Change>& changes);
 
-/// The platform's host list.
-Result<std::vector<Peer>> hosts_from(const Json& document);
-
-/// MessagePack of an exchange between nodes, and back.
-std::string encode(const Exchange& exchange);
-Result<Exchange> decode_exchange(std::string_view bytes);
-
 }  // namespace ebonymount
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -15,11 +15,11 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "io/http_status.h"
+
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_BAD_REQUEST = 400;
-constexpr int HTTP_TOO_LARGE = 413;
 constexpr int IDLE_CONNECTION_S = 3600;
 
 /// Pause before connections are told again that the server stops.
@@ -80,7 +80,7 @@
                 connection.socket().close();
                 return;
             }
-            if (reply.status == HTTP_TOO_LARGE) {
+            if (reply.status == http::TOO_LARGE) {
                 response.setKeepAlive(false);
             }
             send_reply(response, reply);
@@ -96,18 +96,18 @@
             call = read_head(request);
         } catch (const Poco::Exception& error) {
             return error_reply(
-                HTTP_BAD_REQUEST,
+                http::BAD_REQUEST,
                 {ErrorCode::invalid_input, "the request's path cannot be read", request.getURI()});
         }
         if (!read_body(request.stream(), m_most_body_bytes, call.body)) {
-            return error_reply(HTTP_TOO_LARGE,
+            return error_reply(http::TOO_LARGE,
                                {ErrorCode::invalid_input, "the body is longer than allowed",
                                 std::to_string(m_most_body_bytes) + " bytes"});
         }
         const std::streamsize announced = request.getContentLength();
         if (announced != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
             static_cast<std::size_t>(announced) != call.body.size()) {
-            return error_reply(HTTP_BAD_REQUEST,
+            return error_reply(http::BAD_REQUEST,
                                {ErrorCode::invalid_input, "the body is shorter than announced",
                                 std::to_string(announced) + " bytes"});
         }
--- /dev/null
+++ b/src/io/peer_documents.h
@@ -0,0 +1,20 @@
+// Documents about nodes: the platform's host list, and what nodes tell each other.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cluster/exchange.h"
+#include "io/documents.h"
+
+namespace ebonymount {
+
+/// The platform's host list.
+Result<std::vector<Peer>> hosts_from(const Json& document);
+
+/// MessagePack of an exchange between nodes, and back.
+std::string encode(const Exchange& exchange);
+Result<Exchange> decode_exchange(std::string_view bytes);
+
+}  // namespace ebonymount
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -4,23 +4,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include "io/http_status.h"
+
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_NOT_FOUND = 404;
-constexpr int HTTP_CONFLICT = 412;
-
 StoreStatus status_of(const HttpAnswer& answer) {
     if (answer.stage != ExchangeStage::answered) {
         return StoreStatus::unknown;
     }
     switch (answer.status) {
-        case HTTP_OK:
+        case http::OK:
             return StoreStatus::done;
-        case HTTP_NOT_FOUND:
+        case http::NOT_FOUND:
             return StoreStatus::absent;
-        case HTTP_CONFLICT:
+        case http::PRECONDITION_FAILED:
             return StoreStatus::conflict;
         default:
             return StoreStatus::unknown;
--- a/src/load/bench.cpp
+++ b/src/load/bench.cpp
@@ -8,11 +8,11 @@
 
 #include "base/check.h"
 #include "io/http_client.h"
+#include "io/http_status.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
 constexpr Duration TIMEOUT = from_ms(10000);
 constexpr Duration READY_LIMIT = from_ms(30000);
 constexpr std::chrono::milliseconds POLL(50);
@@ -26,7 +26,7 @@
           const std::string& body) {
     const HttpAnswer answer = exchange_once(address, {method, path, {}, body}, TIMEOUT);
     const Json document = Json::parse(answer.body, nullptr, false);
-    internal_check(answer.status == HTTP_OK && !document.is_discarded())
+    internal_check(answer.status == http::OK && !document.is_discarded())
         << method << " " << path << " at " << address << " gave status " << answer.status << " "
         << answer.error << answer.body;
     return document;
@@ -34,6 +34,9 @@
 
 bool is_settled(const Json& status, std::size_t seats) {
     std::size_t held = 0;
+    if (!status.contains("seats")) {
+        return false;
+    }
     for (const auto& [seat, record] : status.at("seats").items()) {
         held += record.at("released").get<bool>() ? 0 : 1;
     }
@@ -158,6 +161,10 @@
     return totals;
 }
 
+Json traces_of(const Bench& bench, std::size_t node) {
+    return call(bench.admins.at(node), "GET", "/admin/v1/traces", "");
+}
+
 std::int64_t wall_clock_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
--- a/src/load/experiments.cpp
+++ b/src/load/experiments.cpp
@@ -1,6 +1,7 @@
 #include "load/experiments.h"
 
 #include <algorithm>
+#include <optional>
 #include <thread>
 
 namespace ebonymount {
@@ -177,10 +178,54 @@
     return {{"outage_goodput_over_steady", median(ratios)}};
 }
 
+/// Time that a traced request spent outside its slowest target, or nothing when it was not whole.
+std::optional<double> added_ms(const Json& trace) {
+    if (trace.at("end") != "complete") {
+        return std::nullopt;
+    }
+    std::int64_t whole_us = 0;
+    std::int64_t slowest_us = 0;
+    for (const Json& span : trace.at("spans")) {
+        const std::int64_t duration_us = span.at("duration_us").get<std::int64_t>();
+        if (span.at("name") == "gateway") {
+            whole_us = duration_us;
+        } else if (span.at("name") == "target") {
+            slowest_us = std::max(slowest_us, duration_us);
+        }
+    }
+    return static_cast<double>(whole_us - slowest_us) / 1000.0;
+}
+
+/// What the path adds within one data centre: the others are out meanwhile.
+Figures path(const Bench& bench, const ExperimentSize& size) {
+    constexpr double RATE_PER_S = 200.0;
+    set_data_centre(bench, "north", true);
+    set_data_centre(bench, "west", true);
+    Bench near = bench;
+    near.callers = {bench.callers.at(0), bench.callers.at(1)};
+    load(near, RATE_PER_S, size.requests * 2);
+    set_cells(bench, SERVICE, {{"trace_permille", 1000}});
+    load(near, RATE_PER_S, size.requests * 2);
+    std::vector<double> added;
+    for (std::size_t node = 0; node < 2; ++node) {
+        for (const Json& trace : traces_of(bench, node)) {
+            if (const std::optional<double> milliseconds = added_ms(trace)) {
+                added.push_back(*milliseconds);
+            }
+        }
+    }
+    set_cells(bench, SERVICE, {{"trace_permille", 10}});
+    set_data_centre(bench, "north", false);
+    set_data_centre(bench, "west", false);
+    return {{"path_added_p50_ms", median(added)},
+            {"path_traces", static_cast<double>(added.size())}};
+}
+
 }  // namespace
 
 const std::vector<Experiment>& experiments() {
     static const std::vector<Experiment> all = {
+        {"path", "what gateway and relay add to the slowest target within a data centre", path},
         {"stragglers", "1 in 100 sub-queries takes ten times as long; baseline without hedges",
          stragglers},
         {"extra_load", "1 in 10 sub-queries takes thirty times as long; baseline without budget",
--- a/src/load/open_loop.cpp
+++ b/src/load/open_loop.cpp
@@ -9,13 +9,11 @@
 #include <thread>
 
 #include "io/http_client.h"
+#include "io/http_status.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_UNAVAILABLE = 503;
-
 /// Connections of one worker, one per caller address.
 using Connections = std::map<std::string, HttpConnection>;
 
@@ -93,9 +91,9 @@
         summary.coverage += coverage / static_cast<double>(samples.size());
         summary.least_coverage = std::min(summary.least_coverage, coverage);
         summary.most_ms = std::max(summary.most_ms, to_ms(sample.latency));
-        if (sample.status == HTTP_OK) {
+        if (sample.status == http::OK) {
             ++(sample.coverage_permille == 1000 ? summary.whole : summary.partial);
-        } else if (sample.status == HTTP_UNAVAILABLE && sample.verdict == "not_run") {
+        } else if (sample.status == http::UNAVAILABLE && sample.verdict == "not_run") {
             ++summary.refused;
         } else {
             ++summary.failed;
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -3,18 +3,11 @@
 #include <charconv>
 
 #include "io/documents.h"
+#include "io/http_status.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_BAD_REQUEST = 400;
-constexpr int HTTP_NOT_FOUND = 404;
-constexpr int HTTP_CONFLICT = 409;
-constexpr int HTTP_QUARANTINED = 422;
-constexpr int HTTP_UNAVAILABLE = 503;
-constexpr int HTTP_TIMEOUT = 504;
-
 constexpr std::int64_t MOST_TIMEOUT_MS = 60000;
 constexpr std::size_t MOST_KEY_LENGTH = 128;
 
@@ -41,35 +34,35 @@
     switch (code) {
         case ErrorCode::invalid_input:
         case ErrorCode::protocol:
-            return HTTP_BAD_REQUEST;
+            return http::BAD_REQUEST;
         case ErrorCode::not_found:
-            return HTTP_NOT_FOUND;
+            return http::NOT_FOUND;
         case ErrorCode::conflict:
-            return HTTP_CONFLICT;
+            return http::CONFLICT;
         case ErrorCode::timeout:
-            return HTTP_TIMEOUT;
+            return http::TIMEOUT;
         case ErrorCode::unavailable:
         case ErrorCode::refused:
-            return HTTP_UNAVAILABLE;
+            return http::UNAVAILABLE;
     }
-    return HTTP_UNAVAILABLE;
+    return http::UNAVAILABLE;
 }
 
 int status_for(const GatherOutcome& outcome) {
     switch (outcome.end) {
         case GatherEnd::complete:
         case GatherEnd::partial:
-            return HTTP_OK;
+            return http::OK;
         case GatherEnd::rejected:
-            return HTTP_BAD_REQUEST;
+            return http::BAD_REQUEST;
         case GatherEnd::quarantined:
-            return HTTP_QUARANTINED;
+            return http::UNPROCESSABLE;
         case GatherEnd::unknown_service:
-            return HTTP_NOT_FOUND;
+            return http::NOT_FOUND;
         case GatherEnd::no_answer:
             break;
     }
-    return outcome.verdict == Verdict::not_run ? HTTP_UNAVAILABLE : HTTP_TIMEOUT;
+    return outcome.verdict == Verdict::not_run ? http::UNAVAILABLE : http::TIMEOUT;
 }
 
 /// A target's result as JSON; a result that is not JSON is passed on as text.
@@ -116,15 +109,15 @@
 
 HttpReply CallerApi::handle(const HttpCall& call) {
     if (call.path == "/live") {
-        return make_reply(HTTP_OK, "{\"live\":true}");
+        return make_reply(http::OK, "{\"live\":true}");
     }
     if (call.path == "/ready") {
         const bool ready = m_state.is_ready(monotonic_now());
-        return make_reply(ready ? HTTP_OK : HTTP_UNAVAILABLE,
+        return make_reply(ready ? http::OK : http::UNAVAILABLE,
                           std::string("{\"ready\":") + (ready ? "true}" : "false}"));
     }
     if (call.path == "/metrics") {
-        HttpReply reply = make_reply(HTTP_OK, m_state.metrics().text());
+        HttpReply reply = make_reply(http::OK, m_state.metrics().text());
         reply.content_type = "text/plain";
         return reply;
     }
--- a/src/node/peer_exchanger.cpp
+++ b/src/node/peer_exchanger.cpp
@@ -1,6 +1,6 @@
 #include "node/peer_exchanger.h"
 
-#include "io/documents.h"
+#include "io/peer_documents.h"
 
 namespace ebonymount {
 
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "io/documents.h"
+#include "io/peer_documents.h"
 
 namespace ebonymount {
 namespace {
--- a/src/node/seat_keeper.cpp
+++ b/src/node/seat_keeper.cpp
@@ -135,7 +135,16 @@
     }
     m_may_rebalance = m_state.described_self(monotonic_now()).reaches_platform && !nodes.empty();
     for (const std::string& seat : seats) {
-        advance(seat, m_machines[seat], SeatTick{});
+        // Only the assigned holder and one standby look at a seat, so that the platform's load does
+        // not grow with the square of the nodes.
+        const std::string holder = successor_of(seat);
+        const std::string& self = m_state.self().node;
+        const bool concerned = is_held(m_machines[seat]) || holder == self ||
+                               m_machines[seat].handover_epoch.has_value() ||
+                               standby_of(seat, holder, nodes) == self;
+        if (concerned) {
+            advance(seat, m_machines[seat], SeatTick{});
+        }
     }
 }
 
--- a/src/node/target_worker.cpp
+++ b/src/node/target_worker.cpp
@@ -3,17 +3,11 @@
 #include <algorithm>
 
 #include "base/check.h"
+#include "io/http_status.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_BAD_REQUEST = 400;
-constexpr int HTTP_SNAPSHOT_MISSING = 409;
-constexpr int HTTP_SHED = 429;
-constexpr int HTTP_CANCELLED = 499;
-constexpr int HTTP_DRAINING = 503;
-
 /// Time beyond the deadline for which an answer is still awaited, so that the slot is not counted
 /// free while the target works on.
 constexpr Duration ANSWER_GRACE = from_ms(250);
@@ -338,31 +332,31 @@
         return;
     }
     switch (answer.status) {
-        case HTTP_OK:
+        case http::OK:
             on_success(m_ledger, the_row, header_of(answer, "X-Incarnation"), service_time, now);
             set_status(outcome, AttemptStatus::answered, Verdict::ran);
             outcome.snapshot = header_of(answer, "X-Snapshot");
             outcome.digest = header_of(answer, "X-Digest");
             outcome.result = answer.body;
             return;
-        case HTTP_SHED:
+        case http::TOO_MANY_REQUESTS:
             on_shed(m_ledger, now);
             set_status(outcome, AttemptStatus::shed, Verdict::not_run);
             return;
-        case HTTP_DRAINING:
+        case http::UNAVAILABLE:
             on_draining(m_ledger, now);
             set_status(outcome, AttemptStatus::shed, Verdict::not_run);
             return;
-        case HTTP_SNAPSHOT_MISSING:
+        case http::CONFLICT:
             on_end_without_evidence(m_ledger);
             set_status(outcome, AttemptStatus::snapshot_missing, Verdict::not_run);
             return;
-        case HTTP_BAD_REQUEST:
+        case http::BAD_REQUEST:
             on_end_without_evidence(m_ledger);
             set_status(outcome, AttemptStatus::rejected, Verdict::not_run);
             outcome.result = answer.body;
             return;
-        case HTTP_CANCELLED:
+        case http::CANCELLED:
             on_end_without_evidence(m_ledger);
             set_status(outcome, AttemptStatus::cancelled, Verdict::may_have_run);
             return;
--- /dev/null
+++ b/src/policy/attempt.h
@@ -0,0 +1,45 @@
+// How one attempt at a target ends, and what that tells of the request and the target.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/verdict.h"
+
+namespace ebonymount {
+
+/// How one attempt at a target ended.
+enum class AttemptStatus : std::uint8_t {
+    answered,          ///< The target ran the request and its whole answer arrived.
+    rejected,          ///< The target refused the request for its content.
+    overloaded,        ///< The relay could not start it in time; never sent.
+    not_owner,         ///< The relay does not hold the target's seat; never sent.
+    out_of_service,    ///< Target, host or data centre is out; never sent.
+    unreachable,       ///< No connection to target or relay; never sent.
+    shed,              ///< The target refused it before it started.
+    snapshot_missing,  ///< The target does not hold the pinned snapshot.
+    target_lost,       ///< The connection to the target broke while it may have been running.
+    relay_lost,        ///< The link to the relay broke after the request was sent to it.
+    timed_out,         ///< No answer before the deadline.
+    cancelled,         ///< Cancelled at the gateway's wish.
+};
+
+/// Name of a status in traces and errors.
+const char* name_of(AttemptStatus status);
+
+/// True when the attempt put load on a target.
+bool reached_target(AttemptStatus status);
+
+/// What a relay reports of one attempt.
+struct AttemptOutcome {
+    std::uint64_t attempt = 0;
+    AttemptStatus status = AttemptStatus::unreachable;
+    Verdict verdict = Verdict::not_run;
+    std::string snapshot;
+    std::string digest;
+    std::string result;
+
+    friend bool operator==(const AttemptOutcome&, const AttemptOutcome&) = default;
+};
+
+}  // namespace ebonymount
--- a/src/policy/gather.h
+++ b/src/policy/gather.h
@@ -13,7 +13,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "base/verdict.h"
+#include "policy/attempt.h"
 #include "policy/coverage.h"
 #include "policy/extra_load.h"
 #include "policy/latency.h"
@@ -23,40 +23,6 @@
 
 namespace ebonymount {
 
-/// How one attempt at a target ended.
-enum class AttemptStatus : std::uint8_t {
-    answered,          ///< The target ran the request and its whole answer arrived.
-    rejected,          ///< The target refused the request for its content.
-    overloaded,        ///< The relay could not start it in time; never sent.
-    not_owner,         ///< The relay does not hold the target's seat; never sent.
-    out_of_service,    ///< Target, host or data centre is out; never sent.
-    unreachable,       ///< No connection to target or relay; never sent.
-    shed,              ///< The target refused it before it started.
-    snapshot_missing,  ///< The target does not hold the pinned snapshot.
-    target_lost,       ///< The connection to the target broke while it may have been running.
-    relay_lost,        ///< The link to the relay broke after the request was sent to it.
-    timed_out,         ///< No answer before the deadline.
-    cancelled,         ///< Cancelled at the gateway's wish.
-};
-
-/// Name of a status in traces and errors.
-const char* name_of(AttemptStatus status);
-
-/// True when the attempt put load on a target.
-bool reached_target(AttemptStatus status);
-
-/// What a relay reports of one attempt.
-struct AttemptOutcome {
-    std::uint64_t attempt = 0;
-    AttemptStatus status = AttemptStatus::unreachable;
-    Verdict verdict = Verdict::not_run;
-    std::string snapshot;
-    std::string digest;
-    std::string result;
-
-    friend bool operator==(const AttemptOutcome&, const AttemptOutcome&) = default;
-};
-
 /// Why a gather ended as it did.
 enum class GatherEnd : std::uint8_t {
     complete,         ///< Every shard answered.
--- a/src/policy/seat.cpp
+++ b/src/policy/seat.cpp
@@ -123,6 +123,16 @@
     return holders;
 }
 
+std::string standby_of(const std::string& seat, const std::string& holder,
+                       const std::vector<std::string>& nodes) {
+    for (const std::string& node : rendezvous_order(seat, nodes)) {
+        if (node != holder) {
+            return node;
+        }
+    }
+    return "";
+}
+
 std::vector<std::string> seat_names(const std::string& data_centre, std::int64_t seat_count) {
     std::vector<std::string> names;
     for (std::int64_t number = 0; number < seat_count; ++number) {
--- a/src/policy/seat.h
+++ b/src/policy/seat.h
@@ -107,6 +107,11 @@
 std::vector<std::string> assign_seats(const std::vector<std::string>& seats,
                                       const std::vector<std::string>& nodes);
 
+/// The node that watches a seat besides its assigned holder, to take it when the holder cannot;
+/// empty when there is no other node.
+std::string standby_of(const std::string& seat, const std::string& holder,
+                       const std::vector<std::string>& nodes);
+
 /// Names of all seats of a data centre.
 std::vector<std::string> seat_names(const std::string& data_centre, std::int64_t seat_count);
 
--- a/test/correctness/test_exchange.cpp
+++ b/test/correctness/test_exchange.cpp
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "cluster/exchange.h"
-#include "io/documents.h"
+#include "io/peer_documents.h"
 
 using namespace ebonymount;
 
@@ -124,6 +124,24 @@
     CHECK_FALSE(is_isolated(knowledge, self, from_ms(4000), START + from_ms(4000)));
 }
 
+TEST_CASE("a node that was not heard directly is known to be alive through others") {
+    ClusterKnowledge knowledge;
+    SuspicionList none;
+    Exchange news = from("b", 1);
+    news.alive.push_back({"c", 4, 2000, true});
+    merge(knowledge, none, news, START);
+    Peer self = make_peer("a", 1);
+    self.reaches_platform = true;
+    CHECK(live_nodes(knowledge, self, START) == std::vector<std::string>{"a#1", "b#1", "c#4"});
+    CHECK(seat_candidates(knowledge, self, START) == std::vector<std::string>{"a#1", "c#4"});
+    CHECK(live_nodes(knowledge, self, START + from_ms(8000)).size() == 2);
+    // Old news does not make it look fresher, and it does not count as hearing from it.
+    news.alive[0].age_ms = 9000;
+    merge(knowledge, none, news, START + from_ms(1000));
+    CHECK(live_nodes(knowledge, self, START + from_ms(8500)).size() == 2);
+    CHECK(knowledge.heard_from.count("c") == 0);
+}
+
 TEST_CASE("an empty host list is a fault of its source and changes nothing") {
     ClusterKnowledge knowledge;
     Peer leaving = make_peer("h", 0);
--- a/test/correctness/test_seat.cpp
+++ b/test/correctness/test_seat.cpp
@@ -89,6 +89,14 @@
     CHECK(assign_seats(seats, {}).empty());
 }
 
+TEST_CASE("one node other than the holder stands by for a seat") {
+    const std::vector<std::string> nodes = {"a", "b", "c"};
+    const std::string standby = standby_of("dc/0", "a", nodes);
+    CHECK((standby == "b" || standby == "c"));
+    CHECK(standby_of("dc/0", "a", {"c", "b", "a"}) == standby);
+    CHECK(standby_of("dc/0", "a", {"a"}).empty());
+}
+
 TEST_CASE("a target keeps its seat whatever hosts come and go") {
     std::set<std::string> used;
     for (int number = 0; number < 40; ++number) {
--- a/test/error/test_bad_input.cpp
+++ b/test/error/test_bad_input.cpp
@@ -3,7 +3,7 @@
 #include <sstream>
 
 #include "admin/ctl.h"
-#include "io/documents.h"
+#include "io/peer_documents.h"
 #include "node/caller_api.h"
 #include "node/settings.h"
 #include "scenario/script.h"
--- a/test/failure/test_promises.cpp
+++ b/test/failure/test_promises.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr int BASE_PORT = 31000;
+constexpr int BASE_PORT = 10000;
 
 int runs_of(TestCluster& cluster, const std::string& service, const std::string& key) {
     int runs = 0;
--- a/test/standin/deployment.cpp
+++ b/test/standin/deployment.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr int PLATFORM_PORT = 500;
-constexpr int LINK_CONTROL_PORT = 501;
-constexpr int TARGET_CONTROL_PORT = 510;
-constexpr int FIRST_LINK_PORT = 600;
+constexpr int PLATFORM_PORT = 8500;
+constexpr int LINK_CONTROL_PORT = 8501;
+constexpr int TARGET_CONTROL_PORT = 8510;
+constexpr int FIRST_LINK_PORT = 2000;
 constexpr int FIRST_TARGET_PORT = 1000;
 
 std::string loopback(int port) {
@@ -84,7 +84,7 @@
                      {"peer_routes", Json::object()}};
     for (int other = 0; other < node_count(deployment); ++other) {
         const int theirs = other / deployment.nodes_per_data_centre;
-        if (theirs == own) {
+        if (theirs == own || !deployment.has_links) {
             continue;
         }
         const std::string& host = hosts.at(static_cast<std::size_t>(other));
--- a/test/standin/deployment.h
+++ b/test/standin/deployment.h
@@ -33,6 +33,8 @@
     int nodes_per_data_centre = 2;
     std::vector<ServicePlan> services;
     int base_port = 20000;
+    /// Off: nodes reach each other directly, without stand-ins for the links.
+    bool has_links = true;
     std::string first_snapshot = "v1";
 };
 
--- a/test/standin/deployment_files.cpp
+++ b/test/standin/deployment_files.cpp
@@ -1,6 +1,6 @@
 // Writes the files of a deployment for the stand-ins and nodes.
 //
-// Usage: deployment_files lathe|quiosques DIRECTORY [NODES_PER_DATA_CENTRE [BASE_PORT]]
+// Usage: deployment_files lathe|quiosques DIRECTORY [NODES_PER_DATA_CENTRE [BASE_PORT [direct]]]
 #include <iostream>
 
 #include "deployment.h"
@@ -8,7 +8,8 @@
 int main(int argc, char** argv) {
     const std::string name = argc > 1 ? argv[1] : "";
     if (argc < 3 || (name != "lathe" && name != "quiosques")) {
-        std::cerr << "usage: deployment_files lathe|quiosques DIRECTORY [NODES [BASE_PORT]]\n";
+        std::cerr
+            << "usage: deployment_files lathe|quiosques DIRECTORY [NODES [BASE_PORT [direct]]]\n";
         return 2;
     }
     standin::Deployment deployment = name == "lathe" ? standin::lathe() : standin::quiosques();
@@ -18,6 +19,7 @@
     if (argc > 4) {
         deployment.base_port = std::stoi(argv[4]);
     }
+    deployment.has_links = argc <= 5;
     standin::write_files(deployment, argv[2]);
     return 0;
 }
--- a/test/standin/fake_target.cpp
+++ b/test/standin/fake_target.cpp
@@ -4,6 +4,7 @@
 
 #include "base/check.h"
 #include "base/hash.h"
+#include "io/http_status.h"
 
 namespace standin {
 
@@ -14,13 +15,6 @@
 
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_BAD_REQUEST = 400;
-constexpr int HTTP_SNAPSHOT_MISSING = 409;
-constexpr int HTTP_SHED = 429;
-constexpr int HTTP_CANCELLED = 499;
-constexpr int HTTP_DRAINING = 503;
-
 /// Threads beyond the slots, for requests that are shed and for cancellations.
 constexpr int SPARE_THREADS = 12;
 
@@ -167,18 +161,18 @@
     const std::chrono::microseconds allowed(std::stoll(call.header("X-Deadline-Us")));
     std::unique_lock<std::mutex> lock(m_mutex);
     if (m_draining) {
-        return make_reply(HTTP_DRAINING, "{}");
+        return make_reply(ebonymount::http::UNAVAILABLE, "{}");
     }
     if (contains(call.body, "\"reject\"")) {
-        return make_reply(HTTP_BAD_REQUEST, "{\"message\":\"rejected\"}");
+        return make_reply(ebonymount::http::BAD_REQUEST, "{\"message\":\"rejected\"}");
     }
     const bool holds = m_traits.snapshots.empty() || m_traits.snapshots.count(snapshot) > 0;
     if (!holds && !m_lying) {
-        return make_reply(HTTP_SNAPSHOT_MISSING, "{}");
+        return make_reply(ebonymount::http::CONFLICT, "{}");
     }
     if (!admit_locked()) {
         ++m_report.shed;
-        return make_reply(HTTP_SHED, "{}");
+        return make_reply(ebonymount::http::TOO_MANY_REQUESTS, "{}");
     }
     ++m_running;
     ++m_report.started;
@@ -203,16 +197,16 @@
     }
     if (m_cancelled.erase(attempt) > 0 || work > allowed) {
         ++m_report.cancelled;
-        return make_reply(HTTP_CANCELLED, "{}");
+        return make_reply(ebonymount::http::CANCELLED, "{}");
     }
     ++m_report.answered;
     m_cold_told = true;
     if (m_cold && ++m_warm_work >= m_traits.warm_after) {
         m_cold = false;
     }
-    HttpReply reply = make_reply(
-        HTTP_OK, "{\"target\":\"" + m_traits.id +
-                     "\",\"echo\":" + (call.body.empty() ? std::string("null") : call.body) + "}");
+    HttpReply reply = make_reply(ebonymount::http::OK,
+                                 "{\"target\":\"" + m_traits.id + "\",\"echo\":" +
+                                     (call.body.empty() ? std::string("null") : call.body) + "}");
     reply.headers = {{"X-Snapshot", snapshot},
                      {"X-Digest", holds ? digest_of(snapshot, shard) : "none"},
                      {"X-Incarnation", std::to_string(m_incarnation)}};
@@ -223,7 +217,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_cancelled.insert(call.header("X-Attempt"));
     m_wake.notify_all();
-    return make_reply(HTTP_OK, "{}");
+    return make_reply(ebonymount::http::OK, "{}");
 }
 
 /// Sheds what does not fit and counts it as an overload.
--- a/test/standin/object_store.cpp
+++ b/test/standin/object_store.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "io/http_status.h"
+
 namespace standin {
 
 using ebonymount::HttpCall;
@@ -12,10 +14,6 @@
 
 namespace {
 
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_NOT_FOUND = 404;
-constexpr int HTTP_CONFLICT = 412;
-
 int number_or(const HttpCall& call, const std::string& name, int otherwise) {
     const std::string text = call.parameter(name);
     return text.empty() ? otherwise : std::stoi(text);
@@ -71,7 +69,7 @@
     if (call.path == "/hosts") {
         return hosts(call);
     }
-    return make_reply(HTTP_NOT_FOUND, "{}");
+    return make_reply(ebonymount::http::NOT_FOUND, "{}");
 }
 
 HttpReply ObjectStore::read(const std::string& name) {
@@ -79,9 +77,9 @@
     ++m_counts["reads"];
     const auto found = m_objects.find(name);
     if (found == m_objects.end()) {
-        return versioned(HTTP_NOT_FOUND, "", 0);
+        return versioned(ebonymount::http::NOT_FOUND, "", 0);
     }
-    return versioned(HTTP_OK, found->second.value, found->second.version);
+    return versioned(ebonymount::http::OK, found->second.value, found->second.version);
 }
 
 HttpReply ObjectStore::write(const HttpCall& call) {
@@ -96,7 +94,7 @@
         if (version == 0) {
             m_objects.erase(name);
         }
-        return versioned(HTTP_CONFLICT, "", version);
+        return versioned(ebonymount::http::PRECONDITION_FAILED, "", version);
     }
     object.version = ++m_version;
     object.value = call.body;
@@ -106,7 +104,7 @@
         ++m_counts["lost_confirmations"];
         return dropped();
     }
-    return versioned(HTTP_OK, "", object.version);
+    return versioned(ebonymount::http::OK, "", object.version);
 }
 
 HttpReply ObjectStore::list(const std::string& prefix) {
@@ -118,7 +116,7 @@
             items.push_back({{"name", name}, {"version", object.version}, {"value", object.value}});
         }
     }
-    return make_reply(HTTP_OK, items.dump());
+    return make_reply(ebonymount::http::OK, items.dump());
 }
 
 HttpReply ObjectStore::watch(const HttpCall& call) {
@@ -132,7 +130,7 @@
     if (m_faults.down) {
         return dropped();
     }
-    return versioned(HTTP_OK, "", std::max(after, highest(prefix)));
+    return versioned(ebonymount::http::OK, "", std::max(after, highest(prefix)));
 }
 
 HttpReply ObjectStore::hosts(const HttpCall& call) {
@@ -145,11 +143,11 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(lag_ms));
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_hosts = call.body;
-        return make_reply(HTTP_OK, "{}");
+        return make_reply(ebonymount::http::OK, "{}");
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
     ++m_counts["host_lists"];
-    return make_reply(HTTP_OK, m_hosts);
+    return make_reply(ebonymount::http::OK, m_hosts);
 }
 
 HttpReply ObjectStore::set_faults(const HttpCall& call) {
@@ -160,12 +158,12 @@
         number_or(call, "lost_confirmations", m_faults.lost_confirmations);
     m_faults.host_lag_ms = number_or(call, "host_lag_ms", m_faults.host_lag_ms);
     m_changed.notify_all();
-    return make_reply(HTTP_OK, "{}");
+    return make_reply(ebonymount::http::OK, "{}");
 }
 
 HttpReply ObjectStore::stats() const {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    return make_reply(HTTP_OK, nlohmann::json(m_counts).dump());
+    return make_reply(ebonymount::http::OK, nlohmann::json(m_counts).dump());
 }
 
 std::int64_t ObjectStore::highest(const std::string& prefix) const {
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -44,3 +44,22 @@
     done
     return 0
 }
+
+# CPU ticks that all nodes have used.
+node_ticks() {
+    local sum=0 pid
+    for pid in "${NODE_PID[@]}"; do
+        sum=$((sum + $(awk '{print $14 + $15}' "/proc/$pid/stat")))
+    done
+    echo "$sum"
+}
+
+# A counter, summed over all nodes.
+node_counter() {
+    local sum=0 file address
+    for file in "$DIR"/node-*.json; do
+        address="$(sed -n 's/.*"caller_address": "\(.*\)".*/\1/p' "$file")"
+        sum=$((sum + $(curl -s "http://$address/metrics" | awk -v name="$1" '$1 == name {print $2}')))
+    done
+    echo "$sum"
+}
--- a/tools/measure_control.sh
+++ b/tools/measure_control.sh
@@ -16,25 +16,8 @@
 source tools/deployment.sh
 ticks_per_s="$(getconf CLK_TCK)"
 
-# CPU ticks of all nodes.
-node_ticks() {
-    local sum=0 pid
-    for pid in "${NODE_PID[@]}"; do
-        sum=$((sum + $(awk '{print $14 + $15}' "/proc/$pid/stat")))
-    done
-    echo "$sum"
-}
-# A counter summed over all nodes.
-node_counter() {
-    local sum=0 file address
-    for file in "$DIR"/node-*.json; do
-        address="$(sed -n 's/.*"caller_address": "\(.*\)".*/\1/p' "$file")"
-        sum=$((sum + $(curl -s "http://$address/metrics" | awk -v name="$1" '$1 == name {print $2}')))
-    done
-    echo "$sum"
-}
 platform_calls() {
-    curl -s "http://127.0.0.1:20500/stats" | sed -n 's/.*"calls":\([0-9]*\).*/\1/p'
+    curl -s "http://127.0.0.1:28500/stats" | sed -n 's/.*"calls":\([0-9]*\).*/\1/p'
 }
 resident_kb() {
     local sum=0 pid
@@ -51,9 +34,9 @@
     PIDS=()
     unset NODE_PID
     trap 'stop_deployment; rm -rf "$DIR"' EXIT
-    "$BUILD/deployment_files" lathe "$DIR" "$size"
+    "$BUILD/deployment_files" lathe "$DIR" "$size" 20000 direct
     start_deployment
-    sleep 5
+    sleep 20
     ticks="$(node_ticks)"; bytes="$(node_counter ebonymount_peer_bytes_out_total)"; calls="$(platform_calls)"
     sleep "$seconds"
     nodes="${#NODE_PID[@]}"
