Use a hand-over's ledgers once

Cause: a seat kept the ledgers of its hand-over, so a target that came to another address later was taken for warm. Ruled out: a target that restarts in place, whose connections break. Change: ledgers count only for workers started when the seat opens. The long function of the relay is split on the way. Before: test_relay failed (stage 6 instead of 0). After: it passes.

--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -5,13 +5,6 @@
 
 constexpr int CANCEL_THREADS = static_cast<int>(CANCEL_CONNECTIONS);
 
-/// A target with the service it belongs to.
-struct PlacedTarget {
-    std::string service;
-    Target target;
-    std::string seat;
-};
-
 std::vector<PlacedTarget> targets_in(const RoutingView& view, const std::string& data_centre) {
     std::vector<PlacedTarget> placed;
     for (const auto& [service, placement] : view.placements) {
@@ -76,9 +69,9 @@
 void Relay::open_seat(const std::string& seat, const WarmLedgers& ledgers) {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        m_open_seats[seat] = ledgers;
+        m_open_seats.insert(seat);
     }
-    follow_view();
+    rebuild_workers(ledgers);
 }
 
 std::optional<WarmLedgers> Relay::close_seat(const std::string& seat, Duration most) {
@@ -113,6 +106,10 @@
 }
 
 void Relay::follow_view() {
+    rebuild_workers({});
+}
+
+void Relay::rebuild_workers(const WarmLedgers& ledgers) {
     const std::shared_ptr<const RoutingView> view = m_state.view();
     const std::vector<PlacedTarget> placed = targets_in(*view, m_state.self().data_centre);
     WorkerMap ended;
@@ -120,39 +117,40 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         WorkerMap kept;
         for (const PlacedTarget& place : placed) {
-            const auto open = m_open_seats.find(place.seat);
-            if (open == m_open_seats.end()) {
-                continue;
-            }
-            const std::string key = worker_key(place.service, place.target.id);
-            const auto old = m_workers.find(key);
-            const bool same = old != m_workers.end() &&
-                              old->second->target().address == place.target.address &&
-                              old->second->seat() == place.seat;
-            if (same) {
-                kept[key] = old->second;
-                old->second->follow_limits();
-            } else {
-                const auto warm = open->second.find(place.target.id);
-                const TargetLedger ledger =
-                    warm == open->second.end() ? TargetLedger{} : warm->second;
-                kept[key] = std::make_shared<TargetWorker>(m_state, place.service, place.target,
-                                                           place.seat, ledger);
-            }
-        }
-        for (const auto& [key, worker] : m_workers) {
-            const auto found = kept.find(key);
-            if (found == kept.end() || found->second != worker) {
-                ended[key] = worker;
+            if (m_open_seats.count(place.seat) > 0) {
+                const std::string key = worker_key(place.service, place.target.id);
+                kept[key] = worker_for(key, place, ledgers);
             }
         }
+        ended.swap(m_workers);
         m_workers = std::move(kept);
+        const auto is_kept = [this](const auto& item) {
+            const auto found = m_workers.find(item.first);
+            return found != m_workers.end() && found->second == item.second;
+        };
+        std::erase_if(ended, is_kept);
     }
     for (const auto& [key, worker] : ended) {
         worker->close_queue();
     }
 }
 
+/// The worker that serves the target already, or a new one. Called with the lock.
+std::shared_ptr<TargetWorker> Relay::worker_for(const std::string& key, const PlacedTarget& place,
+                                                const WarmLedgers& ledgers) {
+    const auto old = m_workers.find(key);
+    const bool same = old != m_workers.end() &&
+                      old->second->target().address == place.target.address &&
+                      old->second->seat() == place.seat;
+    if (same) {
+        old->second->follow_limits();
+        return old->second;
+    }
+    const auto warm = ledgers.find(place.target.id);
+    const TargetLedger ledger = warm == ledgers.end() ? TargetLedger{} : warm->second;
+    return std::make_shared<TargetWorker>(m_state, place.service, place.target, place.seat, ledger);
+}
+
 std::vector<TargetStatus> Relay::status() const {
     WorkerMap workers;
     {
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
 /// What a planned hand-over tells the successor of a seat.
 using WarmLedgers = std::map<std::string, TargetLedger>;
 
+/// A target of this data centre with its service and seat.
+struct PlacedTarget {
+    std::string service;
+    Target target;
+    std::string seat;
+};
+
 class Relay {
 public:
     explicit Relay(NodeState& state);
@@ -47,10 +55,15 @@
 
     std::shared_ptr<TargetWorker> find_worker(const std::string& key) const;
 
+    /// Ledgers count for workers that are started now; targets that come later start cold.
+    void rebuild_workers(const WarmLedgers& ledgers);
+    std::shared_ptr<TargetWorker> worker_for(const std::string& key, const PlacedTarget& place,
+                                             const WarmLedgers& ledgers);
+
     NodeState& m_state;
     mutable std::mutex m_mutex;
     WorkerMap m_workers;
-    std::map<std::string, WarmLedgers> m_open_seats;
+    std::set<std::string> m_open_seats;
     TaskQueue m_cancels;
 };
 
--- /dev/null
+++ b/test/correctness/test_relay.cpp
@@ -0,0 +1,68 @@
+// The relay's workers as seats open and placements change.
+#include <catch2/catch.hpp>
+
+#include "node/relay.h"
+
+using namespace ebonymount;
+
+namespace {
+
+const std::string SEAT = "x/0";
+
+NodeSettings make_settings() {
+    NodeSettings settings;
+    settings.host = "h";
+    settings.data_centre = "x";
+    settings.peer_address = "127.0.0.1:1";
+    return settings;
+}
+
+Placement placed_at(const std::string& address, std::int64_t version) {
+    Placement placement;
+    placement.service = "svc";
+    placement.version = version;
+    placement.targets.push_back({"t", "x", "target-host", address, false});
+    return placement;
+}
+
+void publish(NodeState& state, const Placement& placement) {
+    state.change_knowledge([&placement](ClusterKnowledge& knowledge, SuspicionList&) {
+        Configuration configuration;
+        configuration.generation = 1;
+        configuration.seats_per_data_centre = 1;
+        configuration.rows.emplace_back();
+        configuration.rows.back().service = "svc";
+        adopt(knowledge, configuration);
+        return adopt(knowledge, placement);
+    });
+}
+
+}  // namespace
+
+TEST_CASE("a hand-over's ledger is used once: a target that moves afterwards starts cold") {
+    NodeState state(make_settings(), 1);
+    Relay relay(state);
+    publish(state, placed_at("127.0.0.1:9", 1));
+    TargetLedger warm;
+    warm.stage = WARM_STAGE;
+    relay.open_seat(SEAT, {{"t", warm}});
+    REQUIRE(relay.status().size() == 1);
+    CHECK(relay.status().front().ledger.stage == WARM_STAGE);
+    relay.follow_view();
+    CHECK(relay.status().front().ledger.stage == WARM_STAGE);
+    publish(state, placed_at("127.0.0.1:10", 2));
+    relay.follow_view();
+    REQUIRE(relay.status().size() == 1);
+    CHECK(relay.status().front().ledger.stage == 0);
+}
+
+TEST_CASE("a seat that was closed has no workers") {
+    NodeState state(make_settings(), 1);
+    Relay relay(state);
+    publish(state, placed_at("127.0.0.1:9", 1));
+    relay.open_seat(SEAT, {});
+    REQUIRE(relay.status().size() == 1);
+    REQUIRE(relay.close_seat(SEAT, from_ms(1000)).has_value());
+    relay.follow_view();
+    CHECK(relay.status().empty());
+}
