--- a/src/load/open_loop.cpp
+++ b/src/load/open_loop.cpp
@@ -73,6 +73,7 @@
         }
     };
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<std::size_t>(options.threads));
     for (int worker = 0; worker < options.threads; ++worker) {
         workers.emplace_back(work);
     }
--- a/test/failure/test_http_server.cpp
+++ b/test/failure/test_http_server.cpp
@@ -48,6 +48,7 @@
         HttpServer& server = *std::get<std::unique_ptr<HttpServer>>(started);
         std::atomic<bool> done{false};
         std::vector<std::thread> callers;
+        callers.reserve(CALLERS);
         for (int caller = 0; caller < CALLERS; ++caller) {
             callers.emplace_back([&server, &done] { hold_connections(server.address(), done); });
         }
--- a/test/failure/test_promises.cpp
+++ b/test/failure/test_promises.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int BASE_PORT = 10000;
+constexpr std::size_t MOST_CALLERS = 8;
 
 int runs_of(TestCluster& cluster, const std::string& service, const std::string& key) {
     int runs = 0;
@@ -67,6 +68,7 @@
     cluster.start_all();
     std::atomic<int> wrong{0};
     std::vector<std::thread> callers;
+    callers.reserve(MOST_CALLERS);
     for (int caller = 0; caller < 8; ++caller) {
         callers.emplace_back([&cluster, &wrong, caller] {
             for (int number = 0; number < 10; ++number) {
@@ -92,6 +94,7 @@
     for (int number = 0; number < 5; ++number) {
         const std::string key = "k" + std::to_string(number);
         std::vector<std::thread> callers;
+        callers.reserve(MOST_CALLERS);
         for (std::size_t node = 0; node < 3; ++node) {
             callers.emplace_back(
                 [&cluster, &key, node] { cluster.submit(node, "booking", key, "{\"stand\":1}"); });
@@ -197,6 +200,7 @@
     std::atomic<int> served{0};
     std::atomic<int> failed{0};
     std::vector<std::thread> callers;
+    callers.reserve(MOST_CALLERS);
     for (int caller = 0; caller < 4; ++caller) {
         callers.emplace_back([&cluster, &done, &served, &failed, caller] {
             for (std::size_t number = 0; !done; ++number) {
@@ -274,6 +278,7 @@
     cluster.start_all();
     std::atomic<bool> done{false};
     std::vector<std::thread> callers;
+    callers.reserve(MOST_CALLERS);
     for (int caller = 0; caller < 4; ++caller) {
         callers.emplace_back([&cluster, &done] {
             while (!done) {
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the experiments on Lathe & Burr's deployment. The last line is one JSON object.
 #
-#   tools/bench.sh [--quick] [--only NAME]
+#   tools/bench.sh [--quick] [--rounds N] [--only NAME]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rounds=3
@@ -10,6 +10,7 @@
 while [ $# -gt 0 ]; do
     case "$1" in
         --quick) rounds=1; requests=240; shift ;;
+        --rounds) rounds="$2"; shift 2 ;;
         --only) only=(--only "$2"); shift 2 ;;
         *) echo "bench.sh: unknown option $1" >&2; exit 2 ;;
     esac
