Note operations in one place, and drop a twin that switched off nothing

Cause: the list of applied operations was appended to and cut to its limit in two places, each with a limit of its own; and scenarios accepted the twin "suspicion", whose switch was overwritten when the request began, so it could not have shown anything. No scenario used it; it is refused now. Change: remember_operation serves take-outs, bring-backs and accepted drafts. Behaviour is unchanged otherwise.

--- a/src/admin/commands.cpp
+++ b/src/admin/commands.cpp
@@ -8,8 +8,6 @@
 namespace ebonymount {
 namespace {
 
-constexpr std::size_t MOST_OPERATIONS = 64;
-
 /// Tries at a conditional write that others keep winning.
 constexpr int MOST_TRIES = 5;
 
@@ -41,13 +39,6 @@
     }
 }
 
-void remember(Configuration& configuration, const std::string& operation) {
-    configuration.applied_operations.push_back(operation);
-    if (configuration.applied_operations.size() > MOST_OPERATIONS) {
-        configuration.applied_operations.erase(configuration.applied_operations.begin());
-    }
-}
-
 bool contains(const std::vector<std::string>& names, const std::string& name) {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -162,7 +153,7 @@
     next.out_data_centres = stored.out_data_centres;
     next.out_hosts = stored.out_hosts;
     const std::string operation = new_operation();
-    remember(next, operation);
+    remember_operation(next, operation);
     const Result<Done> written = write_confirmed(m_platform, value_of(base), next, operation);
     if (!has_value(written)) {
         return error_of(written);
@@ -207,7 +198,7 @@
         std::erase(out, name);
         ++next.generation;
         const std::string operation = new_operation();
-        remember(next, operation);
+        remember_operation(next, operation);
         const Result<Done> written = write_confirmed(m_platform, value_of(base), next, operation);
         if (has_value(written)) {
             return publish(next);
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+void remember_operation(Configuration& configuration, const std::string& operation) {
+    configuration.applied_operations.push_back(operation);
+    if (configuration.applied_operations.size() > MOST_OPERATIONS) {
+        configuration.applied_operations.erase(configuration.applied_operations.begin());
+    }
+}
+
 Result<Done> store_take_out(PlatformClient& platform, const PendingTakeOut& take_out) {
     const Result<StoredConfiguration> base = read_configuration(platform);
     if (!has_value(base)) {
@@ -72,10 +79,7 @@
         out.push_back(take_out.name);
     }
     ++next.generation;
-    next.applied_operations.push_back(take_out.operation);
-    if (next.applied_operations.size() > MOST_OPERATIONS) {
-        next.applied_operations.erase(next.applied_operations.begin());
-    }
+    remember_operation(next, take_out.operation);
     return write_configuration(platform, value_of(base), next);
 }
 
--- a/src/node/platform_sync.h
+++ b/src/node/platform_sync.h
@@ -34,6 +34,9 @@
 Result<Done> write_configuration(PlatformClient& platform, const StoredConfiguration& base,
                                  const Configuration& next);
 
+/// Notes that the configuration includes an operation; the oldest are dropped beyond a limit.
+void remember_operation(Configuration& configuration, const std::string& operation);
+
 /// Stores a take-out; done as well when it is stored already.
 Result<Done> store_take_out(PlatformClient& platform, const PendingTakeOut& take_out);
 
--- a/src/scenario/gather_script.cpp
+++ b/src/scenario/gather_script.cpp
@@ -120,9 +120,6 @@
     if (switch_off == "hedging") {
         m_hedge_delay = Duration::zero();
     }
-    if (switch_off == "suspicion") {
-        m_standing = Standing::clear;
-    }
 }
 
 void GatherDriver::read_placement(const Json& document) {
@@ -288,8 +285,8 @@
 }  // namespace
 
 std::vector<std::string> run_gather_script(const Json& script, const std::string& switch_off) {
-    static const std::vector<std::string> switches = {"",         "hedging",         "budget",
-                                                      "take_out", "enough_coverage", "suspicion"};
+    static const std::vector<std::string> switches = {"", "hedging", "budget", "take_out",
+                                                      "enough_coverage"};
     user_check(std::find(switches.begin(), switches.end(), switch_off) != switches.end())
         << "unknown twin \"" << switch_off << "\"";
     GatherDriver driver(script, switch_off);
