--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -81,8 +81,7 @@
         return false;
     }
     m_route = static_cast<std::size_t>(route);
-    m_fingerprint =
-        fingerprint(m_request.method, host, m_request.target, m_request.body);
+    m_fingerprint = fingerprint(m_request.method, host, m_request.target, m_request.body);
     if (is_quarantined(m_front.quarantine, m_fingerprint)) {
         ++m_front.counters.quarantined;
         answer_at_once(http::UNAVAILABLE, "the request has crashed several targets",
@@ -130,8 +129,9 @@
     while (!m_events.empty()) {
         const FanOutEvent next = m_events.front();
         m_events.pop_front();
-        const FanOutContext context{*m_view,          m_front.targets,    m_front.budgets,
-                                    m_front.extra_load, monotonic_now(), m_front.random};
+        const FanOutContext context{*m_view,         m_front.targets,
+                                    m_front.budgets, m_front.extra_load,
+                                    monotonic_now(), m_front.random};
         const std::vector<FanOutAction> actions = step(m_state, next, context);
         for (const FanOutAction& action : actions) {
             carry_out(action);
@@ -192,14 +192,16 @@
     call.freshest_idle = m_state.terms.idempotent ? ANY_CONNECTION : FRESH_CONNECTION;
     call.call.is_head = m_request.method == "HEAD";
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
-        return encode(platform::request_for_target(self->m_request, deadline - monotonic_now(),
-                                                   target_id));
+        return encode(
+            platform::request_for_target(self->m_request, deadline - monotonic_now(), target_id));
     };
     call.call.is_mine = [self](const HttpAnswerMessage& answer) {
         const std::string_view request_id = platform::request_id_of(answer);
         return request_id.empty() || request_id == self->m_caller.request_id;
     };
-    call.call.on_began = [self, id] { self->on_try_began(id); };
+    call.call.on_began = [self, id] {
+        self->on_try_began(id);
+    };
     call.call.on_end = [self, id](CallEnd end, HttpAnswerMessage answer) {
         self->on_try_end(id, end, std::move(answer));
     };
@@ -400,8 +402,7 @@
         if (!m_front.pool.withdraw(attempt.call)) {
             m_front.pool.abort(attempt.call);
         } else {
-            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(),
-                         monotonic_now());
+            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), monotonic_now());
         }
     }
     m_connection.reset();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -96,12 +96,12 @@
     HttpListenerOptions options;
     options.max_connections = static_cast<std::size_t>(
         std::max<std::int64_t>(100, m_settings.max_open_files - RESERVED_DESCRIPTORS));
-    Result<std::shared_ptr<HttpListener>> callers = HttpListener::listen(
-        m_loop, m_settings.caller_address, options,
-        [this](const std::shared_ptr<HttpServerConnection>& connection,
-               HttpRequestMessage request) {
-            CallerRequest::serve(m_state, connection, std::move(request));
-        });
+    Result<std::shared_ptr<HttpListener>> callers =
+        HttpListener::listen(m_loop, m_settings.caller_address, options,
+                             [this](const std::shared_ptr<HttpServerConnection>& connection,
+                                    HttpRequestMessage request) {
+                                 CallerRequest::serve(m_state, connection, std::move(request));
+                             });
     if (!has_value(callers)) {
         return error_of(callers);
     }
@@ -277,10 +277,12 @@
         return object.name == m_settings.node;
     };
     m_registered = std::any_of(objects.begin(), objects.end(), is_own);
-    const std::int64_t nodes =
-        static_cast<std::int64_t>(objects.size()) + (m_registered ? 0 : 1);
+    const std::int64_t nodes = static_cast<std::int64_t>(objects.size()) + (m_registered ? 0 : 1);
     if (nodes != m_nodes) {
-        LogEvent(LogLevel::info, "front", "nodes").add("nodes", nodes).add("before", m_nodes).write();
+        LogEvent(LogLevel::info, "front", "nodes")
+            .add("nodes", nodes)
+            .add("before", m_nodes)
+            .write();
     }
     m_nodes = nodes;
     split_fleet_limits();
@@ -360,7 +362,8 @@
     call.is_mine = [](const HttpAnswerMessage&) {
         return true;
     };
-    call.on_began = [] {};
+    call.on_began = [] {
+    };
     call.on_end = [this](CallEnd end, const HttpAnswerMessage& answer) {
         const bool is_there = answer.status == http::OK || answer.status == http::CREATED ||
                               answer.status == http::CONFLICT;
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -82,7 +82,8 @@
     request.is_mine = [](const HttpAnswerMessage&) {
         return true;
     };
-    request.on_began = [] {};
+    request.on_began = [] {
+    };
     request.on_end = [weak, timer, on_end](CallEnd end, const HttpAnswerMessage& answer) {
         const std::shared_ptr<KindWatcher> self = weak.lock();
         if (self != nullptr) {
@@ -126,8 +127,7 @@
         return;
     }
     const Time now = monotonic_now();
-    const bool after_outage =
-        m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
+    const bool after_outage = m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
     on_success();
     std::vector<platform::StoredObject> objects;
     objects.swap(m_pages);
@@ -174,8 +174,9 @@
 void KindWatcher::on_success() {
     m_last_heard = monotonic_now();
     if (m_consecutive_failures > 0) {
-        log_info("store", std::string(platform::name_of(m_options.kind)) + ": answers again after " +
-                              std::to_string(m_consecutive_failures) + " failures");
+        log_info("store", std::string(platform::name_of(m_options.kind)) +
+                              ": answers again after " + std::to_string(m_consecutive_failures) +
+                              " failures");
     }
     m_consecutive_failures = 0;
 }
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -109,8 +109,7 @@
 }
 
 void EventLoop::dispatch() {
-    const Poco::Net::PollSet::SocketModeMap ready =
-        m_sockets.poll(time_to_next_timer());
+    const Poco::Net::PollSet::SocketModeMap ready = m_sockets.poll(time_to_next_timer());
     for (const auto& [socket, modes] : ready) {
         if (socket == m_wake_receiver) {
             std::array<char, 64> sink{};
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -208,8 +208,8 @@
         message.insert(view(header.name), view(header.value));
     }
     message.keep_alive(request.keep_alive);
-    const bool has_length = !request.body.empty() || (request.method != "GET" &&
-                                                      request.method != "HEAD");
+    const bool has_length =
+        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     if (has_length) {
         message.content_length(request.body.size());
     }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -64,10 +64,10 @@
 
 /// How far a reader has come.
 enum class ReadState : std::uint8_t {
-    nothing,          ///< No byte of a message has come.
-    header,           ///< Within the header.
-    body,             ///< The header is complete, the body is not.
-    complete,         ///< A message can be taken.
+    nothing,   ///< No byte of a message has come.
+    header,    ///< Within the header.
+    body,      ///< The header is complete, the body is not.
+    complete,  ///< A message can be taken.
     header_too_long,
     body_too_long,
     malformed,
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -8,8 +8,7 @@
 
 std::string seconds(std::int64_t us) {
     std::array<char, 32> text{};
-    const int length =
-        std::snprintf(text.data(), text.size(), "%g", static_cast<double>(us) / 1e6);
+    const int length = std::snprintf(text.data(), text.size(), "%g", static_cast<double>(us) / 1e6);
     return std::string(text.data(), static_cast<std::size_t>(length));
 }
 
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -126,14 +126,12 @@
     if (s.context.now < state.cold_until) {
         count_cold(state, s.context.now);
     }
-    s.actions.emplace_back(
-        StartTry{attempt.id, number, target, s.state.terms.give_up_at, hedge});
+    s.actions.emplace_back(StartTry{attempt.id, number, target, s.state.terms.give_up_at, hedge});
 }
 
 /// True when another target may run the request.
 bool may_try_again(const Step& s, const ShardState& shard) {
-    return shard.runs < s.state.terms.max_attempts &&
-           (s.state.terms.idempotent || shard.runs == 0);
+    return shard.runs < s.state.terms.max_attempts && (s.state.terms.idempotent || shard.runs == 0);
 }
 
 /// Sends the shard to another target after a try has ended, or waits, or gives the shard up.
@@ -230,6 +228,9 @@
     if (std::any_of(state.live.begin(), state.live.end(), was_sent)) {
         state.verdict = combine(state.verdict, Verdict::may_have_run);
     }
+    if (end == FanOutEnd::failed && state.has_target_error) {
+        end = FanOutEnd::target_error;
+    }
     const bool is_failure = end == FanOutEnd::failed || end == FanOutEnd::out_of_time;
     if (is_failure && state.verdict == Verdict::not_run) {
         end = FanOutEnd::not_run;
@@ -322,11 +323,8 @@
         withdraw_unsent(s, attempt.shard);
         return;
     }
-    const bool pass_on = event.end == TryEnd::target_error && !state.terms.fan_out &&
-                         (shard.open == 0 && !may_try_again(s, shard));
-    if (pass_on) {
-        end_as(s, FanOutEnd::target_error);
-        return;
+    if (event.end == TryEnd::target_error && !state.terms.fan_out) {
+        state.has_target_error = true;
     }
     ask_again(s, attempt.shard);
 }
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -21,13 +21,13 @@
 
 /// How one try at a target ended.
 enum class TryEnd : std::uint8_t {
-    answered,      ///< A whole, successful answer.
-    target_error,  ///< The target ran the request and answered with a failure.
-    refused,       ///< The target says that it has not run the request.
-    misdirected,   ///< Another target has the address; not run.
-    not_connected, ///< No connection; never sent.
-    broken,        ///< The connection ended or garbled after the request was sent.
-    timed_out,     ///< No answer within the time that the target was given.
+    answered,       ///< A whole, successful answer.
+    target_error,   ///< The target ran the request and answered with a failure.
+    refused,        ///< The target says that it has not run the request.
+    misdirected,    ///< Another target has the address; not run.
+    not_connected,  ///< No connection; never sent.
+    broken,         ///< The connection ended or garbled after the request was sent.
+    timed_out,      ///< No answer within the time that the target was given.
 };
 
 /// Name of an end in logs.
@@ -79,12 +79,12 @@
 
 /// How a request ends.
 enum class FanOutEnd : std::uint8_t {
-    complete,       ///< Every shard answered.
-    partial,        ///< Enough shards answered.
-    target_error,   ///< A single target's failure, passed on as it is.
-    not_run,        ///< Nothing was run; the caller may come back.
-    failed,         ///< Too many shards failed; some may have run.
-    out_of_time,    ///< Too few shards answered in time; some may have run.
+    complete,      ///< Every shard answered.
+    partial,       ///< Enough shards answered.
+    target_error,  ///< A single target's failure, passed on as it is.
+    not_run,       ///< Nothing was run; the caller may come back.
+    failed,        ///< Too many shards failed; some may have run.
+    out_of_time,   ///< Too few shards answered in time; some may have run.
 };
 
 /// Name of an end in logs.
@@ -102,6 +102,9 @@
     std::int64_t retries = 0;
     /// Tries that wanted a token and found none.
     std::int64_t without_token = 0;
+    /// A target has answered a plain request with a failure, which is passed on for want of
+    /// anything better.
+    bool has_target_error = false;
     bool finished = false;
 };
 
--- a/src/policy/fleet_view.cpp
+++ b/src/policy/fleet_view.cpp
@@ -26,8 +26,8 @@
     }
 }
 
-void place_targets(FleetView& view, const ServiceIndices& by_name,
-                   const FleetInputs& inputs, TargetTable& targets, Time now) {
+void place_targets(FleetView& view, const ServiceIndices& by_name, const FleetInputs& inputs,
+                   TargetTable& targets, Time now) {
     for (TargetState& state : targets.states) {
         state.accepts_work = false;
     }
@@ -37,8 +37,7 @@
         TargetState& state = targets.states[index];
         const auto region = view.regions.find(entry.data_centre);
         state.region = region == view.regions.end() ? std::string() : region->second;
-        state.accepts_work =
-            !entry.draining && inputs.out_of_service.count(entry.data_centre) == 0;
+        state.accepts_work = !entry.draining && inputs.out_of_service.count(entry.data_centre) == 0;
         const auto service = by_name.find(entry.service);
         if (service != by_name.end()) {
             ServiceView& placed = view.services[service->second];
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -36,9 +36,8 @@
 }
 
 void forget_old_suspects(Quarantine& quarantine, Time now) {
-    std::erase_if(quarantine.suspects, [now](const auto& entry) {
-        return now - entry.second.last > SUSPICION_TIME;
-    });
+    std::erase_if(quarantine.suspects,
+                  [now](const auto& entry) { return now - entry.second.last > SUSPICION_TIME; });
 }
 
 }  // namespace ebonymount
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -84,8 +84,8 @@
 
 void update_entry(TargetTable& table, TargetIndex index, const TargetEntry& entry, Time now) {
     TargetState& state = table.states[index];
-    const bool restarted = entry.started_at_ms != state.entry.started_at_ms ||
-                           entry.address != state.entry.address;
+    const bool restarted =
+        entry.started_at_ms != state.entry.started_at_ms || entry.address != state.entry.address;
     if (restarted) {
         const std::int64_t outstanding = state.outstanding;
         const std::int64_t connections = state.connections;
@@ -134,8 +134,8 @@
         return;
     }
     const std::int64_t doublings = std::min(state.failures - 1, MOST_RETRY_DOUBLINGS);
-    state.unreachable_until = now + FIRST_RETRY * (std::int64_t{1} << std::max<std::int64_t>(
-                                                       0, doublings));
+    state.unreachable_until =
+        now + FIRST_RETRY * (std::int64_t{1} << std::max<std::int64_t>(0, doublings));
     // Whatever comes back at that address has started anew.
     state.cold_until = std::max(state.cold_until, state.unreachable_until + cold_start);
 }
@@ -176,9 +176,9 @@
     if (!state.accepts_work || state.replaced || now < state.unreachable_until) {
         return false;
     }
-    const std::int64_t share = static_cast<std::int64_t>(
-        static_cast<double>(state.max_connections) * CONNECTION_SHARE /
-        static_cast<double>(std::max<std::int64_t>(1, table.nodes)));
+    const std::int64_t share =
+        static_cast<std::int64_t>(static_cast<double>(state.max_connections) * CONNECTION_SHARE /
+                                  static_cast<double>(std::max<std::int64_t>(1, table.nodes)));
     const std::int64_t allowed = std::max<std::int64_t>(1, share);
     if (state.idle_connections == 0 && state.connections >= allowed) {
         return false;
--- /dev/null
+++ b/test/correctness/test_platform.cpp
@@ -0,0 +1,162 @@
+// The adapter: the platform's settings, objects and headers in the product's types.
+#include <catch2/catch.hpp>
+
+#include "platform/call_headers.h"
+#include "platform/settings.h"
+#include "platform/store_calls.h"
+
+namespace ebonymount {
+namespace {
+
+const std::string SETTINGS =
+    "node=front-1\nzone=east-a\nregion=east\nip=10.1.0.3\nzones.east-a=east\nzones.west-a=west\n"
+    "bind_addresses.front=10.1.0.3:80\nbind_addresses.ready=10.1.0.3:81\n"
+    "internal_port_range=7740,7755\nplatform.address=10.9.0.1:82\nheartbeat_ms=1200\n"
+    "bounds.retry_budget_ratio=0.2\nbounds.budget_slack=52\nbounds.grace_s=6\nnew.key=x,y\n";
+
+}  // namespace
+
+TEST_CASE("settings are read by name, unknown keys are passed over") {
+    const Result<platform::Settings> result = platform::parse_settings(SETTINGS, "f");
+    REQUIRE(has_value(result));
+    const platform::Settings& settings = value_of(result);
+    CHECK(settings.node == "front-1");
+    CHECK(settings.data_centre == "east-a");
+    CHECK(settings.regions.at("west-a") == "west");
+    CHECK(settings.store_address == "10.9.0.1:82");
+    CHECK(settings.first_internal_port == 7740);
+    CHECK(settings.retry_ratio == Approx(0.2));
+    CHECK(settings.retry_slack == 52);
+    CHECK(settings.grace == from_ms(6000));
+}
+
+TEST_CASE("a configuration becomes a table of routes") {
+    const std::string spec = R"({"version": 7, "routes": [
+        {"name": "all", "hostname": "h", "path_prefix": "/a/", "type": "idempotent",
+         "timeout_ms": 800, "target_latency_ms": 100, "priority": 2, "max_attempts": 2,
+         "fanout_services": ["s1", "s2"], "top_k": 5, "min_success_share": 0.75,
+         "allowed_regions": ["east"]},
+        {"name": "one", "hostname": "h", "path_prefix": "/b/", "type": "non_idempotent",
+         "timeout_ms": 4000, "traffic_split": [{"service": "s1", "weight": 3},
+                                               {"service": "s2", "weight": 1}]}],
+        "services": [{"name": "s1", "health_path": "/health", "max_connections": 25,
+                      "cold_start_s": 3.0, "cold_per_s": 2.5}],
+        "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 4000}})";
+    std::vector<std::string> warnings;
+    const Result<RouteTable> result = platform::decode_config(spec, warnings);
+    REQUIRE(has_value(result));
+    const RouteTable& table = value_of(result);
+    CHECK(warnings.empty());
+    CHECK(table.version == 7);
+    REQUIRE(table.routes.size() == 2);
+    CHECK(is_fan_out(table.routes[0]));
+    CHECK(table.routes[0].idempotent);
+    CHECK(table.routes[0].min_coverage == Approx(0.75));
+    CHECK(table.routes[0].latency_objective == from_ms(100));
+    CHECK(table.routes[0].allowed_regions == std::vector<std::string>{"east"});
+    CHECK_FALSE(table.routes[1].idempotent);
+    CHECK(table.routes[1].latency_objective == from_ms(4000));
+    REQUIRE(table.routes[1].services.size() == 2);
+    CHECK(table.routes[1].services[0].weight == Approx(3.0));
+    REQUIRE(table.services.size() == 1);
+    CHECK(table.services[0].cold_start == from_ms(3000));
+    CHECK(table.services[0].cold_per_second == Approx(2.5));
+    CHECK(table.limits.max_body_bytes == 2000);
+    CHECK(table.limits.idle_timeout == from_ms(4000));
+}
+
+TEST_CASE("a target's entry is decoded with its start and its state") {
+    const Result<TargetEntry> result = platform::decode_target(
+        "i-1", R"({"service": "s", "address": "10.0.0.9:8080", "zone": "east-a", "version": "v1",
+                   "max_concurrency": 2, "state": "draining", "cold_remaining_ms": 250,
+                   "sequence": 4, "born": 1700000000000})");
+    REQUIRE(has_value(result));
+    CHECK(value_of(result).draining);
+    CHECK(value_of(result).slots == 2);
+    CHECK(value_of(result).cold_remaining == from_ms(250));
+    CHECK(value_of(result).started_at_ms == 1700000000000);
+}
+
+TEST_CASE("lists and changes of the store are decoded") {
+    const Result<platform::ObjectPage> list = platform::decode_list(
+        R"({"items": [{"meta": {"name": "a", "revision": 3, "deleting": true}, "spec": {"x": 1}},
+                      {"meta": {"name": "b", "revision": 4}}],
+            "has_more": true, "store_revision": 9})");
+    REQUIRE(has_value(list));
+    REQUIRE(value_of(list).objects.size() == 2);
+    CHECK(value_of(list).objects[0].deleting);
+    CHECK(value_of(list).objects[0].spec == R"({"x":1})");
+    CHECK(value_of(list).objects[1].spec == "null");
+    CHECK(value_of(list).has_more);
+    CHECK(value_of(list).store_revision == 9);
+    const Result<platform::ObjectPage> changes = platform::decode_changes(
+        R"({"events": [{"deleted": true, "object": {"meta": {"name": "a", "revision": 5}}}],
+            "store_revision": 10})");
+    REQUIRE(has_value(changes));
+    CHECK(value_of(changes).objects.front().removed);
+}
+
+TEST_CASE("paths of calls escape names") {
+    CHECK(platform::list_path(platform::Kind::targets, "", false) ==
+          "/ebonymount/objects/servers");
+    CHECK(platform::list_path(platform::Kind::targets, "a b&c", true) ==
+          "/ebonymount/objects/servers?after=a%20b%26c&allow_stale=1");
+    CHECK(platform::watch_path(platform::Kind::config, 53, from_ms(2000)) ==
+          "/ebonymount/objects/config?watch=53&wait_ms=2000");
+}
+
+TEST_CASE("a request goes to a target unchanged but for what concerns one connection") {
+    HttpRequestMessage request{"POST", "/a?b", {}, "body", true};
+    request.headers = {{"Host", "h"},
+                       {"X-Ebonymount-Request-Id", "r1"},
+                       {"X-Ebonymount-Deadline-Ms", "800"},
+                       {"X-Ebonymount-Expect-Instance", "forged"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"Transfer-Encoding", "chunked"},
+                       {"X-Own", "kept"}};
+    const HttpRequestMessage sent = platform::request_for_target(request, from_ms(700), "i-1");
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/a?b");
+    CHECK(sent.body == "body");
+    CHECK(find_header(sent.headers, "X-Ebonymount-Request-Id") == "r1");
+    CHECK(find_header(sent.headers, "X-Ebonymount-Deadline-Ms") == "700");
+    CHECK(find_header(sent.headers, "X-Ebonymount-Expect-Instance") == "i-1");
+    CHECK(find_header(sent.headers, "X-Own") == "kept");
+    CHECK(find_header(sent.headers, "X-Hop").empty());
+    CHECK(find_header(sent.headers, "Transfer-Encoding").empty());
+}
+
+TEST_CASE("a target's headers tell load, refusal and another target at the address") {
+    HttpAnswerMessage answer;
+    answer.status = 503;
+    answer.headers = {{"X-Ebonymount-Not-Executed", "1"},
+                      {"X-Ebonymount-Server-Load", "2,7,2"},
+                      {"X-Ebonymount-Request-Id", "r1"}};
+    const platform::TargetAnswerTerms refused = platform::decode_answer_terms(answer);
+    CHECK(refused.not_run);
+    CHECK_FALSE(refused.misdirected);
+    CHECK(refused.waiting == 7);
+    CHECK(platform::request_id_of(answer) == "r1");
+    answer.status = 421;
+    answer.headers.clear();
+    CHECK(platform::decode_answer_terms(answer).misdirected);
+}
+
+TEST_CASE("a merged answer names its parts and what is missing") {
+    const HttpAnswerMessage answer = platform::merged_answer({"a.1", "b.2"}, 1, "records");
+    CHECK(answer.status == 200);
+    CHECK(find_header(answer.headers, "X-Ebonymount-Part-Stamps") == "a.1, b.2");
+    CHECK(find_header(answer.headers, "X-Ebonymount-Missing-Parts") == "1");
+    CHECK(answer.body == "records");
+}
+
+TEST_CASE("advice to come back is given in seconds with fractions") {
+    const HttpAnswerMessage answer = platform::own_answer(503, "r1", "full", from_ms(250));
+    CHECK(find_header(answer.headers, "Retry-After") == "0.250");
+    const HttpAnswerMessage none = platform::own_answer(404, "r1", "no", Duration::zero());
+    CHECK(find_header(none.headers, "Retry-After").empty());
+}
+
+}  // namespace ebonymount
