--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -98,8 +98,7 @@
 
 void KindWatcher::read_list() {
     const std::string after = m_pages.empty() ? std::string() : m_pages.back().name;
-    const bool stale = m_options.watch_wait == Duration::zero();
-    call(platform::list_path(m_options.kind, after, stale), CALL_TIMEOUT,
+    call(platform::list_path(m_options.kind, after), CALL_TIMEOUT,
          [this](CallEnd end, const HttpAnswerMessage& answer) { on_page(end, answer); });
 }
 
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -20,7 +20,7 @@
 struct KindWatcherOptions {
     platform::Kind kind = platform::Kind::config;
     std::string store_address;
-    /// Longest wait of one watch; zero to read stale lists at `poll_interval` instead.
+    /// Longest wait of one watch; zero to read lists at `poll_interval` instead.
     Duration watch_wait{};
     Duration poll_interval{};
 };
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -16,8 +16,10 @@
 /// Weight of one sample in pace and refusal share.
 constexpr double SAMPLE_WEIGHT = 0.2;
 
-/// Added for a round trip to another data centre, microseconds.
-constexpr double FAR_US = 12000.0;
+/// Added for a round trip to another data centre of the region, and to another region,
+/// microseconds. Bytes between regions also cost the most.
+constexpr double OTHER_DATA_CENTRE_US = 9000.0;
+constexpr double OTHER_REGION_US = 17000.0;
 
 /// Weight of requests ahead in the queue, relative to the slots.
 constexpr double QUEUE_WEIGHT = 2.0;
@@ -160,7 +162,9 @@
     const double slots = static_cast<double>(std::max<std::int64_t>(1, state.entry.slots));
     double expected =
         drifted_pace(state, now) * (1.0 + QUEUE_WEIGHT * static_cast<double>(ahead) / slots);
-    expected += state.same_data_centre ? 0.0 : FAR_US;
+    if (!state.same_data_centre) {
+        expected += state.same_region ? OTHER_DATA_CENTRE_US : OTHER_REGION_US;
+    }
     if (state.outstanding > 0 && now - state.waiting_since > STALL_TIME) {
         expected += STALL_US;
     }
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -25,6 +25,7 @@
     /// False once the target is draining, gone, or its data centre is out of service.
     bool accepts_work = false;
     bool same_data_centre = false;
+    bool same_region = false;
     /// Another target answered at the address; true until the entry changes.
     bool replaced = false;
 
@@ -60,6 +61,7 @@
     std::vector<TargetState> states;
     std::unordered_map<std::string, TargetIndex> by_id;
     std::string own_data_centre;
+    std::string own_region;
     /// Nodes that share the targets; splits connection caps and what cold targets bear.
     std::int64_t nodes = 1;
     /// Part of a cold target's rate that this node may use, 0 to 1, and the spare requests.
