--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -47,7 +47,6 @@
 constexpr std::int64_t RESERVED_DESCRIPTORS = 1200;
 
 constexpr Duration REGISTRATION_RETRY = from_ms(2000);
-constexpr Duration STORE_TIMEOUT = from_ms(1000);
 
 std::string read_file(const std::string& path) {
     std::ifstream file(path);
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -19,6 +19,10 @@
 /// failure makes none lapse.
 constexpr Duration OUTAGE_TIME = from_ms(1500);
 
+/// How long after a failure only current data is taken: recent data may lag for as long as the
+/// store is in trouble, which its pages show to last 13 s at most.
+constexpr Duration TROUBLE_TIME = from_ms(20000);
+
 }  // namespace
 
 KindWatcher::KindWatcher(EventLoop& loop, const KindWatcherOptions& options,
@@ -51,7 +55,7 @@
 }
 
 void KindWatcher::call(const std::string& path, Duration timeout,
-                       std::function<void(CallEnd, const HttpAnswerMessage&)> on_end) {
+                       const CallHandler& on_end) {
     if (m_stopped) {
         return;
     }
@@ -98,7 +102,10 @@
 
 void KindWatcher::read_list() {
     const std::string after = m_pages.empty() ? std::string() : m_pages.back().name;
-    call(platform::list_path(m_options.kind, after), CALL_TIMEOUT,
+    const platform::Freshness freshness = m_options.watch_wait == Duration::zero()
+                                              ? platform::Freshness::recent
+                                              : platform::Freshness::current;
+    call(platform::list_path(m_options.kind, after, freshness), CALL_TIMEOUT,
          [this](CallEnd end, const HttpAnswerMessage& answer) { on_page(end, answer); });
 }
 
@@ -139,7 +146,7 @@
 }
 
 void KindWatcher::wait_for_changes() {
-    call(platform::watch_path(m_options.kind, m_revision, m_options.watch_wait),
+    call(platform::watch_path(m_options.kind, m_revision, m_options.watch_wait, watch_freshness()),
          m_options.watch_wait + CALL_TIMEOUT,
          [this](CallEnd end, const HttpAnswerMessage& answer) { on_watch_end(end, answer); });
 }
@@ -149,6 +156,7 @@
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": the history is gone, the list is read again");
         on_success();
+        m_last_failure = monotonic_now();
         read_list();
         return;
     }
@@ -182,6 +190,7 @@
 
 void KindWatcher::fail(const std::string& why) {
     ++m_failures;
+    m_last_failure = monotonic_now();
     if (m_consecutive_failures == 0) {
         m_failing_since = monotonic_now();
         log_warning("store", std::string(platform::name_of(m_options.kind)) + ": lost, " + why);
@@ -191,6 +200,12 @@
     run_later(FIRST_PAUSE * (std::int64_t{1} << doublings), &KindWatcher::read_list);
 }
 
+platform::Freshness KindWatcher::watch_freshness() const {
+    const bool in_trouble =
+        m_last_failure != Time{} && monotonic_now() - m_last_failure < TROUBLE_TIME;
+    return in_trouble ? platform::Freshness::current : platform::Freshness::recent;
+}
+
 void KindWatcher::run_later(Duration delay, void (KindWatcher::*next)()) {
     const std::weak_ptr<KindWatcher> weak = weak_from_this();
     m_loop.run_at(monotonic_now() + delay, [weak, next] {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -2,6 +2,8 @@
 //
 // When the store does not answer, refuses or has lost the history, the watcher reads the list
 // again. It tells whether the store was out of reach before, because entries may have lapsed then.
+// Lists are read current. Watches allow recent data, which costs a tenth, except for a while after
+// a failure: a store in trouble may serve recent data that is many seconds old.
 #pragma once
 
 #include <functional>
@@ -45,16 +47,18 @@
     Time last_heard() const;
 
 private:
+    using CallHandler = std::function<void(CallEnd, const HttpAnswerMessage&)>;
+
     KindWatcher(EventLoop& loop, const KindWatcherOptions& options, KindWatcherHandlers handlers,
                 Metrics& metrics);
     void read_list();
     void wait_for_changes();
-    void call(const std::string& path, Duration timeout,
-              std::function<void(CallEnd, const HttpAnswerMessage&)> on_end);
+    void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     void on_page(CallEnd end, const HttpAnswerMessage& answer);
     void on_watch_end(CallEnd end, const HttpAnswerMessage& answer);
     void on_success();
     void fail(const std::string& why);
+    platform::Freshness watch_freshness() const;
     void run_later(Duration delay, void (KindWatcher::*next)());
 
     EventLoop& m_loop;
@@ -68,6 +72,7 @@
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
     Time m_last_heard{};
+    Time m_last_failure{};
     /// Distinguishes calls, so that a late timeout does not end another call.
     std::uint64_t m_call_number = 0;
     bool m_stopped = false;
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -98,12 +98,18 @@
 }
 
 TEST_CASE("paths of calls escape names") {
-    CHECK(platform::list_path(platform::Kind::targets, "") ==
-          "/ebonymount/objects/servers?allow_stale=1");
-    CHECK(platform::list_path(platform::Kind::targets, "a b&c") ==
-          "/ebonymount/objects/servers?allow_stale=1&after=a%20b%26c");
-    CHECK(platform::watch_path(platform::Kind::config, 53, from_ms(2000)) ==
-          "/ebonymount/objects/config?watch=53&wait_ms=2000&allow_stale=1");
+    using platform::Freshness;
+    using platform::Kind;
+    CHECK(platform::list_path(Kind::targets, "", Freshness::current) ==
+          "/ebonymount/objects/servers");
+    CHECK(platform::list_path(Kind::targets, "a b&c", Freshness::current) ==
+          "/ebonymount/objects/servers?after=a%20b%26c");
+    CHECK(platform::list_path(Kind::targets, "a", Freshness::recent) ==
+          "/ebonymount/objects/servers?allow_stale=1&after=a");
+    CHECK(platform::watch_path(Kind::config, 53, from_ms(2000), Freshness::current) ==
+          "/ebonymount/objects/config?watch=53&wait_ms=2000");
+    CHECK(platform::watch_path(Kind::config, 53, from_ms(2000), Freshness::recent) ==
+          "/ebonymount/objects/config?allow_stale=1&watch=53&wait_ms=2000");
 }
 
 TEST_CASE("a request goes to a target unchanged but for what concerns one connection") {
