--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -182,6 +182,7 @@
         log_try("hedge", attempt, "");
     }
     TargetState& target = m_front.targets.states[action.target];
+    attempt.ahead = requests_ahead(target, attempt.sent);
     on_sent(target, attempt.sent);
     m_open.push_back(attempt);
     const std::shared_ptr<CallerRequest> self = shared_from_this();
@@ -216,8 +217,7 @@
 void CallerRequest::withdraw_try(const WithdrawTry& action) {
     for (std::size_t i = 0; i < m_open.size(); ++i) {
         if (m_open[i].id == action.id && m_front.pool.withdraw(m_open[i].call)) {
-            on_abandoned(m_front.targets.states[m_open[i].target], Duration::zero(),
-                         monotonic_now());
+            on_abandoned(m_front.targets.states[m_open[i].target], Duration::zero(), 0, monotonic_now());
             m_open.erase(m_open.begin() + static_cast<std::ptrdiff_t>(i));
             return;
         }
@@ -286,7 +286,7 @@
     switch (end) {
         case TryEnd::answered:
         case TryEnd::target_error:
-            on_answer(target, now - attempt.sent, now);
+            on_answer(target, now - attempt.sent, attempt.ahead, now);
             m_front.counters.try_time.add(now - attempt.sent);
             return;
         case TryEnd::refused:
@@ -303,7 +303,7 @@
             }
             return;
         case TryEnd::timed_out:
-            on_abandoned(target, now - attempt.sent, now);
+            on_abandoned(target, now - attempt.sent, attempt.ahead, now);
             return;
     }
 }
@@ -402,7 +402,7 @@
         if (!m_front.pool.withdraw(attempt.call)) {
             m_front.pool.abort(attempt.call);
         } else {
-            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), monotonic_now());
+            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), 0, monotonic_now());
         }
     }
     m_connection.reset();
@@ -439,7 +439,7 @@
         .add("target", target.entry.id)
         .add("outcome", outcome)
         .add_ms("after_ms", now - m_state.terms.started)
-        .add_ms("expected_ms", Duration(static_cast<std::int64_t>(expected_us(target, now))))
+        .add_ms("expected_ms", Duration(static_cast<std::int64_t>(expected_us(target, 0.0, now))))
         .add("outstanding", target.outstanding)
         .add("failures", target.failures)
         .add("milli_tokens", m_front.budgets[service].milli_tokens)
--- a/src/front/caller_request.h
+++ b/src/front/caller_request.h
@@ -36,6 +36,8 @@
         TargetIndex target = 0;
         PoolCallId call = 0;
         Time sent{};
+        /// Requests that were ahead at the target when this one was sent.
+        std::int64_t ahead = 0;
         bool was_sent = false;
         bool hedge = false;
     };
--- a/src/policy/extra_load.cpp
+++ b/src/policy/extra_load.cpp
@@ -15,8 +15,12 @@
     budget.milli_tokens = std::min(budget.milli_tokens + count * permille, most_saved * TOKEN);
 }
 
+bool has_token(const ExtraLoadBudget& budget) {
+    return budget.milli_tokens >= TOKEN;
+}
+
 bool try_spend(ExtraLoadBudget& budget) {
-    if (budget.milli_tokens < TOKEN) {
+    if (!has_token(budget)) {
         return false;
     }
     budget.milli_tokens -= TOKEN;
--- a/src/policy/extra_load.h
+++ b/src/policy/extra_load.h
@@ -33,6 +33,9 @@
 void earn(ExtraLoadBudget& budget, std::int64_t count, std::int64_t permille,
           std::int64_t most_saved = MOST_SAVED_TOKENS);
 
+/// True when `try_spend` would succeed.
+bool has_token(const ExtraLoadBudget& budget);
+
 /// Spends one token if there is one; false means the extra sub-query must not be sent.
 bool try_spend(ExtraLoadBudget& budget);
 
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -6,6 +6,15 @@
 namespace ebonymount {
 namespace {
 
+/// Cost of a refusal, microseconds: the way to another replica and the wait there; and when no
+/// token is left to go there, the shard.
+constexpr double REFUSAL_US = 50000.0;
+constexpr double REFUSAL_WITHOUT_TOKEN_US = 150000.0;
+
+/// Noise in the choice, as a part of the expected time, keeps nodes from choosing the same replica
+/// on the same old news.
+constexpr double CHOICE_NOISE = 0.2;
+
 /// A hedge goes out after the learned pace times this, within the two bounds below.
 constexpr double HEDGE_FACTOR = 1.8;
 constexpr Duration SHORTEST_HEDGE = from_ms(30);
@@ -43,9 +52,15 @@
     return std::find(shard.tried.begin(), shard.tried.end(), target) != shard.tried.end();
 }
 
+/// Cost of a refusal at a target of the service: dear without a token to go elsewhere.
+double refusal_us(const Step& s, ServiceIndex service) {
+    return has_token(s.context.budgets[service]) ? REFUSAL_US : REFUSAL_WITHOUT_TOKEN_US;
+}
+
 /// The untried candidate with the shortest expected time.
 std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
     const ServiceView& service = service_of(s, shard);
+    const double refusal = refusal_us(s, shard.service);
     std::optional<TargetIndex> best;
     double best_us = 0.0;
     for (const TargetIndex index : service.targets) {
@@ -55,9 +70,8 @@
                           s.context.now)) {
             continue;
         }
-        // A little noise spreads requests over replicas that look equally good.
-        const double noise = 1.0 + 0.05 * uniform(s.context.random);
-        const double us = expected_us(target, s.context.now) * noise;
+        const double noise = 1.0 + CHOICE_NOISE * uniform(s.context.random);
+        const double us = expected_us(target, refusal, s.context.now) * noise;
         if (!best.has_value() || us < best_us) {
             best = index;
             best_us = us;
@@ -72,7 +86,7 @@
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(objective.count()) * LATEST_HEDGE_SHARE));
     const Duration learned(
-        static_cast<std::int64_t>(expected_us(target, s.context.now) * HEDGE_FACTOR));
+        static_cast<std::int64_t>(expected_us(target, 0.0, s.context.now) * HEDGE_FACTOR));
     return std::min(std::max(learned, SHORTEST_HEDGE), std::max(latest, SHORTEST_HEDGE));
 }
 
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -6,13 +6,16 @@
 namespace ebonymount {
 namespace {
 
-/// Pace of a target that has not answered yet, microseconds.
+/// Service time of a target that has not answered yet, microseconds.
 constexpr double PRIOR_PACE_US = 12000.0;
 
 /// Time in which a learned pace loses half of its distance to the prior, microseconds; a target
 /// that was slow is tried again after a few of these.
 constexpr double PACE_HALF_LIFE_US = 3e6;
 
+/// Least part of a measured time that counts as spent at the target.
+constexpr double LEAST_TARGET_SHARE = 0.3;
+
 /// Weight of one sample in pace and refusal share.
 constexpr double SAMPLE_WEIGHT = 0.2;
 
@@ -21,9 +24,6 @@
 constexpr double OTHER_DATA_CENTRE_US = 9000.0;
 constexpr double OTHER_REGION_US = 17000.0;
 
-/// Weight of requests ahead in the queue, relative to the slots.
-constexpr double QUEUE_WEIGHT = 2.0;
-
 /// Reports of the queue length older than this say nothing, milliseconds.
 constexpr Duration REPORT_AGE = from_ms(300);
 
@@ -52,8 +52,24 @@
     return PRIOR_PACE_US + (state.pace_us - PRIOR_PACE_US) * kept;
 }
 
-void add_pace(TargetState& state, Duration took, Time now) {
-    const double sample = static_cast<double>(took.count());
+double way_us(const TargetState& state) {
+    if (state.same_data_centre) {
+        return 0.0;
+    }
+    return state.same_region ? OTHER_DATA_CENTRE_US : OTHER_REGION_US;
+}
+
+/// How many times its own service time a request takes behind `ahead` others.
+double queue_factor(const TargetState& state, std::int64_t ahead) {
+    const double slots = static_cast<double>(std::max<std::int64_t>(1, state.entry.slots));
+    return 1.0 + static_cast<double>(ahead) / slots;
+}
+
+/// Learns the service time from the time that an answer took, without way and queue.
+void add_pace(TargetState& state, Duration took, std::int64_t ahead, Time now) {
+    const double whole = static_cast<double>(took.count());
+    const double at_target = std::max(whole - way_us(state), whole * LEAST_TARGET_SHARE);
+    const double sample = at_target / queue_factor(state, ahead);
     const double pace = drifted_pace(state, now);
     state.pace_us = pace + SAMPLE_WEIGHT * (sample - pace);
     state.paced_at = now;
@@ -112,9 +128,9 @@
     ++state.outstanding;
 }
 
-void on_answer(TargetState& state, Duration took, Time now) {
+void on_answer(TargetState& state, Duration took, std::int64_t ahead, Time now) {
     end_one(state);
-    add_pace(state, took, now);
+    add_pace(state, took, ahead, now);
     state.waiting_since = now;
     state.failures = 0;
     state.unreachable_until = Time{};
@@ -142,10 +158,11 @@
     state.cold_until = std::max(state.cold_until, state.unreachable_until + cold_start);
 }
 
-void on_abandoned(TargetState& state, Duration waited, Time now) {
+void on_abandoned(TargetState& state, Duration waited, std::int64_t ahead, Time now) {
     end_one(state);
-    if (static_cast<double>(waited.count()) > drifted_pace(state, now)) {
-        add_pace(state, waited, now);
+    const double expected = drifted_pace(state, now) * queue_factor(state, ahead) + way_us(state);
+    if (static_cast<double>(waited.count()) > expected) {
+        add_pace(state, waited, ahead, now);
     }
 }
 
@@ -154,25 +171,20 @@
     state.reported_at = now;
 }
 
-double expected_us(const TargetState& state, Time now) {
-    std::int64_t ahead = state.outstanding;
-    if (now - state.reported_at < REPORT_AGE) {
-        ahead = std::max(ahead, state.reported_waiting);
-    }
-    const double slots = static_cast<double>(std::max<std::int64_t>(1, state.entry.slots));
-    double expected =
-        drifted_pace(state, now) * (1.0 + QUEUE_WEIGHT * static_cast<double>(ahead) / slots);
-    if (!state.same_data_centre) {
-        expected += state.same_region ? OTHER_DATA_CENTRE_US : OTHER_REGION_US;
-    }
+std::int64_t requests_ahead(const TargetState& state, Time now) {
+    const bool is_recent = now - state.reported_at < REPORT_AGE;
+    return is_recent ? std::max(state.outstanding, state.reported_waiting) : state.outstanding;
+}
+
+double expected_us(const TargetState& state, double refusal_us, Time now) {
+    double expected = drifted_pace(state, now) * queue_factor(state, requests_ahead(state, now));
     if (state.outstanding > 0 && now - state.waiting_since > STALL_TIME) {
         expected += STALL_US;
     }
     if (now < state.cold_until) {
         expected *= 2.0;
     }
-    // A refusal costs a second try elsewhere.
-    return expected / std::max(0.05, 1.0 - state.refusal_share);
+    return expected + way_us(state) + state.refusal_share * refusal_us;
 }
 
 bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -1,8 +1,9 @@
 // What this node has learned about each target, and which replica it asks next.
 //
-// Targets are ranked by expected time to answer: the learned pace, times what is ahead in the
-// queue, plus the way to another data centre. Targets that look stalled, shed or fail rank behind
-// others; those that cannot be reached are left out until a pause has passed.
+// Targets are ranked by expected time to answer (least expected latency): the learned service
+// time, times what is ahead in the queue, plus the way to another data centre, plus what a refusal
+// would cost. Targets that look stalled or cold rank behind others; those that cannot be reached
+// are left out until a pause has passed.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +30,8 @@
     /// Another target answered at the address; true until the entry changes.
     bool replaced = false;
 
-    /// Mean time to answer in microseconds; drifts back to the prior when nothing is learned.
+    /// Mean time that one request occupies a slot, in microseconds, without queue and way; drifts
+    /// back to the prior when nothing is learned.
     double pace_us = 0.0;
     Time paced_at{};
     /// Share of requests refused before they ran, 0 to 1, smoothed.
@@ -77,16 +79,20 @@
 
 /// What happened to one request at a target.
 void on_sent(TargetState& state, Time now);
-void on_answer(TargetState& state, Duration took, Time now);
+/// `ahead` is what `requests_ahead` gave when the request was sent.
+void on_answer(TargetState& state, Duration took, std::int64_t ahead, Time now);
 void on_refusal(TargetState& state, Time now);
 /// The request ended without an answer; `reached` is false if the target could not be connected.
 void on_failure(TargetState& state, bool reached, Duration cold_start, Time now);
 /// The answer is no longer awaited; `waited` is a lower bound of the time it would have taken.
-void on_abandoned(TargetState& state, Duration waited, Time now);
+void on_abandoned(TargetState& state, Duration waited, std::int64_t ahead, Time now);
 void on_load_report(TargetState& state, std::int64_t waiting, Time now);
 
-/// Expected microseconds until an answer.
-double expected_us(const TargetState& state, Time now);
+/// Requests that are with the target or wait there, as far as this node can tell.
+std::int64_t requests_ahead(const TargetState& state, Time now);
+
+/// Expected microseconds until an answer; a refusal is taken to cost `refusal_us`.
+double expected_us(const TargetState& state, double refusal_us, Time now);
 
 /// True when the target may be sent a request now.
 bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -15,25 +15,25 @@
     FleetFixture fleet(1, 2);
     TargetState& near = fleet.state(0, 0);
     const TargetState& far = fleet.state(0, 1);
-    CHECK(expected_us(near, START) < expected_us(far, START));
+    CHECK(expected_us(near, 0.0, START) < expected_us(far, 0.0, START));
     for (int i = 0; i < 10; ++i) {
         on_sent(near, START);
-        on_answer(near, from_ms(120), START);
+        on_answer(near, from_ms(120), 0, START);
     }
-    CHECK(expected_us(near, START) > expected_us(far, START));
-    CHECK(expected_us(near, START + from_ms(60000)) < expected_us(far, START + from_ms(60000)));
+    CHECK(expected_us(near, 0.0, START) > expected_us(far, 0.0, START));
+    CHECK(expected_us(near, 0.0, START + from_ms(60000)) < expected_us(far, 0.0, START + from_ms(60000)));
 }
 
 TEST_CASE("a target that owes an answer for long counts as stalled until it answers") {
     FleetFixture fleet(1, 2);
     TargetState& target = fleet.state(0, 0);
     on_sent(target, START);
-    const double before = expected_us(target, START + from_ms(30));
-    const double stalled = expected_us(target, START + from_ms(80));
+    const double before = expected_us(target, 0.0, START + from_ms(30));
+    const double stalled = expected_us(target, 0.0, START + from_ms(80));
     CHECK(stalled > before + 50000.0);
-    on_answer(target, from_ms(90), START + from_ms(90));
+    on_answer(target, from_ms(90), 0, START + from_ms(90));
     on_sent(target, START + from_ms(90));
-    CHECK(expected_us(target, START + from_ms(95)) < stalled);
+    CHECK(expected_us(target, 0.0, START + from_ms(95)) < stalled);
 }
 
 TEST_CASE("one lost answer does not take a target out, two in a row do for a while") {
@@ -58,7 +58,7 @@
     on_failure(target, false, Duration::zero(), START);
     CHECK(available_at(target, START) - START > first);
     on_sent(target, START);
-    on_answer(target, from_ms(5), START);
+    on_answer(target, from_ms(5), 0, START);
     CHECK(is_candidate(fleet.targets, target, 0.0, START));
 }
 
