One HTTP server and one codec for the whole product; share crashes of targets

Blocking thread-a-connection HTTP is gone: the server for the product's own interface runs on the event loop with worker threads for its handlers, the blocking client shares the codec. Requests that crash targets are counted across nodes through the platform's store and refused after the third crash.

--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -19,6 +19,9 @@
 /// Advice for a request that came before the node knows its configuration.
 constexpr Duration NOT_READY_RETRY = from_ms(300);
 
+/// Advice for a request in quarantine; it is refused for minutes.
+constexpr Duration QUARANTINE_RETRY = from_ms(60000);
+
 /// Idle connections older than this may have been dropped unseen, so requests that must not be
 /// sent twice do not use them.
 constexpr Duration FRESH_CONNECTION = from_ms(1000);
@@ -85,7 +88,7 @@
     if (is_quarantined(m_front.quarantine, m_fingerprint)) {
         ++m_front.counters.quarantined;
         answer_at_once(http::UNAVAILABLE, "the request has crashed several targets",
-                       Duration::zero());
+                       QUARANTINE_RETRY);
         return false;
     }
     return true;
@@ -217,7 +220,8 @@
 void CallerRequest::withdraw_try(const WithdrawTry& action) {
     for (std::size_t i = 0; i < m_open.size(); ++i) {
         if (m_open[i].id == action.id && m_front.pool.withdraw(m_open[i].call)) {
-            on_abandoned(m_front.targets.states[m_open[i].target], Duration::zero(), 0, monotonic_now());
+            on_abandoned(m_front.targets.states[m_open[i].target], Duration::zero(), 0,
+                         monotonic_now());
             m_open.erase(m_open.begin() + static_cast<std::ptrdiff_t>(i));
             return;
         }
@@ -295,11 +299,15 @@
             return;
         case TryEnd::not_connected:
             on_failure(target, false, cold_start, now);
+            for (const std::uint64_t request :
+                 confirm_crash(m_front.quarantine, attempt.target, now)) {
+                m_front.on_crash(request);
+            }
             return;
         case TryEnd::broken:
             on_failure(target, true, cold_start, now);
-            if (call_end == CallEnd::broken && m_front.on_crash) {
-                m_front.on_crash(m_fingerprint);
+            if (call_end == CallEnd::broken) {
+                note_break(m_front.quarantine, {attempt.target, m_fingerprint, now});
             }
             return;
         case TryEnd::timed_out:
@@ -402,7 +410,8 @@
         if (!m_front.pool.withdraw(attempt.call)) {
             m_front.pool.abort(attempt.call);
         } else {
-            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), 0, monotonic_now());
+            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), 0,
+                         monotonic_now());
         }
     }
     m_connection.reset();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -1,6 +1,7 @@
 #include "front/front.h"
 
 #include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <sstream>
 
@@ -48,6 +49,9 @@
 
 constexpr Duration REGISTRATION_RETRY = from_ms(2000);
 
+/// The store answers in milliseconds; a call that takes longer has met an outage.
+constexpr Duration STORE_TIMEOUT = from_ms(1000);
+
 std::string read_file(const std::string& path) {
     std::ifstream file(path);
     std::ostringstream text;
@@ -64,7 +68,14 @@
       m_signals(signals),
       m_loop(LoopThread::caller),
       m_state(m_loop, m_metrics),
-      m_settings_text(read_file(settings_file)) {}
+      m_started_at_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count()),
+      m_settings_text(read_file(settings_file)) {
+    m_state.on_crash = [this](std::uint64_t request) {
+        report_crash(request);
+    };
+}
 
 Front::~Front() {
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
@@ -302,9 +313,26 @@
                                      SAVED_TOKEN_SHARE / static_cast<double>(nodes)));
 }
 
-void Front::take_suspects(const std::vector<platform::StoredObject>& /*objects*/) {}
+void Front::take_suspects(const std::vector<platform::StoredObject>& objects) {
+    for (const platform::StoredObject& object : objects) {
+        const std::optional<CrashReport> report = parse_crash_report(object.name);
+        if (object.removed || !report.has_value() || report->node == m_settings.node) {
+            continue;
+        }
+        // A list names crashes that changes have told before; each report counts once.
+        if (m_known_reports.insert(object.name).second) {
+            add_crashes(m_state.quarantine, report->request, 1, monotonic_now());
+        }
+    }
+}
 
-void Front::report_crash(std::uint64_t /*request*/) {}
+void Front::report_crash(std::uint64_t request) {
+    add_crashes(m_state.quarantine, request, 1, monotonic_now());
+    const std::string name =
+        crash_report_name({request, m_settings.node, m_started_at_ms, ++m_crash_reports});
+    LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
+    create_object(platform::Kind::quarantine, name, [](CallEnd, const HttpAnswerMessage&) {});
+}
 
 void Front::rebuild_view() {
     if (!m_table.has_value() || !m_knows_targets || !m_knows_evacuations || m_view_is_old) {
@@ -345,35 +373,49 @@
     connection->respond(std::move(answer));
 }
 
-void Front::register_node() {
-    m_next_registration = monotonic_now() + REGISTRATION_RETRY;
-    m_store = HttpChannel::open(m_loop, m_settings.store_address, [](HttpChannel&) {});
-    if (m_store == nullptr) {
+void Front::create_object(platform::Kind kind, const std::string& name,
+                          std::function<void(CallEnd, const HttpAnswerMessage&)> on_end) {
+    const std::shared_ptr<HttpChannel> channel =
+        HttpChannel::open(m_loop, m_settings.store_address, [](HttpChannel&) {});
+    if (channel == nullptr) {
+        on_end(CallEnd::not_sent, HttpAnswerMessage{});
         return;
     }
+    const std::weak_ptr<HttpChannel> weak = channel;
+    m_loop.run_at(monotonic_now() + STORE_TIMEOUT, [weak] {
+        const std::shared_ptr<HttpChannel> open = weak.lock();
+        if (open != nullptr) {
+            open->close();
+        }
+    });
     ChannelCall call;
-    call.make_request = [this] {
-        const HttpHeaders headers = {{"Host", m_settings.store_address},
-                                     {"Content-Type", "application/json"}};
-        return encode(HttpRequestMessage{"POST", platform::create_path(platform::Kind::nodes),
-                                         headers, platform::create_body(m_settings.node, "{}"),
-                                         true});
+    call.make_request = [kind, name, address = m_settings.store_address] {
+        const HttpHeaders headers = {{"Host", address}, {"Content-Type", "application/json"}};
+        return encode(HttpRequestMessage{"POST", platform::create_path(kind), headers,
+                                         platform::create_body(name, ""), false});
     };
     call.is_mine = [](const HttpAnswerMessage&) {
         return true;
     };
     call.on_began = [] {
     };
-    call.on_end = [this](CallEnd end, const HttpAnswerMessage& answer) {
-        const bool is_there = answer.status == http::OK || answer.status == http::CREATED ||
-                              answer.status == http::CONFLICT;
-        m_registered = end == CallEnd::answered && is_there;
-        LogEvent(LogLevel::info, "front", "registered")
-            .add("outcome", name_of(end))
-            .add("status", answer.status)
-            .write();
-    };
-    m_store->start(std::move(call));
+    call.on_end = std::move(on_end);
+    channel->start(std::move(call));
+}
+
+void Front::register_node() {
+    m_next_registration = monotonic_now() + REGISTRATION_RETRY;
+    create_object(platform::Kind::nodes, m_settings.node,
+                  [this](CallEnd end, const HttpAnswerMessage& answer) {
+                      const bool is_there = answer.status == http::OK ||
+                                            answer.status == http::CREATED ||
+                                            answer.status == http::CONFLICT;
+                      m_registered = end == CallEnd::answered && is_there;
+                      LogEvent(LogLevel::info, "front", "registered")
+                          .add("outcome", name_of(end))
+                          .add("status", answer.status)
+                          .write();
+                  });
 }
 
 void Front::housekeep() {
@@ -390,10 +432,8 @@
     }
     if (!m_registered && now >= m_next_registration) {
         register_node();
-    } else if (m_registered && m_store != nullptr) {
-        m_store->close();
-        m_store.reset();
     }
+    forget_old_suspects(m_state.quarantine, now);
     if (m_signals.reload.exchange(false) || now >= m_next_settings_check) {
         m_next_settings_check = now + SETTINGS_CHECK_INTERVAL;
         reload_settings();
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -54,6 +54,8 @@
     void take_nodes(const std::vector<platform::StoredObject>& objects);
     void take_suspects(const std::vector<platform::StoredObject>& objects);
     void report_crash(std::uint64_t request);
+    void create_object(platform::Kind kind, const std::string& name,
+                       std::function<void(CallEnd, const HttpAnswerMessage&)> on_end);
     void rebuild_view();
     void apply_limits();
     void split_fleet_limits();
@@ -77,7 +79,11 @@
     std::shared_ptr<HttpListener> m_ready;
     std::shared_ptr<HttpListener> m_metrics_listener;
     std::vector<std::shared_ptr<KindWatcher>> m_watchers;
-    std::shared_ptr<HttpChannel> m_store;
+    /// Reports of crashes by other nodes that were counted.
+    std::set<std::string> m_known_reports;
+    std::int64_t m_crash_reports = 0;
+    /// Wall-clock milliseconds; tells the reports of this start from those of others.
+    std::int64_t m_started_at_ms = 0;
     std::optional<RouteTable> m_table;
     TargetRegistry m_registry;
     bool m_knows_targets = false;
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -58,7 +58,7 @@
     Quarantine quarantine;
     TargetPool pool;
     Random random;
-    /// Told when a request has broken a target's connection: its fingerprint.
+    /// Told when a target has crashed while it ran the request of that fingerprint.
     std::function<void(std::uint64_t)> on_crash;
 };
 
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -54,8 +54,7 @@
     return m_last_heard;
 }
 
-void KindWatcher::call(const std::string& path, Duration timeout,
-                       const CallHandler& on_end) {
+void KindWatcher::call(const std::string& path, Duration timeout, const CallHandler& on_end) {
     if (m_stopped) {
         return;
     }
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,18 +1,17 @@
 #include "io/http_client.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 
 #include <algorithm>
+#include <array>
+
+#include "io/http_message.h"
 
 namespace ebonymount {
 namespace {
 
-/// An idle connection is never given up by this side; the target closes it if it wants to.
-constexpr int KEEP_ALIVE_S = 86400;
+constexpr std::size_t READ_BYTES = 16384;
 
 Poco::Timespan timespan(Duration duration) {
     return Poco::Timespan(std::max<std::int64_t>(duration.count(), 1000));
@@ -24,35 +23,52 @@
                        Poco::Net::Socket::SELECT_READ | Poco::Net::Socket::SELECT_ERROR);
 }
 
-void send_request(Poco::Net::HTTPClientSession& session, const HttpRequest& request) {
-    Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
-    head.setKeepAlive(true);
+void send_request(Poco::Net::StreamSocket& socket, const std::string& address,
+                  const HttpRequest& request) {
+    HttpRequestMessage message{
+        request.method, request.path, {{"Host", address}}, request.body, true};
     for (const auto& [name, value] : request.headers) {
-        head.set(name, value);
+        message.headers.push_back({name, value});
     }
     if (!request.body.empty() || request.method != "GET") {
-        head.setContentLength(static_cast<std::streamsize>(request.body.size()));
-        head.setContentType("application/json");
+        message.headers.push_back({"Content-Type", "application/json"});
+    }
+    const std::string bytes = encode(message);
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        sent += static_cast<std::size_t>(
+            socket.sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
     }
-    session.sendRequest(head) << request.body << std::flush;
 }
 
-HttpAnswer read_answer(Poco::Net::HTTPClientSession& session) {
+/// Reads until an answer is complete; the stage stays `sending` if it never is.
+HttpAnswer read_answer(Poco::Net::StreamSocket& socket, bool& keep_alive) {
     HttpAnswer answer;
     answer.stage = ExchangeStage::sending;
-    Poco::Net::HTTPResponse head;
-    std::istream& body = session.receiveResponse(head);
-    Poco::StreamCopier::copyToString(body, answer.body);
-    const std::streamsize expected = head.getContentLength();
-    if (expected != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
-        static_cast<std::size_t>(expected) != answer.body.size()) {
+    HttpAnswerReader reader(HttpLimits{});
+    std::string input;
+    std::array<char, READ_BYTES> chunk{};
+    ReadState state = ReadState::nothing;
+    while (state == ReadState::nothing || state == ReadState::header || state == ReadState::body) {
+        const int count = socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+        if (count <= 0) {
+            state = state == ReadState::body ? reader.end_of_stream() : ReadState::malformed;
+            break;
+        }
+        input.append(chunk.data(), static_cast<std::size_t>(count));
+        state = reader.consume(input);
+    }
+    if (state != ReadState::complete) {
         answer.error = "the answer was cut short";
         return answer;
     }
-    answer.status = head.getStatus();
-    for (const auto& [name, value] : head) {
-        answer.headers[name] = value;
+    HttpAnswerMessage message = reader.take();
+    keep_alive = message.keep_alive && input.empty();
+    answer.status = message.status;
+    for (const HttpHeader& header : message.headers) {
+        answer.headers[header.name] = header.value;
     }
+    answer.body = std::move(message.body);
     answer.stage = ExchangeStage::answered;
     return answer;
 }
@@ -63,8 +79,8 @@
     : m_address(std::move(address)), m_connect_timeout(connect_timeout) {}
 
 ConnectResult HttpConnection::ensure_connected() {
-    const bool had_one = m_session != nullptr;
-    if (m_session != nullptr && m_session->connected() && !is_stale(m_session->socket())) {
+    const bool had_one = m_socket.has_value();
+    if (m_socket.has_value() && !is_stale(*m_socket)) {
         return ConnectResult::ready;
     }
     close();
@@ -72,9 +88,7 @@
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(m_address), timespan(m_connect_timeout));
         socket.setNoDelay(true);
-        m_session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
-        m_session->setKeepAlive(true);
-        m_session->setKeepAliveTimeout(Poco::Timespan(KEEP_ALIVE_S, 0));
+        m_socket = socket;
         ++m_opened;
         return had_one ? ConnectResult::replaced : ConnectResult::opened;
     } catch (const Poco::Exception&) {
@@ -85,29 +99,34 @@
 
 HttpAnswer HttpConnection::exchange(const HttpRequest& request, Duration timeout) {
     HttpAnswer answer;
-    if (m_session == nullptr || !m_session->connected()) {
+    if (!m_socket.has_value()) {
         answer.error = "not connected";
         return answer;
     }
     answer.stage = ExchangeStage::sending;
+    bool keep_alive = false;
     try {
-        m_session->setTimeout(timespan(m_connect_timeout), timespan(timeout), timespan(timeout));
-        send_request(*m_session, request);
-        answer = read_answer(*m_session);
+        m_socket->setSendTimeout(timespan(timeout));
+        m_socket->setReceiveTimeout(timespan(timeout));
+        send_request(*m_socket, m_address, request);
+        answer = read_answer(*m_socket, keep_alive);
     } catch (const Poco::TimeoutException& error) {
         answer.timed_out = true;
         answer.error = error.displayText();
     } catch (const Poco::Exception& error) {
         answer.error = error.displayText();
     }
-    if (answer.stage != ExchangeStage::answered) {
+    if (!keep_alive) {
         close();
     }
     return answer;
 }
 
 void HttpConnection::close() {
-    m_session.reset();
+    if (m_socket.has_value()) {
+        m_socket->close();
+        m_socket.reset();
+    }
 }
 
 int HttpConnection::opened() const {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -1,10 +1,13 @@
-// One blocking HTTP exchange through POCO, with the evidence that a verdict needs.
+// One blocking HTTP exchange, with the evidence that a verdict needs.
+//
+// For threads that may wait: the command line, the relay's workers, load tools. It shares the codec
+// of the sessions on event loops.
 #pragma once
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -63,7 +66,7 @@
 private:
     std::string m_address;
     Duration m_connect_timeout;
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
+    std::optional<Poco::Net::StreamSocket> m_socket;
     int m_opened = 0;
 };
 
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -84,13 +84,16 @@
     }
 }
 
-void HttpListener::close() {
-    if (m_closed) {
-        return;
+void HttpListener::stop_accepting() {
+    if (m_accepting) {
+        m_accepting = false;
+        m_loop.unwatch(m_socket);
+        m_socket.close();
     }
-    m_closed = true;
-    m_loop.unwatch(m_socket);
-    m_socket.close();
+}
+
+void HttpListener::close() {
+    stop_accepting();
     const std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> connections =
         m_connections;
     for (const auto& [key, weak] : connections) {
@@ -308,6 +311,17 @@
     }
 }
 
+void HttpServerConnection::drop() {
+    if (m_phase != Phase::closed) {
+        m_stream.reset_on_close();
+        close();
+    }
+}
+
+std::string HttpServerConnection::client_address() const {
+    return m_stream.peer();
+}
+
 void HttpServerConnection::sweep(Time now) {
     const HttpListenerOptions& options = m_listener->m_options;
     if (m_phase == Phase::lingering) {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -58,6 +58,9 @@
     /// Ends every connection after the request that it serves; new connections get one request.
     void close_after_answers();
 
+    /// Takes no new connections.
+    void stop_accepting();
+
     /// Closes the connections that serve no request and hold no part of one.
     void close_idle();
 
@@ -90,7 +93,7 @@
     HttpListenerCounts m_counts;
     std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> m_connections;
     bool m_closing = false;
-    bool m_closed = false;
+    bool m_accepting = true;
 };
 
 class HttpServerConnection : public SocketOwner,
@@ -102,6 +105,12 @@
     /// Called once if the caller leaves before it was answered.
     void on_caller_gone(std::function<void()> handler);
 
+    /// Closes the connection without an answer, as a process that crashes would.
+    void drop();
+
+    /// Address of the other end.
+    std::string client_address() const;
+
     /// When the first byte of the request being served arrived.
     Time request_began() const;
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,147 +1,54 @@
 #include "io/http_server.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/NetException.h>
+#include <Poco/Exception.h>
 #include <Poco/String.h>
 #include <Poco/URI.h>
 
-#include <algorithm>
 #include <chrono>
+#include <future>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 #include "io/http_status.h"
 
 namespace ebonymount {
 namespace {
 
-constexpr int IDLE_CONNECTION_S = 3600;
+/// Callers of the product's own interface may keep a connection idle for long.
+constexpr Duration IDLE_TIMEOUT = from_ms(3600000);
 
-/// Pause before connections are told again that the server stops.
-constexpr std::chrono::milliseconds STOP_POLL(2);
+/// Time for the header of a request after its first byte.
+constexpr Duration HEADER_TIMEOUT = from_ms(30000);
 
-/// Time for the rest of a request after its first byte.
-constexpr int RECEIVE_S = 30;
+constexpr Duration SWEEP_INTERVAL = from_ms(1000);
 
-/// Reads the body up to a limit; false when it is longer.
-bool read_body(std::istream& input, std::size_t most, std::string& body) {
-    std::array<char, 16384> chunk{};
-    while (input.read(chunk.data(), chunk.size()) || input.gcount() > 0) {
-        body.append(chunk.data(), static_cast<std::size_t>(input.gcount()));
-        if (body.size() > most) {
-            return false;
-        }
-    }
-    return true;
-}
+/// Pause before a stopping server looks again whether its requests are answered.
+constexpr std::chrono::milliseconds STOP_POLL(2);
 
-HttpCall read_head(const Poco::Net::HTTPServerRequest& request) {
+HttpCall call_from(HttpRequestMessage request, const std::string& client) {
     HttpCall call;
-    call.method = request.getMethod();
-    call.client = request.clientAddress().toString();
-    const Poco::URI uri(request.getURI());
+    call.method = std::move(request.method);
+    call.client = client;
+    const Poco::URI uri(request.target);
     call.path = uri.getPath();
     for (const auto& [name, value] : uri.getQueryParameters()) {
         call.query[name] = value;
     }
-    for (const auto& [name, value] : request) {
-        call.headers[Poco::toLower(name)] = value;
+    for (const HttpHeader& header : request.headers) {
+        call.headers[Poco::toLower(header.name)] = header.value;
     }
+    call.body = std::move(request.body);
     return call;
 }
 
-void send_reply(Poco::Net::HTTPServerResponse& response, const HttpReply& reply) {
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
-    response.setContentType(reply.content_type);
+HttpAnswerMessage message_from(HttpReply reply) {
+    HttpAnswerMessage answer;
+    answer.status = reply.status;
+    answer.headers.push_back({"Content-Type", reply.content_type});
     for (const auto& [name, value] : reply.headers) {
-        response.set(name, value);
+        answer.headers.push_back({name, value});
     }
-    response.sendBuffer(reply.body.data(), reply.body.size());
-}
-
-class Handler : public Poco::Net::HTTPRequestHandler {
-public:
-    Handler(const HttpHandler& handler, std::size_t most_body_bytes)
-        : m_handler(handler), m_most_body_bytes(most_body_bytes) {}
-
-    void handleRequest(Poco::Net::HTTPServerRequest& request,
-                       Poco::Net::HTTPServerResponse& response) override {
-        try {
-            const HttpReply reply = handle(request);
-            if (reply.drop) {
-                Poco::Net::HTTPServerRequestImpl& connection =
-                    dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-                connection.socket().setLinger(true, 0);
-                connection.socket().close();
-                return;
-            }
-            if (reply.status == http::TOO_LARGE) {
-                response.setKeepAlive(false);
-            }
-            send_reply(response, reply);
-        } catch (const Poco::Exception&) {
-            // The caller went away; there is nobody to answer.
-        }
-    }
-
-private:
-    HttpReply handle(Poco::Net::HTTPServerRequest& request) {
-        HttpCall call;
-        try {
-            call = read_head(request);
-        } catch (const Poco::Exception& error) {
-            return error_reply(
-                http::BAD_REQUEST,
-                {ErrorCode::invalid_input, "the request's path cannot be read", request.getURI()});
-        }
-        if (!read_body(request.stream(), m_most_body_bytes, call.body)) {
-            return error_reply(http::TOO_LARGE,
-                               {ErrorCode::invalid_input, "the body is longer than allowed",
-                                std::to_string(m_most_body_bytes) + " bytes"});
-        }
-        const std::streamsize announced = request.getContentLength();
-        if (announced != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
-            static_cast<std::size_t>(announced) != call.body.size()) {
-            return error_reply(http::BAD_REQUEST,
-                               {ErrorCode::invalid_input, "the body is shorter than announced",
-                                std::to_string(announced) + " bytes"});
-        }
-        return m_handler(call);
-    }
-
-    const HttpHandler& m_handler;
-    std::size_t m_most_body_bytes;
-};
-
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
-public:
-    HandlerFactory(HttpHandler handler, std::size_t most_body_bytes)
-        : m_handler(std::move(handler)), m_most_body_bytes(most_body_bytes) {}
-
-    Poco::Net::HTTPRequestHandler* createRequestHandler(
-        const Poco::Net::HTTPServerRequest& /*request*/) override {
-        return new Handler(m_handler, m_most_body_bytes);  // NOLINT: POCO takes ownership.
-    }
-
-private:
-    HttpHandler m_handler;
-    std::size_t m_most_body_bytes;
-};
-
-Poco::Net::HTTPServerParams* make_params(int threads) {
-    Poco::Net::HTTPServerParams* params = new Poco::Net::HTTPServerParams;  // NOLINT: POCO owns it.
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    params->setKeepAliveTimeout(Poco::Timespan(IDLE_CONNECTION_S, 0));
-    params->setTimeout(Poco::Timespan(RECEIVE_S, 0));
-    params->setMaxThreads(threads);
-    params->setMaxQueued(threads * 4);
-    return params;
+    answer.body = std::move(reply.body);
+    return answer;
 }
 
 }  // namespace
@@ -156,22 +63,36 @@
     return found == query.end() ? "" : found->second;
 }
 
+HttpServer::HttpServer(HttpHandler handler) : m_handler(std::move(handler)) {}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerOptions& options,
                                                       HttpHandler handler) {
-    std::unique_ptr<HttpServer> server(new HttpServer);
-    try {
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(options.address), true);
-        socket.listen(512);
-        server->m_address = socket.address().toString();
-        server->m_threads = std::make_unique<Poco::ThreadPool>(2, options.threads + 1);
-        server->m_server = std::make_unique<Poco::Net::HTTPServer>(
-            new HandlerFactory(std::move(handler), options.most_body_bytes), *server->m_threads,
-            socket, make_params(options.threads));
-        server->m_server->start();
-    } catch (const Poco::Exception& error) {
-        return Error{ErrorCode::unavailable, "cannot serve HTTP: " + error.displayText(),
-                     options.address};
+    std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
+    HttpListenerOptions listening;
+    listening.limits.max_body_bytes = options.most_body_bytes;
+    listening.header_timeout = HEADER_TIMEOUT;
+    listening.idle_timeout = IDLE_TIMEOUT;
+    Result<Done> started = Done{};
+    server->run_on_loop([&] {
+        Result<std::shared_ptr<HttpListener>> listener = HttpListener::listen(
+            server->m_loop, options.address, listening,
+            [self = server.get()](const std::shared_ptr<HttpServerConnection>& connection,
+                                  HttpRequestMessage request) {
+                self->take(connection, std::move(request));
+            });
+        if (!has_value(listener)) {
+            started = error_of(listener);
+            return;
+        }
+        server->m_listener = value_of(listener);
+        server->m_address = server->m_listener->address();
+        server->sweep();
+    });
+    if (!has_value(started)) {
+        return error_of(started);
+    }
+    for (int i = 0; i < options.threads; ++i) {
+        server->m_workers.emplace_back([self = server.get()] { self->work(); });
     }
     return server;
 }
@@ -180,17 +101,94 @@
     stop(true);
 }
 
+void HttpServer::run_on_loop(const std::function<void()>& task) {
+    std::promise<void> done;
+    m_loop.post([&task, &done] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void HttpServer::sweep() {
+    m_listener->sweep(monotonic_now());
+    m_loop.run_at(monotonic_now() + SWEEP_INTERVAL, [this] { sweep(); });
+}
+
+void HttpServer::take(const std::shared_ptr<HttpServerConnection>& connection,
+                      HttpRequestMessage request) {
+    HttpCall call;
+    try {
+        call = call_from(std::move(request), connection->client_address());
+    } catch (const Poco::Exception& error) {
+        const Error unreadable{ErrorCode::invalid_input, "the request's path cannot be read",
+                               error.displayText()};
+        connection->respond(message_from(error_reply(http::BAD_REQUEST, unreadable)));
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_jobs.emplace_back([this, connection, call] {
+        const HttpReply reply = m_handler(call);
+        m_loop.post([connection, reply] {
+            if (reply.drop) {
+                connection->drop();
+            } else {
+                connection->respond(message_from(reply));
+            }
+        });
+    });
+    m_work.notify_one();
+}
+
+void HttpServer::work() {
+    while (true) {
+        std::function<void()> job;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_work.wait(lock, [this] { return m_closing || !m_jobs.empty(); });
+            if (m_jobs.empty()) {
+                return;
+            }
+            job = std::move(m_jobs.front());
+            m_jobs.pop_front();
+        }
+        job();
+    }
+}
+
+std::size_t HttpServer::busy_connections() {
+    std::size_t busy = 0;
+    run_on_loop([this, &busy] {
+        m_listener->close_idle();
+        busy = m_listener->busy_connections();
+    });
+    return busy;
+}
+
 void HttpServer::stop(bool abort) {
     if (m_stopped) {
         return;
     }
     m_stopped = true;
-    // A connection that was being accepted at that moment has not heard of the stop yet.
-    do {
-        m_server->stopAll(abort);
-        std::this_thread::sleep_for(STOP_POLL);
-    } while (m_server->currentConnections() > 0);
-    m_threads->joinAll();
+    if (m_listener != nullptr) {
+        run_on_loop([this] {
+            m_listener->stop_accepting();
+            m_listener->close_after_answers();
+        });
+        while (!abort && busy_connections() > 0) {
+            std::this_thread::sleep_for(STOP_POLL);
+        }
+        run_on_loop([this] { m_listener->close(); });
+    }
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_closing = true;
+    }
+    m_work.notify_all();
+    for (std::thread& worker : m_workers) {
+        worker.join();
+    }
+    m_loop.stop();
 }
 
 std::string HttpServer::address() const {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -1,18 +1,22 @@
-// HTTP server on POCO with one function as its handler.
+// HTTP server for handlers that may block.
 //
 // Requests are read whole, up to a limit, before the handler runs. Malformed and oversized
 // requests are answered here, so no handler ever sees them.
 #pragma once
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
-
+#include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "base/result.h"
+#include "io/event_loop.h"
+#include "io/http_listener.h"
 
 namespace ebonymount {
 
@@ -51,6 +55,8 @@
     std::size_t most_body_bytes = 1 << 20;
 };
 
+/// Serves blocking handlers: connections live on an event loop, handlers on worker threads, so an
+/// open connection holds no thread.
 class HttpServer {
 public:
     static Result<std::unique_ptr<HttpServer>> start(const HttpServerOptions& options,
@@ -61,18 +67,30 @@
     HttpServer(HttpServer&&) = delete;
     HttpServer& operator=(HttpServer&&) = delete;
 
-    /// Stops accepting; with `abort` open connections are closed at once.
+    /// Stops accepting and waits for the requests being served; with `abort` their connections
+    /// are closed at once.
     void stop(bool abort);
 
     /// The address with the port that the system chose if none was given.
     std::string address() const;
 
 private:
-    HttpServer() = default;
-
-    std::unique_ptr<Poco::ThreadPool> m_threads;
-    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+    explicit HttpServer(HttpHandler handler);
+    void work();
+    void take(const std::shared_ptr<HttpServerConnection>& connection, HttpRequestMessage request);
+    void sweep();
+    std::size_t busy_connections();
+    void run_on_loop(const std::function<void()>& task);
+
+    HttpHandler m_handler;
+    EventLoop m_loop;
+    std::shared_ptr<HttpListener> m_listener;
     std::string m_address;
+    std::vector<std::thread> m_workers;
+    std::mutex m_mutex;
+    std::condition_variable m_work;
+    std::deque<std::function<void()>> m_jobs;
+    bool m_closing = false;
     bool m_stopped = false;
 };
 
--- a/src/io/tcp_stream.cpp
+++ b/src/io/tcp_stream.cpp
@@ -104,6 +104,18 @@
     }
 }
 
+void TcpStream::reset_on_close() {
+    m_socket.setLinger(true, 0);
+}
+
+std::string TcpStream::peer() const {
+    try {
+        return m_socket.peerAddress().toString();
+    } catch (const Poco::Exception&) {
+        return "";
+    }
+}
+
 void TcpStream::close() {
     m_socket.close();
 }
--- a/src/io/tcp_stream.h
+++ b/src/io/tcp_stream.h
@@ -46,8 +46,14 @@
     /// Sends the end of the stream; what the other end still sends can be read.
     void shutdown_send();
 
+    /// Makes `close` reset the connection.
+    void reset_on_close();
+
     void close();
 
+    /// Address of the other end; empty when it is gone.
+    std::string peer() const;
+
     const Poco::Net::StreamSocket& socket() const;
 
 private:
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -1,5 +1,6 @@
 #include "policy/quarantine.h"
 
+#include <sstream>
 #include <string>
 
 #include "base/hash.h"
@@ -7,11 +8,31 @@
 namespace ebonymount {
 namespace {
 
+/// A target that refuses connections this long after a break has crashed at the break.
+constexpr Duration CRASH_NOTICE = from_ms(2000);
+
 /// A request that has crashed nothing for this long is given another chance.
 constexpr Duration SUSPICION_TIME = from_ms(600000);
 
 }  // namespace
 
+std::string crash_report_name(const CrashReport& report) {
+    return std::to_string(report.request) + "." + std::to_string(report.started_at_ms) + "." +
+           std::to_string(report.number) + "." + report.node;
+}
+
+std::optional<CrashReport> parse_crash_report(const std::string& name) {
+    CrashReport report;
+    std::istringstream text(name);
+    char first = 0;
+    char second = 0;
+    char third = 0;
+    text >> report.request >> first >> report.started_at_ms >> second >> report.number >> third >>
+        report.node;
+    const bool is_report = !text.fail() && first == '.' && second == '.' && third == '.';
+    return is_report ? std::optional<CrashReport>(report) : std::nullopt;
+}
+
 std::uint64_t fingerprint(std::string_view method, std::string_view host, std::string_view target,
                           std::string_view body) {
     std::string text;
@@ -35,7 +56,25 @@
     return found != quarantine.suspects.end() && found->second.crashes >= CRASHES_TO_QUARANTINE;
 }
 
+void note_break(Quarantine& quarantine, const BrokenRun& broken) {
+    quarantine.breaks.push_back(broken);
+}
+
+std::vector<std::uint64_t> confirm_crash(Quarantine& quarantine, TargetIndex target, Time now) {
+    std::vector<std::uint64_t> requests;
+    std::erase_if(quarantine.breaks, [&](const BrokenRun& broken) {
+        const bool is_there = broken.target == target && now - broken.at <= CRASH_NOTICE;
+        if (is_there) {
+            requests.push_back(broken.request);
+        }
+        return is_there;
+    });
+    return requests;
+}
+
 void forget_old_suspects(Quarantine& quarantine, Time now) {
+    std::erase_if(quarantine.breaks,
+                  [now](const BrokenRun& broken) { return now - broken.at > CRASH_NOTICE; });
     std::erase_if(quarantine.suspects,
                   [now](const auto& entry) { return now - entry.second.last > SUSPICION_TIME; });
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -1,15 +1,21 @@
 // Requests that crash the targets that run them.
 //
 // Such a request comes again, at any node, and would take down one target after the other. A
-// request whose connection to a target broke while it ran is a suspect; one that broke several is
-// refused. Nodes share the counts, so that a crash seen by one counts for all.
+// connection that breaks while a request runs may be one lost answer; if the target then refuses
+// connections, it has crashed, and the requests that ran there are suspects. A request that was
+// there at several crashes is refused. Nodes share what they see, so that a crash seen by one
+// counts for all.
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "base/time.h"
+#include "policy/target_state.h"
 
 namespace ebonymount {
 
@@ -23,11 +29,43 @@
     friend bool operator==(const Suspect&, const Suspect&) = default;
 };
 
-/// Suspects by fingerprint.
+/// A connection that broke while a request ran.
+struct BrokenRun {
+    TargetIndex target = 0;
+    std::uint64_t request = 0;
+    Time at{};
+
+    friend bool operator==(const BrokenRun&, const BrokenRun&) = default;
+};
+
+/// Suspects by fingerprint, and breaks that may turn out to be crashes.
 struct Quarantine {
     std::unordered_map<std::uint64_t, Suspect> suspects;
+    std::vector<BrokenRun> breaks;
 };
 
+/// Notes that a request's connection to a target broke while it ran.
+void note_break(Quarantine& quarantine, const BrokenRun& broken);
+
+/// The target refuses connections: returns the requests that ran there when it crashed, each
+/// break once.
+std::vector<std::uint64_t> confirm_crash(Quarantine& quarantine, TargetIndex target, Time now);
+
+/// One crash as nodes tell each other: a name in the platform's store.
+struct CrashReport {
+    std::uint64_t request = 0;
+    std::string node;
+    /// Wall-clock milliseconds of the node's start, and the number of its report since.
+    std::int64_t started_at_ms = 0;
+    std::int64_t number = 0;
+
+    friend bool operator==(const CrashReport&, const CrashReport&) = default;
+};
+
+/// Name of a report, and the report of a name; empty for any other name.
+std::string crash_report_name(const CrashReport& report);
+std::optional<CrashReport> parse_crash_report(const std::string& name);
+
 /// What makes two requests the same: method, host, path with query, and body.
 std::uint64_t fingerprint(std::string_view method, std::string_view host, std::string_view target,
                           std::string_view body);
@@ -38,7 +76,7 @@
 /// True when the request must not be sent to any target.
 bool is_quarantined(const Quarantine& quarantine, std::uint64_t request);
 
-/// Forgets suspects that have not crashed a target for a long time.
+/// Forgets breaks that were no crash, and suspects that have not crashed a target for long.
 void forget_old_suspects(Quarantine& quarantine, Time now);
 
 }  // namespace ebonymount
--- /dev/null
+++ b/test/correctness/test_quarantine.cpp
@@ -0,0 +1,45 @@
+// Requests that crash targets: what counts as a crash, who is refused, what nodes tell each other.
+#include <catch2/catch.hpp>
+
+#include "policy/quarantine.h"
+
+namespace ebonymount {
+namespace {
+
+const Time START = Time{} + from_ms(1000000);
+
+}  // namespace
+
+TEST_CASE("requests that crash targets are refused after the third crash, others are not") {
+    Quarantine quarantine;
+    const std::uint64_t bad = fingerprint("GET", "h", "/a", "x");
+    const std::uint64_t good = fingerprint("GET", "h", "/a", "y");
+    add_crashes(quarantine, bad, 2, START);
+    CHECK_FALSE(is_quarantined(quarantine, bad));
+    add_crashes(quarantine, bad, 1, START);
+    CHECK(is_quarantined(quarantine, bad));
+    CHECK_FALSE(is_quarantined(quarantine, good));
+    forget_old_suspects(quarantine, START + from_ms(601000));
+    CHECK_FALSE(is_quarantined(quarantine, bad));
+}
+
+TEST_CASE("a break is a crash only if the target refuses connections soon after") {
+    Quarantine quarantine;
+    note_break(quarantine, {1, 77, START});
+    note_break(quarantine, {2, 78, START});
+    CHECK(confirm_crash(quarantine, 1, START + from_ms(10)) == std::vector<std::uint64_t>{77});
+    CHECK(confirm_crash(quarantine, 1, START + from_ms(20)).empty());
+    CHECK(confirm_crash(quarantine, 2, START + from_ms(2001)).empty());
+    forget_old_suspects(quarantine, START + from_ms(2001));
+    CHECK(quarantine.breaks.empty());
+}
+
+TEST_CASE("a report of a crash is read back from its name, other names are none") {
+    const CrashReport report{18446744073709551615U, "front-east-1", 1700000000000, 3};
+    CHECK(parse_crash_report(crash_report_name(report)) == report);
+    CHECK_FALSE(parse_crash_report("leader"));
+    CHECK_FALSE(parse_crash_report("1.2.3"));
+    CHECK_FALSE(parse_crash_report(""));
+}
+
+}  // namespace ebonymount
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -2,7 +2,6 @@
 #include <catch2/catch.hpp>
 
 #include "fleet_fixture.h"
-#include "policy/quarantine.h"
 
 namespace ebonymount {
 namespace {
@@ -21,7 +20,8 @@
         on_answer(near, from_ms(120), 0, START);
     }
     CHECK(expected_us(near, 0.0, START) > expected_us(far, 0.0, START));
-    CHECK(expected_us(near, 0.0, START + from_ms(60000)) < expected_us(far, 0.0, START + from_ms(60000)));
+    CHECK(expected_us(near, 0.0, START + from_ms(60000)) <
+          expected_us(far, 0.0, START + from_ms(60000)));
 }
 
 TEST_CASE("a target that owes an answer for long counts as stalled until it answers") {
@@ -78,9 +78,9 @@
     }
     std::int64_t most = 0;
     for (const Time from : sends) {
-        const std::int64_t in_second =
-            std::count_if(sends.begin(), sends.end(),
-                          [from](Time at) { return at >= from && at < from + from_ms(1000); });
+        const std::int64_t in_second = std::count_if(sends.begin(), sends.end(), [from](Time at) {
+            return at >= from && at < from + from_ms(1000);
+        });
         most = std::max(most, in_second);
     }
     CHECK(most * NODES <= static_cast<std::int64_t>(COLD_PER_SECOND * 1.5) + 5);
@@ -116,17 +116,4 @@
     CHECK_FALSE(is_candidate(fleet.targets, fleet.state(0, 0), 0.0, START));
 }
 
-TEST_CASE("requests that crash targets are refused after the third crash, others are not") {
-    Quarantine quarantine;
-    const std::uint64_t bad = fingerprint("GET", "h", "/a", "x");
-    const std::uint64_t good = fingerprint("GET", "h", "/a", "y");
-    add_crashes(quarantine, bad, 2, START);
-    CHECK_FALSE(is_quarantined(quarantine, bad));
-    add_crashes(quarantine, bad, 1, START);
-    CHECK(is_quarantined(quarantine, bad));
-    CHECK_FALSE(is_quarantined(quarantine, good));
-    forget_old_suspects(quarantine, START + from_ms(601000));
-    CHECK_FALSE(is_quarantined(quarantine, bad));
-}
-
 }  // namespace ebonymount
--- /dev/null
+++ b/test/load/test_heavy_days.cpp
@@ -0,0 +1,102 @@
+// Load of heavy days against the decisions, in virtual time and without a network. Each case
+// names the pattern that answers the load.
+#include <catch2/catch.hpp>
+
+#include "target_farm.h"
+
+namespace ebonymount {
+namespace {
+
+/// Extra arrivals that the fleet may send to a service in ten seconds: the platform's ratio and
+/// slack for a small deployment.
+constexpr double RETRY_RATIO = 0.2;
+constexpr std::int64_t RETRY_SLACK = 52;
+constexpr Duration RETRY_WINDOW = from_ms(10000);
+
+void check_budget(const FarmTerms& terms, const FarmReport& report) {
+    const double requests = terms.rate * to_ms(RETRY_WINDOW) / 1000.0;
+    const std::int64_t allowed = static_cast<std::int64_t>(RETRY_RATIO * requests) + RETRY_SLACK;
+    for (const auto& [service, arrivals] : report.extra) {
+        CHECK(most_in_window(arrivals, RETRY_WINDOW) <= allowed);
+    }
+}
+
+}  // namespace
+
+TEST_CASE("calm load is served whole and in time") {
+    FarmTerms terms;
+    TargetFarm farm(terms);
+    const FarmReport report = farm.run();
+    CHECK(report.goodput() > 0.99);
+    CHECK(report.refused + report.failed == 0);
+}
+
+TEST_CASE("half of the replicas shed: least expected latency with the cost of a refusal") {
+    // One of two replicas of each shard refuses six in ten; the other can carry nearly all.
+    FarmTerms terms;
+    terms.replicas = 2;
+    terms.rate = 170.0;
+    TargetFarm farm(terms);
+    for (std::size_t shard = 0; shard < terms.shards; ++shard) {
+        farm.target(shard, shard % 2).shed = 0.6;
+    }
+    const FarmReport report = farm.run();
+    // Served by chance alone: nine of ten shards at four in ten, or a token for one in five.
+    CHECK(report.goodput() > 0.75);
+    check_budget(terms, report);
+}
+
+TEST_CASE("pauses of single targets: hedged requests from a token bucket") {
+    FarmTerms terms;
+    TargetFarm farm(terms);
+    for (std::size_t target = 0; target < terms.shards * terms.replicas; ++target) {
+        // Each target pauses 150 ms each 3.6 s, as the deployments' targets do.
+        for (Duration at = from_ms(static_cast<std::int64_t>(target) * 120); at < terms.length;
+             at += from_ms(3600)) {
+            farm.at(at, [&farm, &terms, target, at] {
+                farm.target(target / terms.replicas, target % terms.replicas).paused_until =
+                    Time{} + from_ms(1000000) + at + from_ms(150);
+            });
+        }
+    }
+    const FarmReport report = farm.run();
+    CHECK(report.goodput() > 0.95);
+    check_budget(terms, report);
+}
+
+TEST_CASE("half of the replicas are slow: least expected latency moves work to the others") {
+    FarmTerms terms;
+    TargetFarm farm(terms);
+    farm.at(from_ms(2000), [&farm, &terms] {
+        for (std::size_t shard = 0; shard < terms.shards; ++shard) {
+            farm.target(shard, shard % terms.replicas).slow_factor = 8.0;
+        }
+    });
+    const FarmReport report = farm.run();
+    CHECK(report.goodput() > 0.9);
+    check_budget(terms, report);
+}
+
+TEST_CASE("a shard that is down leaves the other parts of the answer in time") {
+    FarmTerms terms;
+    TargetFarm farm(terms);
+    for (std::size_t replica = 0; replica < terms.replicas; ++replica) {
+        farm.target(0, replica).shed = 1.0;
+    }
+    const FarmReport report = farm.run();
+    CHECK(report.goodput() > 0.9);
+    CHECK(report.parts_missing >= report.in_objective);
+    check_budget(terms, report);
+}
+
+TEST_CASE("twice the load that targets can carry: the budget holds although everything fails") {
+    FarmTerms terms;
+    terms.rate = 1400.0;
+    terms.length = from_ms(4000);
+    TargetFarm farm(terms);
+    const FarmReport report = farm.run();
+    check_budget(terms, report);
+    CHECK(report.requests == report.in_objective + report.late + report.refused + report.failed);
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/test/support/target_farm.h
@@ -0,0 +1,108 @@
+// Nodes and targets in virtual time: the decisions of the direct request path under load.
+//
+// Each node has its own learned state and budget, as in a real fleet. Targets have slots, a queue
+// that sheds when it is full, a service time, and may be slow, shed or pause. Nothing sleeps and
+// no socket is opened; the same seed gives the same run.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "fleet_fixture.h"
+
+namespace ebonymount {
+
+/// How a target behaves; may be changed while a farm runs.
+struct FarmTarget {
+    std::int64_t slots = 2;
+    std::int64_t queue = 12;
+    double slow_factor = 1.0;
+    /// Part of the requests that are refused at once.
+    double shed = 0.0;
+    /// Nothing runs before this time.
+    Time paused_until{};
+
+    std::int64_t running = 0;
+    std::vector<std::function<void()>> waiting;
+};
+
+/// Load and shape of a farm.
+struct FarmTerms {
+    std::size_t nodes = 6;
+    std::size_t shards = 10;
+    std::size_t replicas = 3;
+    std::int64_t slots = 2;
+    /// Requests a second at all nodes together.
+    double rate = 200.0;
+    Duration service_time = from_ms(9);
+    /// One way to another data centre.
+    Duration far_way = from_ms(8);
+    double min_coverage = 0.89;
+    Duration length = from_ms(10000);
+    std::uint64_t seed = 1;
+    ExtraLoadTerms extra_load{190, 6};
+};
+
+/// What callers and targets saw.
+struct FarmReport {
+    std::int64_t requests = 0;
+    std::int64_t in_objective = 0;
+    std::int64_t late = 0;
+    std::int64_t refused = 0;
+    std::int64_t failed = 0;
+    /// Shards left out of successful answers.
+    std::int64_t parts_missing = 0;
+    /// Arrivals beyond the first of each request, by service, with their times.
+    std::map<ServiceIndex, std::vector<Time>> extra;
+
+    double goodput() const {
+        return static_cast<double>(in_objective) / static_cast<double>(requests);
+    }
+};
+
+class TargetFarm {
+public:
+    explicit TargetFarm(const FarmTerms& terms);
+    ~TargetFarm();
+    TargetFarm(const TargetFarm&) = delete;
+    TargetFarm& operator=(const TargetFarm&) = delete;
+    TargetFarm(TargetFarm&&) = delete;
+    TargetFarm& operator=(TargetFarm&&) = delete;
+
+    FarmTarget& target(std::size_t shard, std::size_t replica);
+
+    /// Runs something at a time after the start, such as a fault.
+    void at(Duration after, std::function<void()> what);
+
+    /// Runs the whole length and until every request has ended.
+    FarmReport run();
+
+private:
+    struct Node;
+    struct Request;
+
+    void schedule(Time when, std::function<void()> what);
+    void arrive(std::size_t node);
+    void advance(const std::shared_ptr<Request>& request, const FanOutEvent& event);
+    void start(const std::shared_ptr<Request>& request, const StartTry& action);
+    void reach(const std::shared_ptr<Request>& request, const StartTry& action, Duration way);
+    void serve(FarmTarget& target, const std::function<void()>& done);
+    void finish_one(FarmTarget& target);
+    void answer(const std::shared_ptr<Request>& request, const StartTry& action, TryEnd end);
+    void end(const std::shared_ptr<Request>& request, FanOutEnd end);
+
+    FarmTerms m_terms;
+    Time m_now;
+    Random m_random;
+    std::multimap<Time, std::function<void()>> m_events;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<FarmTarget> m_targets;
+    FarmReport m_report;
+};
+
+/// The most arrivals in any window of that length.
+std::int64_t most_in_window(const std::vector<Time>& arrivals, Duration window);
+
+}  // namespace ebonymount
