--- /dev/null
+++ b/test/failure/test_http_sessions.cpp
@@ -0,0 +1,349 @@
+// Server and client sessions on one event loop over loopback: what callers and targets may do to
+// a connection. Checks depend on what happens, never on how long it takes.
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "io/http_channel.h"
+#include "io/http_listener.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr Duration HANG_LIMIT = from_ms(20000);
+
+/// A peer that sends and receives raw bytes on the test's loop.
+class RawPeer : public SocketOwner, public std::enable_shared_from_this<RawPeer> {
+public:
+    RawPeer(EventLoop& loop, const Poco::Net::StreamSocket& socket)
+        : m_loop(loop), m_stream(socket) {}
+
+    void watch() {
+        m_loop.watch(m_stream.socket(),
+                     Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR,
+                     shared_from_this());
+    }
+    void send(const std::string& bytes) {
+        m_stream.send(bytes);
+    }
+    void close() {
+        m_loop.unwatch(m_stream.socket());
+        m_stream.close();
+    }
+    void on_ready(int /*modes*/) override {
+        const std::shared_ptr<RawPeer> keep = shared_from_this();
+        if (m_stream.receive(received) != StreamState::open) {
+            ended = true;
+            m_loop.unwatch(m_stream.socket());
+        }
+        if (on_bytes) {
+            on_bytes();
+        }
+    }
+
+    std::string received;
+    bool ended = false;
+    std::function<void()> on_bytes;
+
+private:
+    EventLoop& m_loop;
+    TcpStream m_stream;
+};
+
+/// Accepts connections as raw peers.
+class RawServer : public SocketOwner, public std::enable_shared_from_this<RawServer> {
+public:
+    explicit RawServer(EventLoop& loop) : m_loop(loop) {
+        m_socket.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true);
+        m_socket.listen(8);
+        m_socket.setBlocking(false);
+    }
+    void watch() {
+        m_loop.watch(m_socket, Poco::Net::PollSet::POLL_READ, shared_from_this());
+    }
+    void close() {
+        m_loop.unwatch(m_socket);
+        m_socket.close();
+    }
+    std::string address() const {
+        return m_socket.address().toString();
+    }
+    void on_ready(int /*modes*/) override {
+        peers.push_back(std::make_shared<RawPeer>(m_loop, m_socket.acceptConnection()));
+        on_peer(*peers.back());
+        peers.back()->watch();
+    }
+
+    std::vector<std::shared_ptr<RawPeer>> peers;
+    std::function<void(RawPeer&)> on_peer = [](RawPeer&) {
+    };
+
+private:
+    EventLoop& m_loop;
+    Poco::Net::ServerSocket m_socket;
+};
+
+struct Harness {
+    Harness() : loop(LoopThread::caller) {
+        loop.run_at(monotonic_now() + HANG_LIMIT, [this] {
+            hung = true;
+            loop.stop();
+        });
+    }
+
+    std::shared_ptr<RawPeer> caller(const std::string& address) {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address));
+        const std::shared_ptr<RawPeer> peer = std::make_shared<RawPeer>(loop, socket);
+        peer->watch();
+        return peer;
+    }
+
+    std::shared_ptr<HttpListener> listen(const HttpListenerOptions& options,
+                                         HttpRequestHandler handler) {
+        return std::get<std::shared_ptr<HttpListener>>(
+            HttpListener::listen(loop, "127.0.0.1:0", options, std::move(handler)));
+    }
+
+    EventLoop loop;
+    bool hung = false;
+};
+
+HttpAnswerMessage ok(const std::string& body) {
+    HttpAnswerMessage answer;
+    answer.status = 200;
+    answer.body = body;
+    return answer;
+}
+
+/// Makes one call on a new channel to a raw server and returns how it ended.
+struct ChannelRun {
+    std::optional<CallEnd> end;
+    HttpAnswerMessage answer;
+    bool began = false;
+    bool reusable = false;
+};
+
+ChannelRun call(const std::function<void(RawPeer&)>& on_request) {
+    Harness harness;
+    const std::shared_ptr<RawServer> server = std::make_shared<RawServer>(harness.loop);
+    server->on_peer = [&on_request](RawPeer& peer) {
+        peer.on_bytes = [&peer, &on_request] {
+            if (peer.received.find("\r\n\r\n") != std::string::npos) {
+                peer.on_bytes = nullptr;
+                on_request(peer);
+            }
+        };
+    };
+    server->watch();
+    ChannelRun run;
+    const std::shared_ptr<HttpChannel> channel =
+        HttpChannel::open(harness.loop, server->address(), [](HttpChannel&) {});
+    ChannelCall request;
+    request.make_request = [] {
+        return encode(HttpRequestMessage{"GET", "/", {{"Host", "h"}, {"Id", "1"}}, "", true});
+    };
+    request.is_mine = [](const HttpAnswerMessage& answer) {
+        return find_header(answer.headers, "Id") != "0";
+    };
+    request.on_began = [&run] {
+        run.began = true;
+    };
+    request.on_end = [&run, &harness, channel](CallEnd end, HttpAnswerMessage answer) {
+        run.end = end;
+        run.answer = std::move(answer);
+        run.reusable = channel->is_idle();
+        harness.loop.stop();
+    };
+    channel->start(std::move(request));
+    harness.loop.run();
+    REQUIRE_FALSE(harness.hung);
+    return run;
+}
+
+}  // namespace
+
+TEST_CASE("an answer of an earlier call is passed over") {
+    const ChannelRun run = call([](RawPeer& peer) {
+        peer.send(
+            "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold"
+            "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nnew");
+    });
+    CHECK(run.end == CallEnd::answered);
+    CHECK(run.answer.body == "new");
+    CHECK(run.reusable);
+}
+
+TEST_CASE("bytes after a whole answer belong to nobody and end the connection") {
+    const ChannelRun run = call(
+        [](RawPeer& peer) { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokextra"); });
+    CHECK(run.end == CallEnd::answered);
+    CHECK(run.answer.body == "ok");
+    CHECK_FALSE(run.reusable);
+}
+
+TEST_CASE("an answer that ends early is broken, one without a length ends with the connection") {
+    const ChannelRun cut = call([](RawPeer& peer) {
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+        peer.close();
+    });
+    CHECK(cut.end != CallEnd::answered);
+    CHECK(cut.began);
+    const ChannelRun whole = call([](RawPeer& peer) {
+        peer.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+        peer.close();
+    });
+    CHECK(whole.end == CallEnd::answered);
+    CHECK(whole.answer.body == "all of it");
+    CHECK_FALSE(whole.reusable);
+}
+
+TEST_CASE("bytes that are no answer are malformed") {
+    const ChannelRun run = call([](RawPeer& peer) { peer.send("\x01\x02 nonsense\r\n\r\n"); });
+    CHECK(run.end == CallEnd::malformed);
+}
+
+TEST_CASE("a port with no listener was never sent anything") {
+    Harness harness;
+    std::string address;
+    {
+        const std::shared_ptr<RawServer> server = std::make_shared<RawServer>(harness.loop);
+        address = server->address();
+        server->close();
+    }
+    std::optional<CallEnd> end;
+    bool began = false;
+    const std::shared_ptr<HttpChannel> channel =
+        HttpChannel::open(harness.loop, address, [](HttpChannel&) {});
+    REQUIRE(channel != nullptr);
+    ChannelCall request;
+    request.make_request = [] {
+        return std::string("x");
+    };
+    request.is_mine = [](const HttpAnswerMessage&) {
+        return true;
+    };
+    request.on_began = [&began] {
+        began = true;
+    };
+    request.on_end = [&](CallEnd how, const HttpAnswerMessage&) {
+        end = how;
+        harness.loop.stop();
+    };
+    channel->start(std::move(request));
+    harness.loop.run();
+    CHECK(end == CallEnd::not_sent);
+    CHECK_FALSE(began);
+}
+
+TEST_CASE("requests sent ahead are answered one by one in order") {
+    Harness harness;
+    const std::shared_ptr<HttpListener> listener = harness.listen(
+        {}, [](const std::shared_ptr<HttpServerConnection>& connection,
+               const HttpRequestMessage& request) { connection->respond(ok(request.target)); });
+    const std::shared_ptr<RawPeer> caller = harness.caller(listener->address());
+    caller->on_bytes = [&] {
+        if (caller->received.find("/3") != std::string::npos) {
+            harness.loop.stop();
+        }
+    };
+    caller->send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    harness.loop.run();
+    REQUIRE_FALSE(harness.hung);
+    CHECK(caller->received.find("/1") < caller->received.find("/2"));
+    CHECK(caller->received.find("/2") < caller->received.find("/3"));
+    listener->close();
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is served") {
+    Harness harness;
+    bool gone = false;
+    std::shared_ptr<RawPeer> caller;
+    const std::shared_ptr<HttpListener> listener = harness.listen(
+        {},
+        [&](const std::shared_ptr<HttpServerConnection>& connection, const HttpRequestMessage&) {
+            connection->on_caller_gone([&] {
+                gone = true;
+                harness.loop.stop();
+            });
+            caller->close();
+        });
+    caller = harness.caller(listener->address());
+    caller->send("GET / HTTP/1.1\r\n\r\n");
+    harness.loop.run();
+    CHECK(gone);
+    listener->close();
+}
+
+TEST_CASE("a stopping server answers what it reads, says that it closes, and then closes") {
+    Harness harness;
+    const std::shared_ptr<HttpListener> listener =
+        harness.listen({}, [](const std::shared_ptr<HttpServerConnection>& connection,
+                              const HttpRequestMessage&) { connection->respond(ok("done")); });
+    const std::shared_ptr<RawPeer> caller = harness.caller(listener->address());
+    listener->close_after_answers();
+    caller->on_bytes = [&] {
+        if (caller->ended) {
+            harness.loop.stop();
+        }
+    };
+    caller->send("GET / HTTP/1.1\r\n\r\n");
+    harness.loop.run();
+    REQUIRE_FALSE(harness.hung);
+    CHECK(caller->received.find("Connection: close") != std::string::npos);
+    CHECK(caller->received.find("done") != std::string::npos);
+    listener->close();
+}
+
+TEST_CASE(
+    "requests beyond the limits and malformed ones get a clear answer and the connection ends") {
+    HttpListenerOptions options;
+    options.limits = {200, 50};
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"GET / HTTP/1.1\r\nX: " + std::string(500, 'x') + "\r\n\r\n", "431"},
+        {"POST / HTTP/1.1\r\nContent-Length: 51\r\n\r\n", "413"},
+        {"NOT HTTP\r\n\r\n", "400"}};
+    for (const auto& [bytes, status] : cases) {
+        Harness harness;
+        const std::shared_ptr<HttpListener> listener =
+            harness.listen(options, [](const std::shared_ptr<HttpServerConnection>& connection,
+                                       const HttpRequestMessage&) { connection->respond(ok("")); });
+        const std::shared_ptr<RawPeer> caller = harness.caller(listener->address());
+        caller->on_bytes = [&] {
+            if (caller->ended) {
+                harness.loop.stop();
+            }
+        };
+        caller->send(bytes);
+        harness.loop.run();
+        REQUIRE_FALSE(harness.hung);
+        CHECK(caller->received.find("HTTP/1.1 " + status) == 0);
+        listener->close();
+    }
+}
+
+TEST_CASE("a header that drips too slowly is told that it was not run") {
+    Harness harness;
+    HttpListenerOptions options;
+    options.header_timeout = from_ms(1);
+    const std::shared_ptr<HttpListener> listener =
+        harness.listen(options, [](const std::shared_ptr<HttpServerConnection>& connection,
+                                   const HttpRequestMessage&) { connection->respond(ok("")); });
+    const std::shared_ptr<RawPeer> caller = harness.caller(listener->address());
+    caller->on_bytes = [&] {
+        if (caller->received.find("408") != std::string::npos) {
+            harness.loop.stop();
+        }
+    };
+    caller->send("GET / HT");
+    // Sweeps with a time far ahead stand for the passing of time.
+    std::function<void()> sweep = [&] {
+        listener->sweep(monotonic_now() + from_ms(1000));
+        harness.loop.run_at(monotonic_now() + from_ms(1), sweep);
+    };
+    sweep();
+    harness.loop.run();
+    CHECK_FALSE(harness.hung);
+    listener->close();
+}
+
+}  // namespace ebonymount
