--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -306,7 +306,10 @@
             return;
         case TryEnd::broken:
             on_failure(target, true, cold_start, now);
-            if (call_end == CallEnd::broken) {
+            if (call_end == CallEnd::rejected) {
+                on_connection_rejected(target, now);
+            }
+            if (call_end == CallEnd::broken || call_end == CallEnd::rejected) {
                 note_break(m_front.quarantine, {attempt.target, m_fingerprint, now});
             }
             return;
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -37,6 +37,8 @@
             return "not_sent";
         case CallEnd::broken:
             return "broken";
+        case CallEnd::rejected:
+            return "rejected";
         case CallEnd::malformed:
             return "malformed";
         case CallEnd::aborted:
@@ -211,7 +213,8 @@
             state == ReadState::body_too_long) {
             fail(CallEnd::malformed);
         } else if (stream_state != StreamState::open) {
-            fail(CallEnd::broken);
+            const bool is_rejected = !m_has_answered && state == ReadState::nothing;
+            fail(is_rejected ? CallEnd::rejected : CallEnd::broken);
         }
         return;
     }
@@ -219,6 +222,7 @@
 
 void HttpChannel::complete(HttpAnswerMessage answer) {
     m_last_used = monotonic_now();
+    m_has_answered = true;
     m_idle_limit = idle_limit_in(answer, m_idle_limit);
     // A target may answer before it has read the whole request; it would take the rest of the
     // body for the next request's bytes if this side stopped in between.
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -21,6 +21,7 @@
     answered,   ///< The whole answer is there.
     not_sent,   ///< The connection failed before a byte of the request was sent.
     broken,     ///< The connection ended before the whole answer was there.
+    rejected,   ///< A new connection ended before its first answer; may be a connection limit.
     malformed,  ///< What came is no HTTP answer.
     aborted,    ///< This side gave the call up after it was sent.
 };
@@ -94,6 +95,7 @@
     std::function<void(HttpChannel&)> m_on_change;
     Phase m_phase = Phase::connecting;
     bool m_has_call = false;
+    bool m_has_answered = false;
     ChannelCall m_call;
     std::string m_input;
     HttpAnswerReader m_reader;
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -13,7 +13,7 @@
 
 /// Noise in the choice, as a part of the expected time, keeps nodes from choosing the same replica
 /// on the same old news.
-constexpr double CHOICE_NOISE = 0.2;
+constexpr double CHOICE_NOISE = 0.1;
 
 /// A hedge goes out after the learned pace times this, within the two bounds below.
 constexpr double HEDGE_FACTOR = 1.8;
@@ -23,7 +23,7 @@
 constexpr double LATEST_HEDGE_SHARE = 0.55;
 
 /// Left of the objective when an answer leaves with what is in: way to the caller and merging.
-constexpr Duration OBJECTIVE_MARGIN = from_ms(25);
+constexpr Duration OBJECTIVE_MARGIN = from_ms(15);
 
 /// Pause before the replicas of a shard are asked again after all have refused.
 constexpr Duration REFUSAL_PAUSE = from_ms(10);
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -19,11 +19,14 @@
 /// Weight of one sample in pace and refusal share.
 constexpr double SAMPLE_WEIGHT = 0.2;
 
-/// Added for a round trip to another data centre of the region, and to another region,
-/// microseconds. Bytes between regions also cost the most.
+/// Round trips to another data centre of the region, and to another region, microseconds.
 constexpr double OTHER_DATA_CENTRE_US = 9000.0;
 constexpr double OTHER_REGION_US = 17000.0;
 
+/// Wait at a near target that is worth the bytes to another region, microseconds: operators pay
+/// for those bytes, callers hardly notice the wait.
+constexpr double REGION_BYTES_US = 15000.0;
+
 /// Reports of the queue length older than this say nothing, milliseconds.
 constexpr Duration REPORT_AGE = from_ms(300);
 
@@ -43,6 +46,9 @@
 /// its queue is long.
 constexpr double CONNECTION_SHARE = 0.8;
 
+/// Pause before a new connection after one was rejected.
+constexpr Duration REJECTED_PAUSE = from_ms(400);
+
 /// Part of what a cold target bears that nodes use together, as their windows do not coincide.
 constexpr double COLD_SHARE = 0.5;
 
@@ -86,6 +92,12 @@
                                      static_cast<double>(std::max<std::int64_t>(1, table.nodes)));
 }
 
+std::int64_t connection_share(const TargetTable& table, const TargetState& state) {
+    const double share = static_cast<double>(state.max_connections) * CONNECTION_SHARE /
+                         static_cast<double>(std::max<std::int64_t>(1, table.nodes));
+    return std::max<std::int64_t>(1, std::llround(share));
+}
+
 }  // namespace
 
 TargetIndex index_of(TargetTable& table, const std::string& id) {
@@ -158,6 +170,10 @@
     state.cold_until = std::max(state.cold_until, state.unreachable_until + cold_start);
 }
 
+void on_connection_rejected(TargetState& state, Time now) {
+    state.connect_again_at = now + REJECTED_PAUSE;
+}
+
 void on_abandoned(TargetState& state, Duration waited, std::int64_t ahead, Time now) {
     end_one(state);
     const double expected = drifted_pace(state, now) * queue_factor(state, ahead) + way_us(state);
@@ -184,6 +200,7 @@
     if (now < state.cold_until) {
         expected *= 2.0;
     }
+    expected += state.same_region ? 0.0 : REGION_BYTES_US;
     return expected + way_us(state) + state.refusal_share * refusal_us;
 }
 
@@ -192,11 +209,9 @@
     if (!state.accepts_work || state.replaced || now < state.unreachable_until) {
         return false;
     }
-    const std::int64_t share =
-        static_cast<std::int64_t>(static_cast<double>(state.max_connections) * CONNECTION_SHARE /
-                                  static_cast<double>(std::max<std::int64_t>(1, table.nodes)));
-    const std::int64_t allowed = std::max<std::int64_t>(1, share);
-    if (state.idle_connections == 0 && state.connections >= allowed) {
+    const bool may_connect =
+        state.connections < connection_share(table, state) && now >= state.connect_again_at;
+    if (state.idle_connections == 0 && !may_connect) {
         return false;
     }
     if (cold_per_second > 0.0 && now < state.cold_until) {
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -56,6 +56,8 @@
     std::int64_t connections = 0;
     std::int64_t idle_connections = 0;
     std::int64_t max_connections = 1;
+    /// New connections are opened again from then on, after one was rejected.
+    Time connect_again_at{};
 };
 
 /// All targets that this node knows or has known; indices stay valid.
@@ -84,6 +86,9 @@
 void on_refusal(TargetState& state, Time now);
 /// The request ended without an answer; `reached` is false if the target could not be connected.
 void on_failure(TargetState& state, bool reached, Duration cold_start, Time now);
+/// A new connection was closed before its first answer: the target is at its connection limit, which
+/// connections of nodes that lost power may fill for seconds.
+void on_connection_rejected(TargetState& state, Time now);
 /// The answer is no longer awaited; `waited` is a lower bound of the time it would have taken.
 void on_abandoned(TargetState& state, Duration waited, std::int64_t ahead, Time now);
 void on_load_report(TargetState& state, std::int64_t waiting, Time now);
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -110,6 +110,17 @@
     CHECK(is_candidate(fleet.targets, target, 0.0, START));
 }
 
+TEST_CASE("after a rejected connection only open ones are used for a while") {
+    FleetFixture fleet(1, 1);
+    TargetState& target = fleet.state(0, 0);
+    on_connection_rejected(target, START);
+    CHECK_FALSE(is_candidate(fleet.targets, target, 0.0, START + from_ms(100)));
+    target.idle_connections = 1;
+    CHECK(is_candidate(fleet.targets, target, 0.0, START + from_ms(100)));
+    target.idle_connections = 0;
+    CHECK(is_candidate(fleet.targets, target, 0.0, START + from_ms(1000)));
+}
+
 TEST_CASE("a target that was replaced at its address gets nothing until its entry changes") {
     FleetFixture fleet(1, 1);
     fleet.state(0, 0).replaced = true;
--- a/test/support/target_farm.cpp
+++ b/test/support/target_farm.cpp
@@ -37,6 +37,7 @@
         fleet.targets.own_data_centre = "dc" + std::to_string(i % terms.replicas);
         for (TargetState& state : fleet.targets.states) {
             state.same_data_centre = state.entry.data_centre == fleet.targets.own_data_centre;
+            state.same_region = true;
             state.max_connections = 1000000;
         }
     }
