--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -116,11 +116,13 @@
     }
     m_parts.resize(services.size());
     m_state = begin_request(terms_of(route), services);
-    const std::weak_ptr<CallerRequest> weak = weak_from_this();
     const std::shared_ptr<CallerRequest> self = shared_from_this();
     // The connection keeps the request alive while the caller waits.
     m_connection->on_caller_gone([self] { self->on_caller_gone(); });
     advance(BeginRequest{});
+    if (m_state.failed > 0) {
+        log_shards_without_target();
+    }
 }
 
 void CallerRequest::advance(const FanOutEvent& event) {
@@ -437,9 +439,35 @@
         .add("without_token", m_state.without_token)
         .add("verdict", name_of(m_state.verdict))
         .add("config_version", m_view->table.version)
+        .add("registry", m_front.registry_generation)
+        .add_ms("targets_heard_ms_ago", monotonic_now() - m_front.targets_heard)
         .write();
 }
 
+void CallerRequest::log_shards_without_target() const {
+    const Time now = monotonic_now();
+    for (const ShardState& shard : m_state.shards) {
+        if (!shard.failed || !shard.tried.empty()) {
+            continue;
+        }
+        const ServiceView& service = m_view->services[shard.service];
+        std::string reasons;
+        for (const TargetIndex index : service.targets) {
+            const TargetState& target = m_front.targets.states[index];
+            reasons += reasons.empty() ? "" : " ";
+            reasons +=
+                target.entry.id + ":" +
+                name_of(availability(m_front.targets, target, service.limits.cold_per_second, now));
+        }
+        LogEvent(LogLevel::info, "request", "no_target")
+            .add("request", m_caller.request_id)
+            .add("service", service.limits.name)
+            .add("targets", reasons)
+            .add("registry", m_front.registry_generation)
+            .write();
+    }
+}
+
 void CallerRequest::log_try(const char* event, const OpenTry& attempt, const char* outcome) const {
     const Time now = monotonic_now();
     const TargetState& target = m_front.targets.states[attempt.target];
--- a/src/front/caller_request.h
+++ b/src/front/caller_request.h
@@ -62,6 +62,7 @@
     void answer_at_once(int status, const char* reason, Duration retry_after);
     void on_caller_gone();
     void schedule_tick();
+    void log_shards_without_target() const;
     void log_end(const char* end, int status) const;
     void log_try(const char* event, const OpenTry& attempt, const char* outcome) const;
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -17,7 +17,7 @@
 constexpr Duration HOUSEKEEPING_INTERVAL = from_ms(100);
 
 /// Longest wait of one watch.
-constexpr Duration WATCH_WAIT = from_ms(20000);
+constexpr Duration WATCH_WAIT = from_ms(8000);
 
 /// How often the list of nodes is read; it only changes when nodes are added.
 constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
@@ -237,6 +237,7 @@
 
 void Front::take_target_list(const std::vector<platform::StoredObject>& objects,
                              bool after_outage) {
+    m_state.targets_heard = monotonic_now();
     std::vector<TargetEntry> entries;
     for (const platform::StoredObject& object : objects) {
         const Result<TargetEntry> entry = platform::decode_target(object.name, object.spec);
@@ -261,6 +262,7 @@
 
 void Front::take_target_changes(const std::vector<platform::StoredObject>& objects) {
     const std::int64_t before = m_registry.generation;
+    m_state.targets_heard = monotonic_now();
     for (const platform::StoredObject& object : objects) {
         if (object.removed || object.deleting) {
             remove(m_registry, object.name, monotonic_now());
@@ -369,6 +371,7 @@
         const FleetInputs inputs{*m_table, m_registry, m_out_of_service, m_settings.regions};
         m_state.view = make_view(inputs, m_state.services, m_state.targets, monotonic_now());
         m_state.budgets.resize(m_state.services.size());
+        m_state.registry_generation = m_registry.generation;
     });
 }
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -52,6 +52,10 @@
     ServiceIndices services;
     /// Empty until a configuration and the targets are known.
     std::shared_ptr<const FleetView> view;
+    /// Counts changes of what is known about targets; logs name it.
+    std::int64_t registry_generation = 0;
+    /// When the store was last heard about targets.
+    Time targets_heard{};
     /// Budgets for extra arrivals, at service indices.
     std::vector<ExtraLoadBudget> budgets;
     ExtraLoadTerms extra_load;
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -186,8 +186,7 @@
     m_handlers.on_changes(std::move(found.objects));
     // Current watches cost ten times as much, and their news is a second younger.
     const bool is_current = watch_freshness() == platform::Freshness::current;
-    run_later(m_options.pause_after_changes * (is_current ? 2 : 1),
-              &KindWatcher::wait_for_changes);
+    run_later(m_options.pause_after_changes * (is_current ? 2 : 1), &KindWatcher::wait_for_changes);
 }
 
 void KindWatcher::on_success() {
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -207,22 +207,53 @@
     return expected + way_us(state) + state.refusal_share * refusal_us;
 }
 
-bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
-                  Time now) {
-    if (!state.accepts_work || state.replaced || now < state.unreachable_until) {
-        return false;
+const char* name_of(Availability availability) {
+    switch (availability) {
+        case Availability::available:
+            return "available";
+        case Availability::out_of_service:
+            return "out_of_service";
+        case Availability::replaced:
+            return "replaced";
+        case Availability::unreachable:
+            return "unreachable";
+        case Availability::no_connection:
+            return "no_connection";
+        case Availability::cold:
+            return "cold";
+    }
+    return "unknown";
+}
+
+Availability availability(const TargetTable& table, const TargetState& state,
+                          double cold_per_second, Time now) {
+    if (!state.accepts_work) {
+        return Availability::out_of_service;
+    }
+    if (state.replaced) {
+        return Availability::replaced;
+    }
+    if (now < state.unreachable_until) {
+        return Availability::unreachable;
     }
     const bool may_connect =
         state.connections < connection_share(table, state) && now >= state.connect_again_at;
     if (state.idle_connections == 0 && !may_connect) {
-        return false;
+        return Availability::no_connection;
     }
     if (cold_per_second > 0.0 && now < state.cold_until) {
         const std::int64_t limit = cold_limit(table, cold_per_second);
         const bool same_window = now - state.cold_window < COLD_WINDOW;
-        return limit > 0 && (!same_window || state.cold_sent < limit);
+        if (limit == 0 || (same_window && state.cold_sent >= limit)) {
+            return Availability::cold;
+        }
     }
-    return true;
+    return Availability::available;
+}
+
+bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
+                  Time now) {
+    return availability(table, state, cold_per_second, now) == Availability::available;
 }
 
 Time available_at(const TargetState& state, Time now) {
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -99,6 +99,23 @@
 /// Expected microseconds until an answer; a refusal is taken to cost `refusal_us`.
 double expected_us(const TargetState& state, double refusal_us, Time now);
 
+/// Whether a target may be sent a request, and if not, why.
+enum class Availability : std::uint8_t {
+    available,
+    out_of_service,  ///< It drains or is gone, or its data centre is out of service.
+    replaced,        ///< Another target has its address.
+    unreachable,     ///< It could not be reached a moment ago.
+    no_connection,   ///< This node's share of its connections is in use.
+    cold,            ///< It is cold and has had what it bears.
+};
+
+/// Name of an availability in logs.
+const char* name_of(Availability availability);
+
+/// Whether the target may be sent a request now.
+Availability availability(const TargetTable& table, const TargetState& state,
+                          double cold_per_second, Time now);
+
 /// True when the target may be sent a request now.
 bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
                   Time now);
