--- /dev/null
+++ b/test/error/test_platform_fuzz.cpp
@@ -0,0 +1,170 @@
+// Mutated input for every parser of the adapter and the HTTP codec. A fixed seed gives the same
+// inputs each time; a crash, a hang or a broken invariant fails the run.
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "io/http_message.h"
+#include "platform/call_headers.h"
+#include "platform/settings.h"
+#include "platform/store_calls.h"
+#include "policy/quarantine.h"
+#include "policy/record_merge.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr int ROUNDS = 4000;
+constexpr std::uint64_t SEED = 20261204;
+
+/// Changes a few bytes: replaces, removes, repeats or inserts.
+std::string mutate(std::string text, Random& random) {
+    const auto below = [&random](std::size_t bound) {
+        return static_cast<std::size_t>(random() % std::max<std::size_t>(bound, 1));
+    };
+    const std::size_t changes = 1 + below(6);
+    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+        const std::size_t at = below(text.size());
+        const std::size_t length = 1 + below(std::min<std::size_t>(12, text.size() - at));
+        switch (below(5)) {
+            case 0:
+                text[at] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, length);
+                break;
+            case 2:
+                text.insert(at, text.substr(at, length));
+                break;
+            case 3:
+                text.insert(at, std::to_string(static_cast<std::int64_t>(random())));
+                break;
+            default:
+                text[at] = "{}[]\",:=\r\n0-"[below(12)];
+                break;
+        }
+    }
+    return text;
+}
+
+void fuzz(const std::vector<std::string>& samples,
+          const std::function<void(const std::string&)>& parse) {
+    Random random(SEED);
+    for (int round = 0; round < ROUNDS; ++round) {
+        parse(mutate(samples[round % samples.size()], random));
+    }
+}
+
+const std::string SETTINGS =
+    "node=a\nzone=z\nregion=r\nip=10.0.0.1\nzones.z=r\nbind_addresses.front=10.0.0.1:1\n"
+    "bind_addresses.ready=10.0.0.1:2\ninternal_port_range=7,8\nplatform.address=10.0.0.2:3\n"
+    "bounds.grace_s=6\nbounds.retry_budget_ratio=0.2\n";
+
+const std::string CONFIG =
+    R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","type":"idempotent",)"
+    R"("timeout_ms":800,"target_latency_ms":100,"priority":2,"fanout_services":["s","t"],)"
+    R"("max_attempts":2,"top_k":5,"min_success_share":0.75},{"name":"q","hostname":"h",)"
+    R"("path_prefix":"/b/","type":"non_idempotent","timeout_ms":5,"traffic_split":)"
+    R"([{"service":"s","weight":1.5}]}],"services":[{"name":"s","max_connections":25,)"
+    R"("cold_start_s":3.0,"cold_per_s":0.5}],"limits":{"max_body_bytes":9}})";
+
+const std::string ENTRY =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"a","version":"v","max_concurrency":2,)"
+    R"("state":"ready","cold_remaining_ms":0,"sequence":1,"born":5})";
+
+const std::string LIST =
+    R"({"items":[{"meta":{"name":"a","revision":3},"spec":{"x":1}}],"has_more":false,)"
+    R"("store_revision":9})";
+
+const std::string CHANGES =
+    R"({"events":[{"deleted":false,"object":{"meta":{"name":"a","revision":3},"spec":1}}],)"
+    R"("store_revision":9})";
+
+}  // namespace
+
+TEST_CASE("mutated settings are parsed or refused with a reason") {
+    fuzz({SETTINGS}, [](const std::string& text) {
+        const Result<platform::Settings> result = platform::parse_settings(text, "f");
+        if (!has_value(result)) {
+            CHECK_FALSE(error_of(result).message.empty());
+        }
+    });
+}
+
+TEST_CASE("mutated configurations give routes that can be matched, or a reason") {
+    fuzz({CONFIG}, [](const std::string& text) {
+        std::vector<std::string> warnings;
+        const Result<RouteTable> result = platform::decode_config(text, warnings);
+        if (!has_value(result)) {
+            CHECK_FALSE(error_of(result).message.empty());
+            return;
+        }
+        for (const Route& route : value_of(result).routes) {
+            CHECK(route.path_prefix.front() == '/');
+            CHECK(route.path_prefix.back() == '/');
+            CHECK(route.max_attempts >= 1);
+            CHECK((is_fan_out(route) || !route.services.empty()));
+        }
+        match_route(value_of(result), "h", text);
+    });
+}
+
+TEST_CASE("mutated entries name a target that can be sent to, or none") {
+    fuzz({ENTRY}, [](const std::string& text) {
+        const Result<TargetEntry> result = platform::decode_target("i", text);
+        if (has_value(result)) {
+            CHECK(value_of(result).slots >= 1);
+            CHECK(value_of(result).address.find(':') != std::string::npos);
+        }
+    });
+}
+
+TEST_CASE("mutated lists and changes of the store are decoded or refused") {
+    fuzz({LIST, CHANGES}, [](const std::string& text) {
+        platform::decode_list(text);
+        platform::decode_changes(text);
+    });
+}
+
+TEST_CASE("mutated names of crash reports are read back or are none") {
+    fuzz({crash_report_name({77, "node", 5, 3})}, [](const std::string& text) {
+        const std::optional<CrashReport> report = parse_crash_report(text);
+        if (report.has_value()) {
+            CHECK(parse_crash_report(crash_report_name(*report)) == report);
+        }
+    });
+}
+
+TEST_CASE("mutated requests and answers are read within their limits, however they are cut") {
+    const HttpLimits limits{400, 100};
+    const std::vector<std::string> samples = {
+        "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nX-Ebonymount-Deadline-Ms: "
+        "80\r\n\r\nhello",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Ebonymount-Server-Load: 1,2,3\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 503 Busy\r\nX-Ebonymount-Not-Executed: 1\r\n\r\n"};
+    Random cuts(SEED + 1);
+    fuzz(samples, [&limits, &cuts](const std::string& text) {
+        HttpRequestReader requests(limits);
+        HttpAnswerReader answers(limits);
+        const std::size_t cut = cuts() % (text.size() + 1);
+        std::string first = text.substr(0, cut);
+        std::string second = text.substr(0, cut);
+        requests.consume(first);
+        answers.consume(second);
+        first += text.substr(cut);
+        second += text.substr(cut);
+        if (requests.consume(first) == ReadState::complete) {
+            const HttpRequestMessage request = requests.take();
+            CHECK(request.body.size() <= limits.max_body_bytes);
+            platform::decode_caller_terms(request.headers);
+            platform::request_for_target(request, from_ms(5), "i");
+        }
+        if (answers.consume(second) == ReadState::complete) {
+            const HttpAnswerMessage answer = answers.take();
+            platform::decode_answer_terms(answer);
+            CHECK(merge_records({answer.body}, 3).size() <= 3 * RECORD_BYTES);
+        }
+    });
+}
+
+}  // namespace ebonymount
