Earn the slack of extra arrivals by time; margin by the host's processor share

Cause: with 84 nodes a node's share of a service's saved tokens is one, and a third of 36-shard answers lacked a part for want of a token, while most of the fleet's slack (208 in ten seconds) was never used. Slack that cannot be saved now comes second by second. Weak hosts (0.12 core) answered after the objective: the margin counts the parts.

--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -13,6 +13,9 @@
 /// Left of the caller's time when the last answer leaves, for the way to the caller.
 constexpr Duration ANSWER_MARGIN = from_ms(15);
 
+/// Left of the objective for the way to the caller, beside the time to process parts.
+constexpr Duration OBJECTIVE_MARGIN = from_ms(13);
+
 /// A call is aborted this long after its target should have stopped.
 constexpr Duration CALL_SLACK = from_ms(100);
 
@@ -104,6 +107,8 @@
     terms.objective_at = terms.started + route.latency_objective;
     const Duration allowed = std::min(route.timeout, m_caller.deadline.value_or(route.timeout));
     terms.give_up_at = terms.started + std::max(allowed - ANSWER_MARGIN, Duration::zero());
+    const std::int64_t parts = static_cast<std::int64_t>(route.shards.size());
+    terms.answer_margin = OBJECTIVE_MARGIN + m_front.part_time * parts;
     terms.allowed_regions = route.allowed_regions;
     return terms;
 }
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -35,11 +35,10 @@
 /// Left of the grace when the process ends although requests are open.
 constexpr Duration STOP_MARGIN = from_ms(500);
 
-/// Part of the fleet's saved tokens that nodes share; the rest is margin.
-constexpr double SAVED_TOKEN_SHARE = 0.8;
-
-/// Part of the allowed extra arrivals that budgets earn; windows cut through bursts.
-constexpr double EARN_SHARE = 0.95;
+/// Processor time of a part that comes near the end of a request: most of the 54 us that a
+/// sub-request costs in all (docs/MEASUREMENTS.md).
+constexpr Duration PART_TIME_OF_A_CORE = Duration(36);
+constexpr double LEAST_CPU_SHARE = 0.05;
 
 /// Used where the platform bounds no extra arrivals.
 constexpr double DEFAULT_RETRY_RATIO = 0.1;
@@ -333,10 +332,10 @@
     m_state.targets.cold_slack = m_settings.cold_slack;
     const double ratio =
         m_settings.retry_ratio > 0.0 ? m_settings.retry_ratio : DEFAULT_RETRY_RATIO;
-    m_state.extra_load.permille = static_cast<std::int64_t>(ratio * EARN_SHARE * 1000.0);
-    m_state.extra_load.most_saved_tokens = std::max<std::int64_t>(
-        1, static_cast<std::int64_t>(static_cast<double>(m_settings.retry_slack) *
-                                     SAVED_TOKEN_SHARE / static_cast<double>(nodes)));
+    m_state.part_time =
+        scaled(PART_TIME_OF_A_CORE, 1.0 / std::max(m_settings.cpu_share, LEAST_CPU_SHARE));
+    m_state.extra_load =
+        share_of_bound(ratio, m_settings.retry_slack, m_settings.retry_window, nodes);
 }
 
 void Front::take_suspects(const std::vector<platform::StoredObject>& objects) {
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -59,6 +59,8 @@
     /// Budgets for extra arrivals, at service indices.
     std::vector<ExtraLoadBudget> budgets;
     ExtraLoadTerms extra_load;
+    /// Processing that a late part of an answer takes on this host.
+    Duration part_time{};
     Quarantine quarantine;
     TargetPool pool;
     Random random;
--- a/src/policy/extra_load.cpp
+++ b/src/policy/extra_load.cpp
@@ -6,6 +6,15 @@
 namespace {
 
 constexpr std::int64_t TOKEN = 1000;
+constexpr std::int64_t US_PER_SECOND = 1000000;
+
+/// Parts of the platform's bounds that nodes use together; the rest is margin for windows that cut
+/// through bursts.
+constexpr double RATIO_SHARE = 0.95;
+constexpr double SLACK_SHARE = 0.9;
+
+/// Part of the slack that may be saved for a burst; the rest comes second by second.
+constexpr double SAVED_SHARE = 0.8;
 
 }  // namespace
 
@@ -15,6 +24,34 @@
     budget.milli_tokens = std::min(budget.milli_tokens + count * permille, most_saved * TOKEN);
 }
 
+void refill(ExtraLoadBudget& budget, const ExtraLoadTerms& terms, Time now) {
+    const std::int64_t most = terms.most_saved_tokens * TOKEN;
+    // A budget that was idle for long is full; the bound keeps the product small.
+    const std::int64_t elapsed_us =
+        std::clamp<std::int64_t>((now - budget.refilled).count(), 0, 100 * US_PER_SECOND);
+    const std::int64_t earned = elapsed_us * terms.milli_per_second / US_PER_SECOND;
+    if (earned > 0) {
+        budget.milli_tokens =
+            std::max(budget.milli_tokens, std::min(budget.milli_tokens + earned, most));
+        budget.refilled = now;
+    }
+}
+
+ExtraLoadTerms share_of_bound(double ratio, std::int64_t slack, Duration window,
+                              std::int64_t nodes) {
+    const double count = static_cast<double>(std::max<std::int64_t>(1, nodes));
+    const double usable = static_cast<double>(slack) * SLACK_SHARE;
+    ExtraLoadTerms terms;
+    terms.permille = static_cast<std::int64_t>(ratio * RATIO_SHARE * 1000.0);
+    terms.most_saved_tokens = std::max<std::int64_t>(
+        1, static_cast<std::int64_t>(static_cast<double>(slack) * SAVED_SHARE / count));
+    const double left = usable - static_cast<double>(terms.most_saved_tokens) * count;
+    const double seconds = std::max(1.0, to_ms(window) / 1000.0);
+    terms.milli_per_second =
+        static_cast<std::int64_t>(std::max(0.0, left) * 1000.0 / count / seconds);
+    return terms;
+}
+
 bool has_token(const ExtraLoadBudget& budget) {
     return budget.milli_tokens >= TOKEN;
 }
--- a/src/policy/extra_load.h
+++ b/src/policy/extra_load.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 
+#include "base/time.h"
+
 namespace ebonymount {
 
 /// Tokens in thousandths. A new budget has one, so that a node that just started can retry.
@@ -13,6 +15,8 @@
     std::int64_t milli_tokens = 1000;
     std::int64_t planned = 0;
     std::int64_t extra = 0;
+    /// When the budget last earned by time.
+    Time refilled{};
 
     friend bool operator==(const ExtraLoadBudget&, const ExtraLoadBudget&) = default;
 };
@@ -22,6 +26,8 @@
     /// Extra sub-queries for a thousand planned ones.
     std::int64_t permille = 0;
     std::int64_t most_saved_tokens = 1;
+    /// Tokens in thousandths that a second brings, whatever was planned.
+    std::int64_t milli_per_second = 0;
 
     friend bool operator==(const ExtraLoadTerms&, const ExtraLoadTerms&) = default;
 };
@@ -33,6 +39,15 @@
 void earn(ExtraLoadBudget& budget, std::int64_t count, std::int64_t permille,
           std::int64_t most_saved = MOST_SAVED_TOKENS);
 
+/// Earns what the time since the last call brings, up to the terms' saved tokens.
+void refill(ExtraLoadBudget& budget, const ExtraLoadTerms& terms, Time now);
+
+/// What a node may spend so that all nodes together stay within the platform's bound: `ratio`
+/// extra arrivals a request and `slack` more in any window. Saved tokens and refills of all nodes
+/// take the slack; too high a count of nodes makes both smaller.
+ExtraLoadTerms share_of_bound(double ratio, std::int64_t slack, Duration window,
+                              std::int64_t nodes);
+
 /// True when `try_spend` would succeed.
 bool has_token(const ExtraLoadBudget& budget);
 
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -15,16 +15,13 @@
 /// on the same old news.
 constexpr double CHOICE_NOISE = 0.1;
 
-/// A hedge goes out after the learned pace times this, within the two bounds below.
+/// A hedge goes out after the expected time times this, within the two bounds below.
 constexpr double HEDGE_FACTOR = 1.8;
 constexpr Duration SHORTEST_HEDGE = from_ms(42);
 
 /// A hedge that goes out later than this part of the objective would come too late.
 constexpr double LATEST_HEDGE_SHARE = 0.55;
 
-/// Left of the objective when an answer leaves with what is in: way to the caller and merging.
-constexpr Duration OBJECTIVE_MARGIN = from_ms(15);
-
 /// Pause before the replicas of a shard are asked again after all have refused.
 constexpr Duration REFUSAL_PAUSE = from_ms(10);
 
@@ -114,7 +111,12 @@
 }
 
 bool spend_token(Step& s, const ShardState& shard) {
-    if (shard.arrivals == 0 || try_spend(s.context.budgets[shard.service])) {
+    if (shard.arrivals == 0) {
+        return true;
+    }
+    ExtraLoadBudget& budget = s.context.budgets[shard.service];
+    refill(budget, s.context.extra_load, s.context.now);
+    if (try_spend(budget)) {
         return true;
     }
     ++s.state.without_token;
@@ -264,7 +266,8 @@
     const std::int64_t total = total_of(state);
     const std::int64_t needed = needed_of(state);
     const bool settled = state.answered + state.failed == total;
-    const bool objective_near = s.context.now >= state.terms.objective_at - OBJECTIVE_MARGIN;
+    const bool objective_near =
+        s.context.now >= state.terms.objective_at - state.terms.answer_margin;
     if (state.answered == total) {
         end_as(s, FanOutEnd::complete);
     } else if (state.answered >= needed && (settled || objective_near)) {
@@ -434,7 +437,7 @@
 
 Time next_tick(const FanOutState& state) {
     Time next = state.terms.give_up_at;
-    const Time objective = state.terms.objective_at - OBJECTIVE_MARGIN;
+    const Time objective = state.terms.objective_at - state.terms.answer_margin;
     for (const ShardState& shard : state.shards) {
         if (shard.hedge_at.has_value()) {
             next = std::min(next, *shard.hedge_at);
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -45,6 +45,8 @@
     Time started{};
     /// Until then an answer has its full worth.
     Time objective_at{};
+    /// Left of the objective when an answer leaves with what is in: merging and the way back.
+    Duration answer_margin = from_ms(15);
     /// No answer is of use after that.
     Time give_up_at{};
     /// Regions whose targets may be used; empty means all.
--- /dev/null
+++ b/test/correctness/test_extra_load.cpp
@@ -0,0 +1,81 @@
+// The fleet's bound on extra arrivals, split among nodes: no window holds more, whatever the nodes
+// do.
+#include <catch2/catch.hpp>
+
+#include "policy/extra_load.h"
+
+namespace ebonymount {
+namespace {
+
+const Time START = Time{} + from_ms(1000000);
+
+/// Spends every token of every node as soon as it is there, with requests that come evenly, and
+/// returns the most extra arrivals in any window of ten seconds.
+std::int64_t most_extra(std::int64_t nodes, std::int64_t slack, std::int64_t requests_per_second) {
+    const ExtraLoadTerms terms = share_of_bound(0.2, slack, from_ms(10000), nodes);
+    std::vector<ExtraLoadBudget> budgets(static_cast<std::size_t>(nodes));
+    std::vector<std::int64_t> by_step;
+    constexpr std::int64_t STEPS_PER_SECOND = 20;
+    std::int64_t request = 0;
+    for (std::int64_t at = 0; at < 60 * STEPS_PER_SECOND; ++at) {
+        const Time now = START + from_ms(at * 1000 / STEPS_PER_SECOND);
+        for (std::int64_t i = 0; i < requests_per_second / STEPS_PER_SECOND; ++i) {
+            earn(budgets[static_cast<std::size_t>(request++ % nodes)], 1, terms.permille,
+                 terms.most_saved_tokens);
+        }
+        std::int64_t extra = 0;
+        // A burst after a quiet time spends what was saved as well.
+        for (ExtraLoadBudget& budget : budgets) {
+            refill(budget, terms, now);
+            while (at > 20 * STEPS_PER_SECOND && try_spend(budget)) {
+                ++extra;
+            }
+        }
+        by_step.push_back(extra);
+    }
+    std::int64_t most = 0;
+    const std::size_t window = 10 * STEPS_PER_SECOND;
+    for (std::size_t first = 0; first + window <= by_step.size(); ++first) {
+        std::int64_t sum = 0;
+        for (std::size_t i = first; i < first + window; ++i) {
+            sum += by_step[i];
+        }
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
+}  // namespace
+
+TEST_CASE("nodes together stay within ratio and slack in any window") {
+    const std::vector<std::pair<std::int64_t, std::int64_t>> fleets = {
+        {6, 52}, {9, 58}, {64, 168}, {84, 208}, {1, 52}};
+    for (const auto& [nodes, slack] : fleets) {
+        for (const std::int64_t rate : {20, 100, 200, 1000}) {
+            CHECK(most_extra(nodes, slack, rate) <= rate * 10 / 5 + slack);
+        }
+    }
+}
+
+TEST_CASE("a large fleet earns by time what it cannot save") {
+    const ExtraLoadTerms large = share_of_bound(0.2, 208, from_ms(10000), 84);
+    CHECK(large.most_saved_tokens == 1);
+    CHECK(large.milli_per_second > 100);
+}
+
+TEST_CASE("too high a count of nodes makes shares smaller, never larger") {
+    const ExtraLoadTerms right = share_of_bound(0.2, 208, from_ms(10000), 84);
+    const ExtraLoadTerms wrong = share_of_bound(0.2, 208, from_ms(10000), 300);
+    CHECK(wrong.milli_per_second <= right.milli_per_second);
+    CHECK(wrong.most_saved_tokens <= right.most_saved_tokens);
+}
+
+TEST_CASE("a budget never saves more than its terms allow") {
+    ExtraLoadBudget budget;
+    const ExtraLoadTerms terms{0, 2, 1000};
+    refill(budget, terms, START);
+    refill(budget, terms, START + from_ms(60000));
+    CHECK(budget.milli_tokens == 2000);
+}
+
+}  // namespace ebonymount
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -83,7 +83,7 @@
 
 TEST_CASE("without a token a straggler is not hedged") {
     FleetFixture fleet(1, 3);
-    fleet.extra_load = {0, 0};
+    fleet.extra_load = {0, 0, 0};
     fleet.budgets[0].milli_tokens = 0;
     Request request(fleet, fleet.terms(START));
     const std::vector<StartTry> first = started(request.begin());
@@ -94,7 +94,7 @@
 
 TEST_CASE("a try that was never sent moves to another replica for free") {
     FleetFixture fleet(1, 3);
-    fleet.extra_load = {0, 0};
+    fleet.extra_load = {0, 0, 0};
     fleet.budgets[0].milli_tokens = 0;
     Request request(fleet, fleet.terms(START));
     const std::vector<StartTry> first = started(request.begin());
@@ -180,7 +180,7 @@
 
 TEST_CASE("refusals alone end a request as not run, with advice to come back") {
     FleetFixture fleet(1, 1);
-    fleet.extra_load = {0, 0};
+    fleet.extra_load = {0, 0, 0};
     fleet.budgets[0].milli_tokens = 0;
     Request request(fleet, single(fleet, false));
     const std::vector<StartTry> first = started(request.begin());
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -39,7 +39,9 @@
             [this](std::vector<platform::StoredObject> objects) {
                 changes.push_back(std::move(objects));
             },
-            [this] { ++recoveries; }};
+            [this] {
+                ++recoveries;
+            }};
         m_watcher = KindWatcher::start(m_loop, options, handlers, m_metrics);
         m_loop.run();
         m_watcher->stop();
@@ -141,7 +143,8 @@
 TEST_CASE("a store that refuses for long was out of reach when it answers again") {
     ScriptedStore store({answer(200, list("", false, 5)), answer(503, ""), answer(503, ""),
                          answer(503, ""), answer(429, ""), answer(503, ""), answer(503, ""),
-                         answer(503, ""), answer(503, ""), answer(503, ""), answer(503, ""), answer(200, list("", false, 6))});
+                         answer(503, ""), answer(503, ""), answer(503, ""), answer(503, ""),
+                         answer(200, list("", false, 6))});
     store.follow();
     REQUIRE(store.lists.size() == 2);
     CHECK(store.outages[1]);
--- a/test/support/fleet_fixture.h
+++ b/test/support/fleet_fixture.h
@@ -25,7 +25,7 @@
 
     TargetTable targets;
     std::vector<ExtraLoadBudget> budgets;
-    ExtraLoadTerms extra_load{190, 4};
+    ExtraLoadTerms extra_load{190, 4, 0};
     Random random{1};
 
 private:
--- a/test/support/target_farm.h
+++ b/test/support/target_farm.h
@@ -42,7 +42,7 @@
     double min_coverage = 0.89;
     Duration length = from_ms(10000);
     std::uint64_t seed = 1;
-    ExtraLoadTerms extra_load{190, 6};
+    ExtraLoadTerms extra_load = share_of_bound(0.2, 52, from_ms(10000), 6);
 };
 
 /// What callers and targets saw.
