--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "front/request_log.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 #include "policy/record_merge.h"
@@ -97,6 +98,10 @@
     return true;
 }
 
+RequestFacts CallerRequest::facts() const {
+    return {m_front, *m_view, m_view->table.routes[m_route], m_state, m_caller.request_id};
+}
+
 FanOutTerms CallerRequest::terms_of(const Route& route) const {
     FanOutTerms terms;
     terms.fan_out = is_fan_out(route);
@@ -126,7 +131,7 @@
     m_connection->on_caller_gone([self] { self->on_caller_gone(); });
     advance(BeginRequest{});
     if (m_state.failed > 0) {
-        log_shards_without_target();
+        log_shards_without_target(facts());
     }
 }
 
@@ -189,7 +194,7 @@
     attempt.hedge = action.hedge;
     if (action.hedge) {
         ++m_front.counters.hedges;
-        log_try("hedge", attempt, "");
+        log_try(facts(), {"hedge", "", attempt.id, attempt.shard, attempt.target});
     }
     TargetState& target = m_front.targets.states[action.target];
     attempt.ahead = requests_ahead(target, attempt.sent);
@@ -258,7 +263,8 @@
     const TryEnd outcome = judge(attempt, end, answer);
     learn(attempt, outcome, end);
     if (outcome != TryEnd::answered) {
-        log_try("try_failed", attempt, name_of(outcome));
+        log_try(facts(),
+                {"try_failed", name_of(outcome), attempt.id, attempt.shard, attempt.target});
     }
     keep_part(attempt, outcome, std::move(answer));
     advance(TryEnded{id, outcome});
@@ -389,7 +395,7 @@
     m_front.counters.without_token += m_state.without_token;
     m_front.counters.request_time.add(monotonic_now() - m_state.terms.started);
     HttpAnswerMessage answer = answer_for(action);
-    log_end(name_of(action.end), answer.status);
+    log_request_end(facts(), name_of(action.end), answer.status);
     if (!m_caller_gone) {
         m_connection->respond(std::move(answer));
     }
@@ -413,7 +419,7 @@
     m_caller_gone = true;
     m_state.finished = true;
     ++m_front.counters.caller_gone;
-    log_end("caller_gone", 0);
+    log_request_end(facts(), "caller_gone", 0);
     // Closing the connections is the only way to tell targets that nobody waits any more.
     const std::vector<OpenTry> open = m_open;
     for (const OpenTry& attempt : open) {
@@ -428,67 +434,4 @@
     schedule_tick();
 }
 
-void CallerRequest::log_end(const char* end, int status) const {
-    const Route& route = m_view->table.routes[m_route];
-    LogEvent(LogLevel::info, "request", "ended")
-        .add("request", m_caller.request_id)
-        .add("route", route.name)
-        .add("end", end)
-        .add("status", status)
-        .add_ms("ms", monotonic_now() - m_state.terms.started)
-        .add("shards", static_cast<std::int64_t>(m_state.shards.size()))
-        .add("answered", m_state.answered)
-        .add("failed", m_state.failed)
-        .add("hedges", m_state.hedges)
-        .add("retries", m_state.retries)
-        .add("without_token", m_state.without_token)
-        .add("verdict", name_of(m_state.verdict))
-        .add("config_version", m_view->table.version)
-        .add("registry", m_front.registry_generation)
-        .add_ms("targets_heard_ms_ago", monotonic_now() - m_front.targets_heard)
-        .write();
-}
-
-void CallerRequest::log_shards_without_target() const {
-    const Time now = monotonic_now();
-    for (const ShardState& shard : m_state.shards) {
-        if (!shard.failed || !shard.tried.empty()) {
-            continue;
-        }
-        const ServiceView& service = m_view->services[shard.service];
-        std::string reasons;
-        for (const TargetIndex index : service.targets) {
-            const TargetState& target = m_front.targets.states[index];
-            reasons += reasons.empty() ? "" : " ";
-            reasons +=
-                target.entry.id + ":" +
-                name_of(availability(m_front.targets, target, service.limits.cold_per_second, now));
-        }
-        LogEvent(LogLevel::info, "request", "no_target")
-            .add("request", m_caller.request_id)
-            .add("service", service.limits.name)
-            .add("targets", reasons)
-            .add("registry", m_front.registry_generation)
-            .write();
-    }
-}
-
-void CallerRequest::log_try(const char* event, const OpenTry& attempt, const char* outcome) const {
-    const Time now = monotonic_now();
-    const TargetState& target = m_front.targets.states[attempt.target];
-    const ServiceIndex service = m_state.shards[attempt.shard].service;
-    LogEvent(LogLevel::info, "request", event)
-        .add("request", m_caller.request_id)
-        .add("try", static_cast<std::int64_t>(attempt.id))
-        .add("service", m_view->services[service].limits.name)
-        .add("target", target.entry.id)
-        .add("outcome", outcome)
-        .add_ms("after_ms", now - m_state.terms.started)
-        .add_ms("expected_ms", Duration(static_cast<std::int64_t>(expected_us(target, 0.0, now))))
-        .add("outstanding", target.outstanding)
-        .add("failures", target.failures)
-        .add("milli_tokens", m_front.budgets[service].milli_tokens)
-        .write();
-}
-
 }  // namespace ebonymount
--- a/src/front/caller_request.h
+++ b/src/front/caller_request.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "front/front_state.h"
+#include "front/request_log.h"
 #include "io/http_listener.h"
 #include "platform/call_headers.h"
 #include "policy/fan_out.h"
@@ -62,9 +63,7 @@
     void answer_at_once(int status, const char* reason, Duration retry_after);
     void on_caller_gone();
     void schedule_tick();
-    void log_shards_without_target() const;
-    void log_end(const char* end, int status) const;
-    void log_try(const char* event, const OpenTry& attempt, const char* outcome) const;
+    RequestFacts facts() const;
 
     FrontState& m_front;
     std::shared_ptr<HttpServerConnection> m_connection;
--- /dev/null
+++ b/src/front/fleet_follower.cpp
@@ -0,0 +1,315 @@
+#include "front/fleet_follower.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "io/http_status.h"
+#include "io/log_event.h"
+
+namespace ebonymount {
+namespace {
+
+/// Longest wait of one watch.
+constexpr Duration WATCH_WAIT = from_ms(8000);
+
+/// How often the list of nodes is read; it only changes when nodes are added.
+constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
+
+/// Part of the time in which a change must be in force that may pass before the next is heard of.
+/// The store's recent data, which is about a second old, and the grace of removed targets need
+/// most of the rest.
+constexpr double CHANGE_PAUSE_SHARE = 0.2;
+
+constexpr Duration REGISTRATION_RETRY = from_ms(2000);
+
+/// The store answers in milliseconds; a call that takes longer has met an outage.
+constexpr Duration STORE_TIMEOUT = from_ms(1000);
+
+Duration scaled(Duration duration, double factor) {
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+std::int64_t wall_clock_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace
+
+FleetFollower::FleetFollower(FrontState& state, FollowerTerms terms, FollowerHandlers handlers)
+    : m_state(state),
+      m_loop(state.event_loop),
+      m_terms(std::move(terms)),
+      m_handlers(std::move(handlers)),
+      m_started_at_ms(wall_clock_ms()) {
+    m_state.on_crash = [this](std::uint64_t request) {
+        report_crash(request);
+    };
+    watch_store();
+}
+
+FleetFollower::~FleetFollower() {
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->stop();
+    }
+}
+
+void FleetFollower::sweep(Time now) {
+    for (const std::string& id : expire_missing(m_registry, now)) {
+        LogEvent(LogLevel::info, "targets", "gone").add("target", id).write();
+        rebuild_view();
+    }
+    if (!m_registered && now >= m_next_registration) {
+        register_node();
+    }
+    forget_old_suspects(m_state.quarantine, now);
+}
+
+void FleetFollower::watch_store() {
+    const auto add = [this](platform::Kind kind, Duration wait,
+                            std::function<void(Objects, bool)> on_list,
+                            std::function<void(Objects)> on_changes) {
+        const bool is_probe = kind == platform::Kind::config;
+        KindWatcherOptions options;
+        options.kind = kind;
+        options.store_address = m_terms.store_address;
+        options.watch_wait = wait;
+        options.poll_interval = NODE_LIST_INTERVAL;
+        options.pause_after_changes = scaled(m_terms.config_apply, CHANGE_PAUSE_SHARE);
+        options.is_probe = is_probe;
+        const std::function<void()> on_recovered = is_probe ? [this] { on_store_recovered(); }
+                                                            : std::function<void()>();
+        m_watchers.push_back(KindWatcher::start(
+            m_loop, options, {std::move(on_list), std::move(on_changes), on_recovered},
+            m_state.metrics));
+    };
+    add(
+        platform::Kind::config, WATCH_WAIT,
+        [this](const Objects& objects, bool /*after_outage*/) { take_config(objects); },
+        [this](const Objects& objects) { take_config(objects); });
+    add(
+        platform::Kind::targets, WATCH_WAIT,
+        [this](const Objects& objects, bool after_outage) {
+            take_target_list(objects, after_outage);
+        },
+        [this](const Objects& objects) { take_target_changes(objects); });
+    add(
+        platform::Kind::evacuations, WATCH_WAIT,
+        [this](const Objects& objects, bool /*after_outage*/) { take_evacuations(objects, true); },
+        [this](const Objects& objects) { take_evacuations(objects, false); });
+    add(
+        platform::Kind::quarantine, WATCH_WAIT,
+        [this](const Objects& objects, bool /*after_outage*/) { take_suspects(objects); },
+        [this](const Objects& objects) { take_suspects(objects); });
+    add(
+        platform::Kind::nodes, Duration::zero(),
+        [this](const Objects& objects, bool /*after_outage*/) { take_nodes(objects); },
+        [](const Objects& /*objects*/) {});
+}
+
+void FleetFollower::on_store_recovered() {
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->retry_now();
+    }
+}
+
+void FleetFollower::take_config(const Objects& objects) {
+    for (const platform::StoredObject& object : objects) {
+        if (!platform::is_configuration(object)) {
+            continue;
+        }
+        std::vector<std::string> warnings;
+        Result<RouteTable> table = platform::decode_config(object.spec, warnings);
+        for (const std::string& warning : warnings) {
+            log_warning("config", warning);
+        }
+        if (!has_value(table)) {
+            log_error("config", "kept the version in force: " + describe(error_of(table)));
+            continue;
+        }
+        const std::int64_t version = value_of(table).version;
+        if (m_table.has_value() && version <= m_table->version) {
+            continue;
+        }
+        LogEvent(LogLevel::info, "config", "accepted")
+            .add("version", version)
+            .add("before", m_table.has_value() ? m_table->version : -1)
+            .add("routes", static_cast<std::int64_t>(value_of(table).routes.size()))
+            .add("revision", object.revision)
+            .write();
+        m_table = std::move(std::get<RouteTable>(table));
+        m_handlers.on_table(*m_table);
+        rebuild_view();
+    }
+}
+
+void FleetFollower::take_target_list(const Objects& objects, bool after_outage) {
+    m_state.targets_heard = monotonic_now();
+    std::vector<TargetEntry> entries;
+    for (const platform::StoredObject& object : objects) {
+        const Result<TargetEntry> entry = platform::decode_target(object.name, object.spec);
+        if (object.deleting || object.removed) {
+            continue;
+        }
+        if (has_value(entry)) {
+            entries.push_back(value_of(entry));
+        } else {
+            log_warning("targets", "an entry is left out: " + describe(error_of(entry)));
+        }
+    }
+    replace_all(m_registry, entries, after_outage, monotonic_now());
+    LogEvent(LogLevel::info, "targets", "list")
+        .add("entries", static_cast<std::int64_t>(entries.size()))
+        .add("missing", static_cast<std::int64_t>(m_registry.missing.size()))
+        .add("after_outage", after_outage ? "yes" : "no")
+        .write();
+    m_knows_targets = true;
+    rebuild_view();
+}
+
+void FleetFollower::take_target_changes(const Objects& objects) {
+    const std::int64_t before = m_registry.generation;
+    m_state.targets_heard = monotonic_now();
+    for (const platform::StoredObject& object : objects) {
+        if (object.removed || object.deleting) {
+            remove(m_registry, object.name, monotonic_now());
+            LogEvent(LogLevel::info, "targets", "entry_removed").add("target", object.name).write();
+            continue;
+        }
+        const Result<TargetEntry> entry = platform::decode_target(object.name, object.spec);
+        if (!has_value(entry)) {
+            log_warning("targets", "a change is left out: " + describe(error_of(entry)));
+            continue;
+        }
+        upsert(m_registry, value_of(entry));
+        LogEvent(LogLevel::info, "targets", "entry")
+            .add("target", object.name)
+            .add("service", value_of(entry).service)
+            .add("draining", value_of(entry).draining ? "yes" : "no")
+            .add_ms("cold_ms", value_of(entry).cold_remaining)
+            .add("revision", object.revision)
+            .write();
+    }
+    if (m_registry.generation != before) {
+        rebuild_view();
+    }
+}
+
+void FleetFollower::take_evacuations(const Objects& objects, bool is_list) {
+    if (is_list) {
+        m_out_of_service.clear();
+    }
+    for (const platform::StoredObject& object : objects) {
+        if (object.removed || object.deleting) {
+            m_out_of_service.erase(object.name);
+        } else {
+            m_out_of_service.insert(object.name);
+        }
+        LogEvent(LogLevel::info, "targets", "data_centre")
+            .add("data_centre", object.name)
+            .add("in_service", object.removed || object.deleting ? "yes" : "no")
+            .add("revision", object.revision)
+            .write();
+    }
+    m_knows_evacuations = true;
+    rebuild_view();
+}
+
+void FleetFollower::take_nodes(const Objects& objects) {
+    const auto is_own = [this](const platform::StoredObject& object) {
+        return object.name == m_terms.node;
+    };
+    m_registered = std::any_of(objects.begin(), objects.end(), is_own);
+    const std::int64_t nodes = static_cast<std::int64_t>(objects.size()) + (m_registered ? 0 : 1);
+    if (nodes != m_nodes) {
+        LogEvent(LogLevel::info, "front", "nodes")
+            .add("nodes", nodes)
+            .add("before", m_nodes)
+            .write();
+    }
+    m_nodes = nodes;
+    m_handlers.on_nodes(nodes);
+}
+
+void FleetFollower::take_suspects(const Objects& objects) {
+    for (const platform::StoredObject& object : objects) {
+        const std::optional<CrashReport> report = parse_crash_report(object.name);
+        if (object.removed || !report.has_value() || report->node == m_terms.node) {
+            continue;
+        }
+        // A list names crashes that changes have told before; each report counts once.
+        if (m_known_reports.insert(object.name).second) {
+            add_crashes(m_state.quarantine, report->request, 1, monotonic_now());
+        }
+    }
+}
+
+void FleetFollower::report_crash(std::uint64_t request) {
+    add_crashes(m_state.quarantine, request, 1, monotonic_now());
+    const std::string name =
+        crash_report_name({request, m_terms.node, m_started_at_ms, ++m_crash_reports});
+    LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
+    create_object(platform::Kind::quarantine, name, [](CallEnd, const HttpAnswerMessage&) {});
+}
+
+void FleetFollower::rebuild_view() {
+    if (!m_table.has_value() || !m_knows_targets || !m_knows_evacuations || m_view_is_old) {
+        return;
+    }
+    m_view_is_old = true;
+    // Several changes often come together; one view is made for all.
+    m_loop.post([this] {
+        m_view_is_old = false;
+        const FleetInputs inputs{*m_table, m_registry, m_out_of_service, m_terms.regions};
+        m_state.view = make_view(inputs, m_state.services, m_state.targets, monotonic_now());
+        m_state.budgets.resize(m_state.services.size());
+        m_state.registry_generation = m_registry.generation;
+    });
+}
+
+void FleetFollower::create_object(platform::Kind kind, const std::string& name,
+                                  CallHandler on_end) {
+    const std::shared_ptr<HttpChannel> channel =
+        HttpChannel::open(m_loop, m_terms.store_address, [](HttpChannel&) {});
+    if (channel == nullptr) {
+        on_end(CallEnd::not_sent, HttpAnswerMessage{});
+        return;
+    }
+    const std::weak_ptr<HttpChannel> weak = channel;
+    m_loop.run_at(monotonic_now() + STORE_TIMEOUT, [weak] {
+        const std::shared_ptr<HttpChannel> open = weak.lock();
+        if (open != nullptr) {
+            open->close();
+        }
+    });
+    ChannelCall call;
+    call.make_request = [kind, name, address = m_terms.store_address] {
+        const HttpHeaders headers = {{"Host", address}, {"Content-Type", "application/json"}};
+        return encode(HttpRequestMessage{"POST", platform::create_path(kind), headers,
+                                         platform::create_body(name, ""), false});
+    };
+    call.is_mine = [](const HttpAnswerMessage&) {
+        return true;
+    };
+    call.on_began = [] {
+    };
+    call.on_end = std::move(on_end);
+    channel->start(std::move(call));
+}
+
+void FleetFollower::register_node() {
+    m_next_registration = monotonic_now() + REGISTRATION_RETRY;
+    create_object(
+        platform::Kind::nodes, m_terms.node, [this](CallEnd end, const HttpAnswerMessage& answer) {
+            const bool is_there = answer.status == http::OK || answer.status == http::CREATED ||
+                                  answer.status == http::CONFLICT;
+            m_registered = end == CallEnd::answered && is_there;
+            LogEvent(LogLevel::info, "front", "registered")
+                .add("outcome", name_of(end))
+                .add("status", answer.status)
+                .write();
+        });
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/src/front/fleet_follower.h
@@ -0,0 +1,91 @@
+// What a front hears from the platform's store: configuration, targets, data centres out of
+// service, other nodes and requests that crash targets.
+//
+// Keeps the last it has heard while the store is away, and makes a new view of the fleet when
+// something has changed.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "front/front_state.h"
+#include "front/kind_watcher.h"
+#include "policy/target_registry.h"
+
+namespace ebonymount {
+
+/// Who follows, and whom.
+struct FollowerTerms {
+    std::string node;
+    std::string store_address;
+    /// Region of each data centre.
+    std::map<std::string, std::string> regions;
+    /// From the acknowledgement of a change until it must be in force.
+    Duration config_apply{};
+};
+
+/// Who is told, on the loop's thread.
+struct FollowerHandlers {
+    /// A newer table is in force.
+    std::function<void(const RouteTable&)> on_table;
+    /// So many nodes share the fleet's limits.
+    std::function<void(std::int64_t nodes)> on_nodes;
+};
+
+class FleetFollower {
+public:
+    /// Begins to read the store. The view and the quarantine in `state` are kept up to date.
+    FleetFollower(FrontState& state, FollowerTerms terms, FollowerHandlers handlers);
+    ~FleetFollower();
+    FleetFollower(const FleetFollower&) = delete;
+    FleetFollower& operator=(const FleetFollower&) = delete;
+    FleetFollower(FleetFollower&&) = delete;
+    FleetFollower& operator=(FleetFollower&&) = delete;
+
+    /// Forgets targets that did not come back and registers this node if that is still due.
+    void sweep(Time now);
+
+private:
+    using Objects = std::vector<platform::StoredObject>;
+    using CallHandler = std::function<void(CallEnd, const HttpAnswerMessage&)>;
+
+    void watch_store();
+    void on_store_recovered();
+    void take_config(const Objects& objects);
+    void take_target_list(const Objects& objects, bool after_outage);
+    void take_target_changes(const Objects& objects);
+    void take_evacuations(const Objects& objects, bool is_list);
+    void take_nodes(const Objects& objects);
+    void take_suspects(const Objects& objects);
+    void report_crash(std::uint64_t request);
+    void create_object(platform::Kind kind, const std::string& name, CallHandler on_end);
+    void register_node();
+    void rebuild_view();
+
+    FrontState& m_state;
+    EventLoop& m_loop;
+    FollowerTerms m_terms;
+    FollowerHandlers m_handlers;
+    std::vector<std::shared_ptr<KindWatcher>> m_watchers;
+    std::optional<RouteTable> m_table;
+    TargetRegistry m_registry;
+    bool m_knows_targets = false;
+    bool m_knows_evacuations = false;
+    std::set<std::string> m_out_of_service;
+    std::int64_t m_nodes = 0;
+    bool m_registered = false;
+    Time m_next_registration{};
+    bool m_view_is_old = false;
+    /// Reports of crashes by other nodes that were counted.
+    std::set<std::string> m_known_reports;
+    std::int64_t m_crash_reports = 0;
+    /// Wall-clock milliseconds; tells the reports of this start from those of others.
+    std::int64_t m_started_at_ms = 0;
+};
+
+}  // namespace ebonymount
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -8,15 +8,13 @@
 #include <atomic>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "base/result.h"
+#include "front/fleet_follower.h"
 #include "front/front_state.h"
-#include "front/kind_watcher.h"
 #include "io/http_listener.h"
 #include "platform/settings.h"
-#include "policy/target_registry.h"
 
 namespace ebonymount {
 
@@ -45,27 +43,15 @@
     Front(const platform::Settings& settings, const std::string& settings_file,
           FrontSignals& signals);
     Result<Done> listen(std::int64_t metrics_port);
-    void watch_store();
-    void on_store_recovered();
-    void register_node();
-    void take_config(const std::vector<platform::StoredObject>& objects);
-    void take_target_list(const std::vector<platform::StoredObject>& objects, bool after_outage);
-    void take_target_changes(const std::vector<platform::StoredObject>& objects);
-    void take_evacuations(const std::vector<platform::StoredObject>& objects, bool is_list);
-    void take_nodes(const std::vector<platform::StoredObject>& objects);
-    void take_suspects(const std::vector<platform::StoredObject>& objects);
-    void report_crash(std::uint64_t request);
-    void create_object(platform::Kind kind, const std::string& name,
-                       std::function<void(CallEnd, const HttpAnswerMessage&)> on_end);
-    void rebuild_view();
-    void apply_limits();
+    void follow_store();
+    void apply_limits(const CallerLimits& limits);
     void split_fleet_limits();
     void serve_ready(const std::shared_ptr<HttpServerConnection>& connection,
                      const HttpRequestMessage& request) const;
     void serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
                        const HttpRequestMessage& request) const;
     void housekeep();
-    void reload_settings();
+    void reload_settings(bool asked);
     void begin_stop();
     void continue_stop(Time now);
     bool is_ready() const;
@@ -79,21 +65,8 @@
     std::shared_ptr<HttpListener> m_callers;
     std::shared_ptr<HttpListener> m_ready;
     std::shared_ptr<HttpListener> m_metrics_listener;
-    std::vector<std::shared_ptr<KindWatcher>> m_watchers;
-    /// Reports of crashes by other nodes that were counted.
-    std::set<std::string> m_known_reports;
-    std::int64_t m_crash_reports = 0;
-    /// Wall-clock milliseconds; tells the reports of this start from those of others.
-    std::int64_t m_started_at_ms = 0;
-    std::optional<RouteTable> m_table;
-    TargetRegistry m_registry;
-    bool m_knows_targets = false;
-    bool m_knows_evacuations = false;
-    std::set<std::string> m_out_of_service;
+    std::unique_ptr<FleetFollower> m_follower;
     std::int64_t m_nodes = 0;
-    bool m_registered = false;
-    Time m_next_registration{};
-    bool m_view_is_old = false;
     std::optional<Time> m_stopping_since;
     Time m_next_settings_check{};
     std::string m_settings_text;
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -12,7 +12,7 @@
 /// Idle connections beyond one to a target are closed after this time: a node that loses power
 /// leaves them open at the target, where they count against its connection limit.
 constexpr Duration SPARE_IDLE_TIME = from_ms(1500);
-constexpr std::int64_t IDLE_FOR_EVER_MS = 86400000;
+constexpr Duration ANY_IDLE_TIME = Duration::max();
 
 /// A connect that takes longer is given up; the way to the farthest region takes about 20 ms.
 constexpr Duration CONNECT_TIMEOUT = from_ms(400);
@@ -69,7 +69,7 @@
         }
     }
     for (TargetIndex target = 0; target < m_channels.size(); ++target) {
-        const Channel newest = take_idle(target, from_ms(IDLE_FOR_EVER_MS));
+        const Channel newest = take_idle(target, ANY_IDLE_TIME);
         for (const Channel& channel : m_channels[target]) {
             if (channel != newest && channel->is_idle() &&
                 now - channel->last_used() > SPARE_IDLE_TIME) {
