Remove old crash reports from the store; refuse a request whose time is over before sending

Cause: reports of crashes stayed in the store for ever, since nothing there expires; the writer now removes them after ten minutes, any node after twenty. A request with a deadline of 0 was sent to all shards and then answered; test added, which failed before (tries started).

--- a/src/front/fleet_follower.cpp
+++ b/src/front/fleet_follower.cpp
@@ -22,6 +22,10 @@
 
 constexpr Duration REGISTRATION_RETRY = from_ms(2000);
 
+/// How long any node leaves a report in the store: the node that wrote it removes it after
+/// SUSPICION_TIME, unless it is gone.
+constexpr Duration ABANDONED_REPORT_TIME = 2 * SUSPICION_TIME;
+
 /// The store answers in milliseconds; a call that takes longer has met an outage.
 constexpr Duration STORE_TIMEOUT = from_ms(1000);
 
@@ -64,6 +68,7 @@
         register_node();
     }
     forget_old_suspects(m_state.quarantine, now);
+    remove_old_reports(now);
 }
 
 void FleetFollower::watch_store() {
@@ -233,24 +238,50 @@
 }
 
 void FleetFollower::take_suspects(const Objects& objects) {
+    const Time now = monotonic_now();
     for (const platform::StoredObject& object : objects) {
-        const std::optional<CrashReport> report = parse_crash_report(object.name);
-        if (object.removed || !report.has_value() || report->node == m_terms.node) {
+        if (object.removed) {
+            m_known_reports.erase(object.name);
             continue;
         }
+        const std::optional<CrashReport> report = parse_crash_report(object.name);
         // A list names crashes that changes have told before; each report counts once.
-        if (m_known_reports.insert(object.name).second) {
-            add_crashes(m_state.quarantine, report->request, 1, monotonic_now());
+        if (report.has_value() &&
+            m_known_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
+            add_crashes(m_state.quarantine, report->request, 1, now);
         }
     }
 }
 
 void FleetFollower::report_crash(std::uint64_t request) {
-    add_crashes(m_state.quarantine, request, 1, monotonic_now());
+    const Time now = monotonic_now();
     const std::string name =
         crash_report_name({request, m_terms.node, m_started_at_ms, ++m_crash_reports});
+    m_known_reports.emplace(name, now + SUSPICION_TIME);
+    add_crashes(m_state.quarantine, request, 1, now);
     LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
-    create_object(platform::Kind::quarantine, name, [](CallEnd, const HttpAnswerMessage&) {});
+    call_store("POST", platform::create_path(platform::Kind::quarantine),
+               platform::create_body(name, ""), [name](CallEnd end, const HttpAnswerMessage&) {
+                   if (end != CallEnd::answered) {
+                       // Other nodes may learn of the crash only when the request crashes again.
+                       log_warning("quarantine",
+                                   "report " + name + " may not be stored: " + name_of(end));
+                   }
+               });
+}
+
+void FleetFollower::remove_old_reports(Time now) {
+    for (auto report = m_known_reports.begin(); report != m_known_reports.end();) {
+        if (now < report->second) {
+            ++report;
+            continue;
+        }
+        // Another node may have removed it already; a failed call is made up for by other nodes,
+        // which know the report for longer.
+        call_store("DELETE", platform::object_path(platform::Kind::quarantine, report->first), "",
+                   [](CallEnd, const HttpAnswerMessage&) {});
+        report = m_known_reports.erase(report);
+    }
 }
 
 void FleetFollower::rebuild_view() {
@@ -268,8 +299,8 @@
     });
 }
 
-void FleetFollower::create_object(platform::Kind kind, const std::string& name,
-                                  CallHandler on_end) {
+void FleetFollower::call_store(const std::string& method, const std::string& path,
+                               const std::string& body, CallHandler on_end) {
     const std::shared_ptr<HttpChannel> channel =
         HttpChannel::open(m_loop, m_terms.store_address, [](HttpChannel&) {});
     if (channel == nullptr) {
@@ -284,10 +315,9 @@
         }
     });
     ChannelCall call;
-    call.make_request = [kind, name, address = m_terms.store_address] {
+    call.make_request = [method, path, body, address = m_terms.store_address] {
         const HttpHeaders headers = {{"Host", address}, {"Content-Type", "application/json"}};
-        return encode(HttpRequestMessage{"POST", platform::create_path(kind), headers,
-                                         platform::create_body(name, ""), false});
+        return encode(HttpRequestMessage{method, path, headers, body, false});
     };
     call.is_mine = [](const HttpAnswerMessage&) {
         return true;
@@ -300,16 +330,18 @@
 
 void FleetFollower::register_node() {
     m_next_registration = monotonic_now() + REGISTRATION_RETRY;
-    create_object(
-        platform::Kind::nodes, m_terms.node, [this](CallEnd end, const HttpAnswerMessage& answer) {
-            const bool is_there = answer.status == http::OK || answer.status == http::CREATED ||
-                                  answer.status == http::CONFLICT;
-            m_registered = end == CallEnd::answered && is_there;
-            LogEvent(LogLevel::info, "front", "registered")
-                .add("outcome", name_of(end))
-                .add("status", answer.status)
-                .write();
-        });
+    call_store("POST", platform::create_path(platform::Kind::nodes),
+               platform::create_body(m_terms.node, ""),
+               [this](CallEnd end, const HttpAnswerMessage& answer) {
+                   const bool is_there = answer.status == http::OK ||
+                                         answer.status == http::CREATED ||
+                                         answer.status == http::CONFLICT;
+                   m_registered = end == CallEnd::answered && is_there;
+                   LogEvent(LogLevel::info, "front", "registered")
+                       .add("outcome", name_of(end))
+                       .add("status", answer.status)
+                       .write();
+               });
 }
 
 }  // namespace ebonymount
--- a/src/front/fleet_follower.h
+++ b/src/front/fleet_follower.h
@@ -63,7 +63,10 @@
     void take_nodes(const Objects& objects);
     void take_suspects(const Objects& objects);
     void report_crash(std::uint64_t request);
-    void create_object(platform::Kind kind, const std::string& name, CallHandler on_end);
+    /// Makes one call on a connection of its own; `body` may be empty.
+    void call_store(const std::string& method, const std::string& path, const std::string& body,
+                    CallHandler on_end);
+    void remove_old_reports(Time now);
     void register_node();
     void rebuild_view();
 
@@ -81,8 +84,8 @@
     bool m_registered = false;
     Time m_next_registration{};
     bool m_view_is_old = false;
-    /// Reports of crashes by other nodes that were counted.
-    std::set<std::string> m_known_reports;
+    /// Reports of crashes that were counted, with the time until which they stay in the store.
+    std::map<std::string, Time> m_known_reports;
     std::int64_t m_crash_reports = 0;
     /// Wall-clock milliseconds; tells the reports of this start from those of others.
     std::int64_t m_started_at_ms = 0;
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -280,6 +280,11 @@
 }
 
 void begin(Step& s) {
+    if (s.context.now >= s.state.terms.give_up_at) {
+        // The caller's time is over before anything is sent.
+        end_as(s, FanOutEnd::not_run);
+        return;
+    }
     for (ShardState& shard : s.state.shards) {
         earn(s.context.budgets[shard.service], 1, s.context.extra_load.permille,
              s.context.extra_load.most_saved_tokens);
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -11,9 +11,6 @@
 /// A target that refuses connections this long after a break has crashed at the break.
 constexpr Duration CRASH_NOTICE = from_ms(2000);
 
-/// A request that has crashed nothing for this long is given another chance.
-constexpr Duration SUSPICION_TIME = from_ms(600000);
-
 }  // namespace
 
 std::string crash_report_name(const CrashReport& report) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -22,6 +22,9 @@
 /// Crashes after which a request is refused.
 constexpr std::int64_t CRASHES_TO_QUARANTINE = 3;
 
+/// A request that has crashed nothing for this long is given another chance.
+constexpr Duration SUSPICION_TIME = from_ms(600000);
+
 struct Suspect {
     std::int64_t crashes = 0;
     Time last{};
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -148,6 +148,17 @@
     CHECK(ended(actions)->retry_after > Duration::zero());
 }
 
+TEST_CASE("a request whose time is over is refused before anything is sent") {
+    FleetFixture fleet(2, 2);
+    FanOutTerms terms = fleet.terms(START);
+    terms.give_up_at = START;
+    Request request(fleet, terms);
+    const std::vector<FanOutAction> actions = request.begin();
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->end == FanOutEnd::not_run);
+}
+
 TEST_CASE("a non-idempotent request is never sent again once it may have run") {
     FleetFixture fleet(1, 3);
     fleet.budgets[0].milli_tokens = 5000;
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -104,6 +104,7 @@
           "/ebonymount/objects/servers");
     CHECK(platform::list_path(Kind::targets, "a b&c", Freshness::current) ==
           "/ebonymount/objects/servers?after=a%20b%26c");
+    CHECK(platform::object_path(Kind::targets, "a/b") == "/ebonymount/objects/servers/a%2Fb");
     CHECK(platform::list_path(Kind::targets, "a", Freshness::recent) ==
           "/ebonymount/objects/servers?allow_stale=1&after=a");
     CHECK(platform::watch_path(Kind::config, 53, from_ms(2000), Freshness::current) ==
