--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -282,6 +282,9 @@
     if (terms.waiting.has_value()) {
         on_load_report(target, *terms.waiting, monotonic_now());
     }
+    if (terms.cold_remaining.has_value()) {
+        on_cold_report(target, *terms.cold_remaining, monotonic_now());
+    }
     if (terms.misdirected) {
         target.replaced = true;
         return TryEnd::misdirected;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -171,7 +171,14 @@
 }
 
 void Front::serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
-                          const HttpRequestMessage& /*request*/) const {
+                          const HttpRequestMessage& /*request*/) {
+    const HttpListenerCounts& counts = m_callers->counts();
+    m_metrics.counter("ebonymount_front_connections_accepted_total") = counts.accepted;
+    m_metrics.counter("ebonymount_front_connections_over_limit_total") = counts.refused_over_limit;
+    m_metrics.counter("ebonymount_front_malformed_requests_total") = counts.malformed;
+    m_metrics.counter("ebonymount_front_stalled_requests_total") = counts.timed_out;
+    m_metrics.counter("ebonymount_front_target_connections_total") = m_state.pool.opened();
+    m_metrics.counter("ebonymount_log_lines_dropped_total") = dropped_log_lines();
     HttpAnswerMessage answer;
     answer.status = http::OK;
     answer.headers.push_back({"Content-Type", "text/plain"});
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -49,7 +49,7 @@
     void serve_ready(const std::shared_ptr<HttpServerConnection>& connection,
                      const HttpRequestMessage& request) const;
     void serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
-                       const HttpRequestMessage& request) const;
+                       const HttpRequestMessage& request);
     void housekeep();
     void reload_settings(bool asked);
     void begin_stop();
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -57,10 +57,6 @@
     }
 }
 
-Time KindWatcher::last_heard() const {
-    return m_last_heard;
-}
-
 void KindWatcher::call(const std::string& path, Duration timeout, const CallHandler& on_end) {
     if (m_stopped) {
         return;
@@ -190,7 +186,6 @@
 }
 
 void KindWatcher::on_success() {
-    m_last_heard = monotonic_now();
     if (m_consecutive_failures > 0) {
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": answers again after " + std::to_string(m_consecutive_failures) +
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -55,9 +55,6 @@
     /// Reads the list now if the watcher waits after a failure.
     void retry_now();
 
-    /// When the store last answered with data.
-    Time last_heard() const;
-
 private:
     using CallHandler = std::function<void(CallEnd, const HttpAnswerMessage&)>;
 
@@ -84,7 +81,6 @@
     std::int64_t m_revision = 0;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
-    Time m_last_heard{};
     Time m_last_failure{};
     /// Distinguishes calls, so that a late timeout does not end another call.
     std::uint64_t m_call_number = 0;
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -15,17 +15,21 @@
 /// on the same old news.
 constexpr double CHOICE_NOISE = 0.1;
 
-/// A hedge goes out after the expected time times this, within the two bounds below.
+/// A hedge goes out after the expected time times this, within the two bounds below. Most first
+/// answers need less than SHORTEST_HEDGE, also from another region.
 constexpr double HEDGE_FACTOR = 1.8;
 constexpr Duration SHORTEST_HEDGE = from_ms(42);
 
-/// A hedge that goes out later than this part of the objective would come too late.
+/// A hedge that goes out later than this part of the objective would come too late: the second
+/// answer needs about as long as the first usually does, and the margin before the objective.
 constexpr double LATEST_HEDGE_SHARE = 0.55;
 
-/// Pause before the replicas of a shard are asked again after all have refused.
+/// Pause before the replicas of a shard are asked again after all have refused: about the time in
+/// which a slot of a target becomes free.
 constexpr Duration REFUSAL_PAUSE = from_ms(10);
 
-/// Shortest and longest advice to come back.
+/// Shortest and longest advice to come back. Callers wait a third of their time at most, which is
+/// 270 ms to 1.7 s on the deployments.
 constexpr Duration SHORTEST_RETRY_AFTER = from_ms(50);
 constexpr Duration LONGEST_RETRY_AFTER = from_ms(1000);
 
@@ -130,7 +134,6 @@
     attempt.id = s.state.next_try++;
     attempt.shard = number;
     attempt.target = target;
-    attempt.began = s.context.now;
     attempt.hedge = hedge;
     s.state.live.push_back(attempt);
     shard.tried.push_back(target);
@@ -333,7 +336,6 @@
     --shard.open;
     if (is_not_run(event.end)) {
         shard.runs -= attempt.sent ? 1 : 0;
-        shard.refusals += event.end == TryEnd::refused ? 1 : 0;
     } else {
         const bool ran = event.end == TryEnd::answered || event.end == TryEnd::target_error;
         state.verdict = combine(state.verdict, ran ? Verdict::ran : Verdict::may_have_run);
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -58,7 +58,6 @@
     std::uint32_t id = 0;
     std::uint32_t shard = 0;
     TargetIndex target = 0;
-    Time began{};
     /// Set once the request's bytes were handed to a connection.
     bool sent = false;
     bool hedge = false;
@@ -72,7 +71,6 @@
     /// Requests that arrived at targets of the shard, and those that may have run there.
     std::int64_t arrivals = 0;
     std::int64_t runs = 0;
-    std::int64_t refusals = 0;
     std::int64_t open = 0;
     std::vector<TargetIndex> tried;
     std::optional<Time> hedge_at;
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -185,6 +185,10 @@
     }
 }
 
+void on_cold_report(TargetState& state, Duration remaining, Time now) {
+    state.cold_until = now + remaining;
+}
+
 void on_load_report(TargetState& state, std::int64_t waiting, Time now) {
     state.reported_waiting = waiting;
     state.reported_at = now;
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -91,6 +91,8 @@
 void on_connection_rejected(TargetState& state, Time now);
 /// The answer is no longer awaited; `waited` is a lower bound of the time it would have taken.
 void on_abandoned(TargetState& state, Duration waited, std::int64_t ahead, Time now);
+/// The target says how much longer it stays cold.
+void on_cold_report(TargetState& state, Duration remaining, Time now);
 void on_load_report(TargetState& state, std::int64_t waiting, Time now);
 
 /// Requests that are with the target or wait there, as far as this node can tell.
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -24,7 +24,7 @@
     CHECK(settings.data_centre == "east-a");
     CHECK(settings.regions.at("west-a") == "west");
     CHECK(settings.store_address == "10.9.0.1:82");
-    CHECK(settings.first_internal_port == 7740);
+    CHECK(settings.cpu_share == Approx(1.0));
     CHECK(settings.retry_ratio == Approx(0.2));
     CHECK(settings.retry_slack == 52);
     CHECK(settings.grace == from_ms(6000));
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -87,6 +87,14 @@
     CHECK(most > 0);
 }
 
+TEST_CASE("a target says itself how long it stays cold") {
+    FleetFixture fleet(1, 1);
+    on_cold_report(fleet.state(0, 0), from_ms(700), START);
+    CHECK(fleet.state(0, 0).cold_until == START + from_ms(700));
+    on_cold_report(fleet.state(0, 0), Duration::zero(), START);
+    CHECK(fleet.state(0, 0).cold_until == START);
+}
+
 TEST_CASE("a cold target gets nothing while the number of nodes could be large") {
     FleetFixture fleet(1, 1);
     fleet.targets.nodes = 100;
