One copy of the wall clock, of scaling a duration and of the callers' connection limit

wall_clock_ms stood in log, log_event, fleet_follower and bench, scaled in front, fleet_follower and the test farm; both are in base/time.h now.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -16,6 +16,18 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+/// Milliseconds since 1970 by the time of day, which may jump; for logs and identifiers only.
+inline std::int64_t wall_clock_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// A part or a multiple of a duration, rounded toward zero.
+inline Duration scaled(Duration duration, double factor) {
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Whole and fractional milliseconds of a duration, for reports.
 inline double to_ms(Duration duration) {
     return static_cast<double>(duration.count()) / 1000.0;
--- a/src/front/fleet_follower.cpp
+++ b/src/front/fleet_follower.cpp
@@ -1,7 +1,6 @@
 #include "front/fleet_follower.h"
 
 #include <algorithm>
-#include <chrono>
 
 #include "io/http_status.h"
 #include "io/log_event.h"
@@ -29,16 +28,6 @@
 /// The store answers in milliseconds; a call that takes longer has met an outage.
 constexpr Duration STORE_TIMEOUT = from_ms(1000);
 
-Duration scaled(Duration duration, double factor) {
-    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
-std::int64_t wall_clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 }  // namespace
 
 FleetFollower::FleetFollower(FrontState& state, FollowerTerms terms, FollowerHandlers handlers)
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -38,8 +38,10 @@
 /// File descriptors kept for the store, listeners, files and connections to targets.
 constexpr std::int64_t RESERVED_DESCRIPTORS = 1200;
 
-Duration scaled(Duration duration, double factor) {
-    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+/// Connections of callers that the host's file descriptors allow.
+std::size_t caller_connections(const platform::Settings& settings) {
+    return static_cast<std::size_t>(
+        std::max<std::int64_t>(100, settings.max_open_files - RESERVED_DESCRIPTORS));
 }
 
 std::string read_file(const std::string& path) {
@@ -83,8 +85,7 @@
 
 Result<Done> Front::listen(std::int64_t metrics_port) {
     HttpListenerOptions options;
-    options.max_connections = static_cast<std::size_t>(
-        std::max<std::int64_t>(100, m_settings.max_open_files - RESERVED_DESCRIPTORS));
+    options.max_connections = caller_connections(m_settings);
     Result<std::shared_ptr<HttpListener>> callers =
         HttpListener::listen(m_loop, m_settings.caller_address, options,
                              [this](const std::shared_ptr<HttpServerConnection>& connection,
@@ -134,8 +135,7 @@
     options.limits.max_body_bytes = limits.max_body_bytes;
     options.header_timeout = limits.header_timeout;
     options.idle_timeout = limits.idle_timeout;
-    options.max_connections = static_cast<std::size_t>(
-        std::max<std::int64_t>(100, m_settings.max_open_files - RESERVED_DESCRIPTORS));
+    options.max_connections = caller_connections(m_settings);
     m_callers->set_options(options);
 }
 
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -11,7 +11,6 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
-#include <chrono>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -56,12 +55,6 @@
     }
 };
 
-std::int64_t wall_clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 std::string json_line(LogLevel level, const char* part, const std::string& sentence) {
     const nlohmann::json line = {{"at_ms", wall_clock_ms()},
                                  {"level", log_level_name(level)},
--- a/src/io/log_event.cpp
+++ b/src/io/log_event.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <chrono>
 #include <cstdio>
 
 namespace ebonymount {
@@ -32,12 +31,6 @@
     }
 }
 
-std::int64_t wall_clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 }  // namespace
 
 LogEvent::LogEvent(LogLevel level, const char* part, const char* event) : m_level(level) {
--- a/src/load/bench.cpp
+++ b/src/load/bench.cpp
@@ -165,10 +165,4 @@
     return call(bench.admins.at(node), "GET", "/admin/v1/traces", "");
 }
 
-std::int64_t wall_clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 }  // namespace ebonymount
--- a/src/load/bench.h
+++ b/src/load/bench.h
@@ -61,7 +61,4 @@
 /// The latest traces of a node.
 Json traces_of(const Bench& bench, std::size_t node);
 
-/// Milliseconds since 1970.
-std::int64_t wall_clock_ms();
-
 }  // namespace ebonymount
--- a/test/support/target_farm.cpp
+++ b/test/support/target_farm.cpp
@@ -8,10 +8,6 @@
 
 const Time START = Time{} + from_ms(1000000);
 
-Duration scaled(Duration duration, double factor) {
-    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 struct TargetFarm::Node {
