--- /dev/null
+++ b/test/soak/soak_faults.cpp
@@ -0,0 +1,341 @@
+// The steps of a plan, carried out in the world of a soak.
+#include <csignal>
+
+#include "soak_world.h"
+
+namespace soak {
+
+using ebonymount::from_ms;
+using ebonymount::monotonic_now;
+using ebonymount::scaled;
+using standin::Outage;
+using standin::PlatformFaults;
+using standin::PlatformTargetMood;
+using standin::Way;
+
+namespace {
+
+constexpr double USUAL_DELAY_MS = 1.0;
+constexpr double USUAL_JITTER_MS = 0.5;
+
+/// From the end of a process to its next start.
+constexpr Duration RESTART_PAUSE = from_ms(300);
+
+/// Longest gap between two nodes of a rolling stop.
+constexpr Duration ROLL_GAP = from_ms(1500);
+
+/// A target that leaves serves on for this long after its bound.
+constexpr Duration LEAVING_SLACK = from_ms(1500);
+
+/// An address is free for another target this long after the last one ended.
+constexpr Duration REUSE_AFTER = from_ms(2000);
+
+/// Entries that lapsed are back this long after the store's return.
+constexpr Duration REGISTERED_AGAIN = from_ms(1500);
+
+Way way_of(std::uint64_t pick) {
+    constexpr std::uint64_t WAYS = 3;
+    return static_cast<Way>(pick / 7 % WAYS);
+}
+
+}  // namespace
+
+void SoakWorld::disturb(Node& node, Duration length) {
+    m_ledger.disturb_node(node.name, monotonic_now() + length);
+}
+
+void SoakWorld::disturb(TargetSlot& slot, Duration length) {
+    m_ledger.disturb_target(slot.traits.id, monotonic_now() + length);
+}
+
+void SoakWorld::apply(const SoakStep& step) {
+    Node& node = *m_nodes[step.pick % m_nodes.size()];
+    TargetSlot& slot = *m_slots[step.pick % m_slots.size()];
+    if (step.kind <= StepKind::kill_all_nodes) {
+        apply_to_node(step, node);
+    } else if (step.kind <= StepKind::spoil_target_link) {
+        apply_to_link(step, node, slot);
+    } else if (step.kind <= StepKind::entries_lapse) {
+        apply_to_store(step);
+    } else if (step.kind <= StepKind::shard_down) {
+        apply_to_target(step, slot);
+    } else {
+        apply_by_operator(step);
+    }
+}
+
+void SoakWorld::stop_node(Node& node) {
+    if (!node.process.is_running() || node.stopping) {
+        return;
+    }
+    node.stopping = true;
+    node.restart_at = monotonic_now() + RESTART_PAUSE;
+    m_ledger.on_planned_stop(node.name, monotonic_now());
+    node.process.signal(SIGTERM);
+    // Whoever is still there after the grace is killed; the ledger sees that as an end of its own.
+    after(m_bounds.grace, [&node] {
+        if (node.stopping) {
+            node.process.signal(SIGKILL);
+        }
+    });
+}
+
+void SoakWorld::kill_node(Node& node, Duration down) {
+    if (!node.process.is_running()) {
+        return;
+    }
+    node.killed = true;
+    node.restart_at = monotonic_now() + down;
+    disturb(node, down);
+    node.process.signal(SIGKILL);
+}
+
+void SoakWorld::apply_to_node(const SoakStep& step, Node& node) {
+    switch (step.kind) {
+        case StepKind::stop_node:
+            stop_node(node);
+            return;
+        case StepKind::kill_node:
+            kill_node(node, step.length);
+            return;
+        case StepKind::pause_node:
+            disturb(node, step.length);
+            node.process.signal(SIGSTOP);
+            after(step.length, [&node] { node.process.signal(SIGCONT); });
+            return;
+        case StepKind::reload_node:
+            ++node.revision;
+            write_settings(node);
+            if (step.strength < 0.5) {
+                node.process.signal(SIGHUP);
+            }
+            return;
+        case StepKind::roll_nodes: {
+            const Duration gap = scaled(ROLL_GAP, step.strength);
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                after(gap * static_cast<std::int64_t>(i), [this, i] { stop_node(*m_nodes[i]); });
+            }
+            return;
+        }
+        default:
+            for (const std::unique_ptr<Node>& victim : m_nodes) {
+                if (ebonymount::uniform(m_random) < 0.4 + 0.6 * step.strength) {
+                    kill_node(*victim, step.length / 2);
+                }
+            }
+            return;
+    }
+}
+
+void SoakWorld::apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot) {
+    const LinkPointer link = step.kind <= StepKind::silence_store_link    ? node.store_link
+                             : step.kind <= StepKind::silence_caller_link ? node.caller_link
+                                                                          : slot.link;
+    if (step.kind <= StepKind::silence_caller_link) {
+        disturb(node, step.length);
+    } else {
+        disturb(slot, step.length);
+    }
+    switch (step.kind) {
+        case StepKind::delay_store_link:
+        case StepKind::delay_caller_link:
+            link->set_delay(20.0 + 200.0 * step.strength, 50.0);
+            after(step.length, [link] { link->set_delay(USUAL_DELAY_MS, USUAL_JITTER_MS); });
+            return;
+        case StepKind::reset_store_link:
+        case StepKind::reset_caller_link:
+        case StepKind::reset_target_link:
+            link->reset_open(step.strength);
+            return;
+        case StepKind::freeze_store_link:
+        case StepKind::freeze_target_link: {
+            const Way way = way_of(step.pick);
+            link->set_frozen(true, way);
+            after(step.length, [link, way] { link->set_frozen(false, way); });
+            return;
+        }
+        case StepKind::spoil_target_link:
+            link->set_spoiled(0.1 + 0.4 * step.strength);
+            after(step.length, [link] { link->set_spoiled(0.0); });
+            return;
+        default:
+            link->silence_open(0.5 + 0.5 * step.strength);
+            return;
+    }
+}
+
+void SoakWorld::apply_to_store(const SoakStep& step) {
+    m_ledger.disturb_store(monotonic_now() + step.length);
+    PlatformFaults faults = m_store->faults();
+    switch (step.kind) {
+        case StepKind::store_silent:
+        case StepKind::entries_lapse:
+            faults.outage = Outage::silent;
+            break;
+        case StepKind::store_resets:
+            faults.outage = Outage::reset;
+            break;
+        case StepKind::store_busy:
+            faults.outage = Outage::busy;
+            break;
+        case StepKind::store_slow:
+            faults.answer_time = scaled(from_ms(400), step.strength);
+            break;
+        case StepKind::store_loses_answers:
+            faults.lost_answers = 0.5;
+            break;
+        case StepKind::store_is_stale:
+            faults.stale_by = from_ms(6000);
+            break;
+        default:
+            m_store->compact();
+            return;
+    }
+    m_store->set_faults(faults);
+    if (step.kind == StepKind::entries_lapse) {
+        for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
+            if (slot->registered && ebonymount::uniform(m_random) < step.strength) {
+                m_store->remove("servers", slot->traits.id);
+            }
+        }
+        after(step.length + REGISTERED_AGAIN, [this] {
+            for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
+                if (slot->registered) {
+                    register_target(*slot, slot->target->mood().draining ? "draining" : "ready");
+                }
+            }
+        });
+    }
+    after(step.length, [this] { m_store->set_faults(PlatformFaults{}); });
+}
+
+void SoakWorld::restart_target(TargetSlot& slot, const std::string& service) {
+    slot.target->crash();
+    unregister_target(slot);
+    slot.traits.service = service;
+    open_target(slot);
+    register_target(slot, "ready");
+}
+
+void SoakWorld::crash_target(TargetSlot& slot, Duration down, const std::string& new_service) {
+    if (slot.target->is_down()) {
+        return;
+    }
+    slot.target->crash();
+    // The entry lapses after three heartbeats, unless the target is back before.
+    after(std::min(down, from_ms(3600)), [this, &slot] { unregister_target(slot); });
+    after(down, [this, &slot, new_service] { restart_target(slot, new_service); });
+}
+
+void SoakWorld::drain_target(TargetSlot& slot, bool silent) {
+    if (slot.target->is_down() || slot.target->mood().draining || !slot.registered) {
+        return;
+    }
+    PlatformTargetMood mood = slot.target->mood();
+    mood.draining = true;
+    slot.target->set_mood(mood);
+    if (silent) {
+        unregister_target(slot);
+    } else {
+        register_target(slot, "draining");
+        m_ledger.on_target_leaving(slot.traits.id, monotonic_now());
+    }
+    after(m_bounds.drain + LEAVING_SLACK, [this, &slot, id = slot.traits.id] {
+        if (slot.traits.id == id) {
+            restart_target(slot, slot.traits.service);
+        }
+    });
+}
+
+void SoakWorld::apply_to_target(const SoakStep& step, TargetSlot& slot) {
+    PlatformTargetMood mood = slot.target->mood();
+    switch (step.kind) {
+        case StepKind::target_crashes:
+            crash_target(slot, step.length, slot.traits.service);
+            return;
+        case StepKind::target_drains:
+        case StepKind::target_vanishes:
+            drain_target(slot, step.kind == StepKind::target_vanishes);
+            return;
+        case StepKind::address_reused: {
+            const std::string other = m_slots[step.pick / 3 % m_slots.size()]->traits.service;
+            crash_target(slot, REUSE_AFTER, other);
+            // The old service gets its target back, or its shard would stay short of replicas.
+            after(REUSE_AFTER + step.length, [this, &slot, service = slot.traits.service] {
+                crash_target(slot, REUSE_AFTER, service);
+            });
+            return;
+        }
+        case StepKind::shard_down:
+            for (const std::unique_ptr<TargetSlot>& other : m_slots) {
+                if (other->traits.service == slot.traits.service) {
+                    crash_target(*other, step.length, other->traits.service);
+                }
+            }
+            return;
+        case StepKind::target_slow:
+            mood.slow_factor = 2.0 + 10.0 * step.strength;
+            break;
+        case StepKind::target_refuses:
+            mood.refuses = 0.2 + 0.8 * step.strength;
+            break;
+        case StepKind::target_fails:
+            mood.fails = 0.2 + 0.8 * step.strength;
+            break;
+        default:
+            mood.loses_answer = 0.05 + 0.3 * step.strength;
+            break;
+    }
+    slot.target->set_mood(mood);
+    after(step.length, [&slot] {
+        PlatformTargetMood usual;
+        usual.draining = slot.target->mood().draining;
+        slot.target->set_mood(usual);
+    });
+}
+
+void SoakWorld::apply_by_operator(const SoakStep& step) {
+    switch (step.kind) {
+        case StepKind::config_moves_route: {
+            std::string& service = m_config.routes["book"].services.front();
+            service = service == "booking" ? "awards" : "booking";
+            publish_config();
+            return;
+        }
+        case StepKind::config_adds_route: {
+            const std::string name = "extra-" + std::to_string(m_config.version);
+            m_config.routes[name] = {name, true, 2, from_ms(2000), {"awards"}};
+            publish_config();
+            return;
+        }
+        case StepKind::config_storm:
+            for (Duration at{}; at < step.length; at += from_ms(200)) {
+                after(at, [this] { publish_config(); });
+            }
+            return;
+        case StepKind::repartition:
+            m_repartitioned = !m_repartitioned;
+            publish_config();
+            return;
+        case StepKind::data_centre_out: {
+            const std::string data_centre = m_slots[step.pick % m_slots.size()]->traits.data_centre;
+            m_store->put("evacuations", data_centre, nlohmann::json::object());
+            m_ledger.on_data_centre(data_centre, false, monotonic_now());
+            after(step.length, [this, data_centre] {
+                m_store->remove("evacuations", data_centre);
+                m_ledger.on_data_centre(data_centre, true, monotonic_now());
+            });
+            return;
+        }
+        case StepKind::burst:
+            m_rate = m_terms.rate * (1.0 + 3.0 * step.strength);
+            after(step.length, [this] { m_rate = m_terms.rate; });
+            return;
+        default:
+            m_leaving_share = 0.1 + 0.4 * step.strength;
+            after(step.length, [this] { m_leaving_share = 0.0; });
+            return;
+    }
+}
+
+}  // namespace soak
--- /dev/null
+++ b/test/soak/soak_ledger.cpp
@@ -0,0 +1,432 @@
+#include "soak_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+
+#include "io/http_status.h"
+#include "policy/record_merge.h"
+
+namespace soak {
+
+using ebonymount::from_ms;
+using ebonymount::to_ms;
+namespace http = ebonymount::http;
+
+namespace {
+
+constexpr int SERVER_ERROR = 500;
+
+/// Part of the requests after the faults that must be served.
+constexpr double RECOVERED_SHARE = 0.75;
+
+/// Late answers that are let pass: the soak shares its processors with others.
+constexpr double LATE_SHARE = 0.25;
+constexpr std::int64_t FEW = 8;
+
+/// Time in which work for a caller that has left must end.
+constexpr Duration GONE_SLACK = from_ms(500);
+
+bool is_success(int status) {
+    return status >= http::OK && status < http::MULTIPLE_CHOICES;
+}
+
+/// Statuses that promise that a request has not run and never will.
+bool promises_not_run(int status) {
+    return status == http::TOO_MANY_REQUESTS || status == http::UNAVAILABLE ||
+           status == http::REQUEST_TIMEOUT || status == http::MISDIRECTED;
+}
+
+Time later(Time left, Time right) {
+    return std::max(left, right);
+}
+
+std::int64_t count_between(const std::vector<Time>& times, Time from, Time until) {
+    return std::lower_bound(times.begin(), times.end(), until) -
+           std::lower_bound(times.begin(), times.end(), from);
+}
+
+}  // namespace
+
+SoakLedger::SoakLedger(const SoakBounds& bounds) : m_bounds(bounds) {}
+
+void SoakLedger::violate(const std::string& rule, const std::string& what) {
+    m_violations.push_back(rule + ": " + what);
+}
+
+void SoakLedger::on_config(const SoakConfig& config) {
+    m_configs.push_back(config);
+}
+
+void SoakLedger::on_request(const SoakRequest& request) {
+    ++m_totals.requests;
+    Entry entry;
+    entry.request = request;
+    m_entries.emplace(request.id, entry);
+    const SoakRoute* route = newest_route(request.route);
+    if (route != nullptr) {
+        for (const std::string& service : route->services) {
+            m_sent[service].push_back(request.sent);
+        }
+    }
+}
+
+const SoakRoute* SoakLedger::newest_route(const std::string& name) const {
+    if (m_configs.empty()) {
+        return nullptr;
+    }
+    const auto found = m_configs.back().routes.find(name);
+    return found == m_configs.back().routes.end() ? nullptr : &found->second;
+}
+
+bool SoakLedger::is_in_touch(const std::string& node, Time now) const {
+    const auto trouble = m_node_trouble.find(node);
+    const Time node_trouble = trouble == m_node_trouble.end() ? Time{} : trouble->second;
+    return now > later(node_trouble, m_store_trouble) + m_bounds.stable_window;
+}
+
+std::vector<const SoakRoute*> SoakLedger::valid_routes(const Entry& entry) const {
+    std::vector<const SoakRoute*> routes;
+    const bool in_touch = is_in_touch(entry.request.node, entry.request.sent);
+    for (std::size_t i = 0; i < m_configs.size(); ++i) {
+        const bool is_newest = i + 1 == m_configs.size();
+        const bool superseded = !is_newest && entry.request.sent > m_configs[i + 1].acknowledged +
+                                                                       m_bounds.config_apply;
+        const auto found = m_configs[i].routes.find(entry.request.route);
+        if (found != m_configs[i].routes.end() && !(in_touch && superseded)) {
+            routes.push_back(&found->second);
+        }
+    }
+    return routes;
+}
+
+void SoakLedger::on_arrival(const SoakTarget& target, const SoakRequest& seen, Time now) {
+    const auto found = m_entries.find(seen.id);
+    if (found == m_entries.end()) {
+        violate("UNASKED", target.id + " got a request that no caller sent: " + seen.id);
+        return;
+    }
+    Entry& entry = found->second;
+    if (seen.method != entry.request.method || seen.path != entry.request.path ||
+        seen.body != entry.request.body) {
+        violate("UNASKED", target.id + " got a changed request: " + seen.id);
+    }
+    if (++entry.arrivals[target.service] > 1) {
+        ++m_totals.extra_arrivals;
+        m_extra[target.service].push_back(now);
+    }
+    const auto trouble = m_target_trouble.find(target.id);
+    const bool held_up =
+        trouble != m_target_trouble.end() && now <= trouble->second + m_bounds.stable_window;
+    if (held_up || !is_in_touch(entry.request.node, now)) {
+        return;
+    }
+    const auto leaving = m_leaving.find(target.id);
+    if (leaving != m_leaving.end() && now > leaving->second + m_bounds.drain) {
+        violate("DRAIN", target.id + " got " + seen.id + " of " + entry.request.node + " after " +
+                             std::to_string(to_ms(now - leaving->second)) + " ms");
+    }
+    const auto out = m_out_of_service.find(target.data_centre);
+    if (out != m_out_of_service.end() && now > out->second + m_bounds.evacuate) {
+        violate("EVAC", target.id + " got " + seen.id + " of " + entry.request.node + " after " +
+                            std::to_string(to_ms(now - out->second)) + " ms");
+    }
+}
+
+void SoakLedger::on_run(const SoakTarget& target, const std::string& request, Time now) {
+    const auto found = m_entries.find(request);
+    if (found == m_entries.end()) {
+        return;
+    }
+    Entry& entry = found->second;
+    ++entry.runs;
+    if (entry.caller_left && now > entry.left_at + GONE_SLACK &&
+        is_in_touch(entry.request.node, now)) {
+        m_runs_for_nobody.push_back(request);
+    }
+    const std::vector<const SoakRoute*> routes = valid_routes(entry);
+    const bool repeatable = std::any_of(routes.begin(), routes.end(),
+                                        [](const SoakRoute* route) { return route->idempotent; });
+    if (entry.runs > 1 && !repeatable) {
+        violate("TWICE", request + " ran again at " + target.id);
+    }
+    if (entry.answered && promises_not_run(entry.status) && !repeatable) {
+        violate("REFUSED", request + " ran at " + target.id + " after it was refused");
+    }
+    check_service(entry, target.service);
+}
+
+void SoakLedger::check_service(const Entry& entry, const std::string& service) {
+    bool ever = false;
+    for (const SoakConfig& config : m_configs) {
+        const auto route = config.routes.find(entry.request.route);
+        ever = ever || (route != config.routes.end() &&
+                        std::count(route->second.services.begin(), route->second.services.end(),
+                                   service) > 0);
+    }
+    if (!ever) {
+        violate("ROUTE", entry.request.id + " ran at service " + service);
+        return;
+    }
+    const std::vector<const SoakRoute*> routes = valid_routes(entry);
+    const bool allowed =
+        std::any_of(routes.begin(), routes.end(), [&service](const SoakRoute* route) {
+            return std::count(route->services.begin(), route->services.end(), service) > 0;
+        });
+    if (!allowed) {
+        violate("CONFIG", entry.request.id + " of " + entry.request.node + " ran at service " +
+                              service + ", which only an old version allows");
+    }
+}
+
+void SoakLedger::on_target_answer(const SoakTarget& target, const std::string& request,
+                                  const std::string& signature, const std::string& body,
+                                  bool success) {
+    m_parts[signature] = Part{request, target.service, body, success};
+}
+
+void SoakLedger::on_caller_left(const std::string& request, Time now) {
+    const auto found = m_entries.find(request);
+    if (found != m_entries.end()) {
+        found->second.caller_left = true;
+        found->second.left_at = now;
+    }
+}
+
+void SoakLedger::on_malformed(const std::string& request) {
+    violate("MIXED", request + " got bytes that are no answer");
+}
+
+bool SoakLedger::is_open(const std::string& request) const {
+    const auto found = m_entries.find(request);
+    return found != m_entries.end() && !found->second.answered;
+}
+
+void SoakLedger::on_answer(const std::string& request, const SoakAnswer& answer, Time now) {
+    const auto found = m_entries.find(request);
+    if (found == m_entries.end()) {
+        violate("MIXED", "an answer to a request that was not sent: " + request);
+        return;
+    }
+    Entry& entry = found->second;
+    if (!answer.request_id.empty() && answer.request_id != request) {
+        violate("MIXED", request + " got the answer to " + answer.request_id);
+    }
+    entry.answered = true;
+    entry.answered_at = now;
+    entry.status = answer.status;
+    if (answer.status == 0) {
+        ++m_totals.cut;
+        check_cut(entry, now);
+        return;
+    }
+    const std::vector<const SoakRoute*> routes = valid_routes(entry);
+    if (is_success(answer.status)) {
+        ++m_totals.served;
+        m_totals.whole += answer.missing_parts == 0 ? 1 : 0;
+        if (answer.part_signatures.empty()) {
+            check_plain(entry, answer);
+        } else {
+            check_fan_out(entry, answer);
+        }
+    } else if (promises_not_run(answer.status)) {
+        ++m_totals.refused;
+        const bool repeatable = std::any_of(
+            routes.begin(), routes.end(), [](const SoakRoute* route) { return route->idempotent; });
+        if (entry.runs > 0 && !repeatable) {
+            violate("REFUSED", request + " has run and got " + std::to_string(answer.status));
+        }
+    } else {
+        ++m_totals.failed;
+        // Only a route that some version in force lacks may be denied.
+        const bool in_touch = is_in_touch(entry.request.node, entry.request.sent);
+        const SoakRoute* newest = newest_route(entry.request.route);
+        const bool is_own_denial = answer.status < SERVER_ERROR && answer.signature.empty();
+        if (is_own_denial && in_touch && newest != nullptr && !m_configs.empty() &&
+            entry.request.sent > m_configs.back().acknowledged + m_bounds.config_apply) {
+            violate("DENIED", request + " of " + entry.request.node + " got " +
+                                  std::to_string(answer.status));
+        }
+    }
+}
+
+void SoakLedger::check_plain(const Entry& entry, const SoakAnswer& answer) {
+    const auto part = m_parts.find(answer.signature);
+    if (part == m_parts.end() || part->second.request != entry.request.id) {
+        violate("MIXED", entry.request.id + " got a success without its target's signature");
+        return;
+    }
+    if (!part->second.success || part->second.body != answer.body) {
+        violate("MIXED", entry.request.id + " got another answer than its target gave");
+    }
+}
+
+void SoakLedger::check_fan_out(const Entry& entry, const SoakAnswer& answer) {
+    std::set<std::string> services;
+    std::vector<std::string_view> bodies;
+    for (const std::string& signature : answer.part_signatures) {
+        const auto part = m_parts.find(signature);
+        if (part == m_parts.end() || part->second.request != entry.request.id ||
+            !part->second.success) {
+            violate("MIXED", entry.request.id + " names a part that is none: " + signature);
+            return;
+        }
+        if (!services.insert(part->second.service).second) {
+            violate("MIXED", entry.request.id + " has two parts of " + part->second.service);
+            return;
+        }
+        bodies.push_back(part->second.body);
+    }
+    const SoakRoute* of_answer = nullptr;
+    for (const SoakConfig& config : m_configs) {
+        const auto route = config.routes.find(entry.request.route);
+        if (route == config.routes.end()) {
+            continue;
+        }
+        const std::set<std::string> all(route->second.services.begin(),
+                                        route->second.services.end());
+        const bool within = std::includes(all.begin(), all.end(), services.begin(), services.end());
+        if (within &&
+            all.size() == services.size() + static_cast<std::size_t>(answer.missing_parts)) {
+            of_answer = &route->second;
+        }
+    }
+    if (of_answer == nullptr) {
+        violate("MIXED", entry.request.id + " has parts that no version names together");
+        return;
+    }
+    const double coverage =
+        static_cast<double>(services.size()) / static_cast<double>(of_answer->services.size());
+    if (coverage + 1e-9 < of_answer->min_coverage) {
+        violate("MIXED", entry.request.id + " covers too little");
+    }
+    if (ebonymount::merge_records(bodies, of_answer->top_k) != answer.body) {
+        violate("MIXED", entry.request.id + " is not the greatest records of its parts");
+    }
+}
+
+void SoakLedger::check_cut(const Entry& entry, Time now) {
+    const auto stop = m_planned_stops.find(entry.request.node);
+    if (entry.caller_left || stop == m_planned_stops.end()) {
+        return;
+    }
+    const bool around_stop =
+        now >= stop->second && now <= stop->second + m_bounds.grace + from_ms(1000);
+    const auto trouble = m_node_trouble.find(entry.request.node);
+    const Time undisturbed = entry.request.sent - m_bounds.stable_window;
+    const bool disturbed = trouble != m_node_trouble.end() && trouble->second > undisturbed;
+    const bool was_read = !entry.arrivals.empty() || now - entry.request.sent > m_bounds.loss_slack;
+    // A request that was sent long after the signal may meet the end of the process.
+    const bool in_time = entry.request.sent <= stop->second + from_ms(3000);
+    if (around_stop && !disturbed && was_read && in_time) {
+        violate("LOST",
+                entry.request.id + " was cut off by the planned stop of " + entry.request.node);
+    }
+}
+
+void SoakLedger::on_target_leaving(const std::string& target, Time now) {
+    m_leaving.emplace(target, now);
+}
+
+void SoakLedger::on_data_centre(const std::string& data_centre, bool in_service, Time now) {
+    if (in_service) {
+        m_out_of_service.erase(data_centre);
+    } else {
+        m_out_of_service.emplace(data_centre, now);
+    }
+}
+
+void SoakLedger::disturb_node(const std::string& node, Time until) {
+    m_node_trouble[node] = later(m_node_trouble[node], until);
+}
+
+void SoakLedger::disturb_store(Time until) {
+    m_store_trouble = later(m_store_trouble, until);
+}
+
+void SoakLedger::disturb_target(const std::string& target, Time until) {
+    m_target_trouble[target] = later(m_target_trouble[target], until);
+}
+
+void SoakLedger::on_planned_stop(const std::string& node, Time now) {
+    m_planned_stops[node] = now;
+}
+
+void SoakLedger::on_unexpected_end(const std::string& node, int status) {
+    violate("ENDED", node + " ended by itself, wait status " + std::to_string(status));
+}
+
+void SoakLedger::finish(Time calm_since, Time now) {
+    std::int64_t calm = 0;
+    std::int64_t calm_served = 0;
+    std::int64_t owed = 0;
+    std::vector<std::string> unanswered;
+    for (const auto& [id, entry] : m_entries) {
+        const SoakRoute* route = newest_route(entry.request.route);
+        if (route == nullptr || entry.caller_left) {
+            continue;
+        }
+        const Time due = entry.request.sent + route->timeout + m_bounds.timeout_slack;
+        const bool is_due = due < now;
+        if (is_due && is_in_touch(entry.request.node, entry.request.sent)) {
+            ++owed;
+            if (!entry.answered || entry.answered_at > due) {
+                unanswered.push_back(id);
+            }
+        }
+        if (entry.request.sent >= calm_since && is_due) {
+            ++calm;
+            calm_served += is_success(entry.status) ? 1 : 0;
+        }
+    }
+    const std::int64_t late = static_cast<std::int64_t>(unanswered.size());
+    if (late >= FEW && static_cast<double>(late) > LATE_SHARE * static_cast<double>(owed)) {
+        violate("TIMEOUT", std::to_string(late) + " of " + std::to_string(owed) +
+                               " requests had no answer in time, first " + unanswered.front());
+    }
+    if (static_cast<double>(calm_served) < RECOVERED_SHARE * static_cast<double>(calm)) {
+        violate("RECOVER", std::to_string(calm_served) + " of " + std::to_string(calm) +
+                               " requests were served after the faults");
+    }
+    if (static_cast<std::int64_t>(m_runs_for_nobody.size()) > FEW) {
+        violate("GONE", std::to_string(m_runs_for_nobody.size()) +
+                            " runs began after the caller had left, first " +
+                            m_runs_for_nobody.front());
+    }
+    check_extra_arrivals();
+}
+
+void SoakLedger::check_extra_arrivals() {
+    for (const auto& [service, extra] : m_extra) {
+        const std::vector<Time>& sent = m_sent[service];
+        for (std::size_t last = 0; last < extra.size(); ++last) {
+            const Time begin = extra[last] - m_bounds.retry_window;
+            const std::int64_t arrivals =
+                count_between(extra, begin + Duration(1), extra[last] + Duration(1));
+            // The window itself, the one before it, or the one half a window before it.
+            std::int64_t requests = 0;
+            for (const Duration shift :
+                 {Duration::zero(), m_bounds.retry_window / 2, m_bounds.retry_window}) {
+                requests =
+                    std::max(requests, count_between(sent, begin - shift, extra[last] - shift));
+            }
+            const double allowed = m_bounds.retry_ratio * static_cast<double>(requests) +
+                                   static_cast<double>(m_bounds.retry_slack);
+            if (static_cast<double>(arrivals) > allowed) {
+                violate("BUDGET", std::to_string(arrivals) + " extra arrivals at " + service +
+                                      " for " + std::to_string(requests) + " requests");
+                break;
+            }
+        }
+    }
+}
+
+const std::vector<std::string>& SoakLedger::violations() const {
+    return m_violations;
+}
+
+const SoakTotals& SoakLedger::totals() const {
+    return m_totals;
+}
+
+}  // namespace soak
--- /dev/null
+++ b/test/soak/soak_plan.cpp
@@ -0,0 +1,122 @@
+#include "soak_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "base/random.h"
+
+namespace soak {
+
+using ebonymount::from_ms;
+using ebonymount::Random;
+using ebonymount::to_ms;
+using ebonymount::uniform;
+
+namespace {
+
+/// Mean gap between two series of steps.
+constexpr double SERIES_GAP_MS = 900.0;
+
+/// Longest series of one kind, and the mean gap between its steps.
+constexpr std::size_t LONGEST_SERIES = 3;
+constexpr double STEP_GAP_MS = 700.0;
+
+constexpr double SHORTEST_MS = 300.0;
+constexpr double LONGEST_MS = 4500.0;
+
+constexpr std::array<const char*, static_cast<std::size_t>(StepKind::count)> NAMES = {
+    "stop_node",
+    "kill_node",
+    "pause_node",
+    "reload_node",
+    "roll_nodes",
+    "kill_all_nodes",
+    "delay_store_link",
+    "reset_store_link",
+    "freeze_store_link",
+    "silence_store_link",
+    "delay_caller_link",
+    "reset_caller_link",
+    "silence_caller_link",
+    "reset_target_link",
+    "freeze_target_link",
+    "silence_target_link",
+    "spoil_target_link",
+    "store_silent",
+    "store_resets",
+    "store_busy",
+    "store_slow",
+    "store_loses_answers",
+    "store_forgets_history",
+    "store_is_stale",
+    "entries_lapse",
+    "target_crashes",
+    "target_drains",
+    "target_vanishes",
+    "target_slow",
+    "target_refuses",
+    "target_fails",
+    "target_loses_answers",
+    "address_reused",
+    "shard_down",
+    "config_moves_route",
+    "config_adds_route",
+    "config_storm",
+    "repartition",
+    "data_centre_out",
+    "burst",
+    "callers_leave"};
+
+Duration drawn_ms(Random& random, double least, double most) {
+    return Duration(static_cast<std::int64_t>((least + (most - least) * uniform(random)) * 1000.0));
+}
+
+}  // namespace
+
+const char* name_of(StepKind kind) {
+    return NAMES.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length) {
+    Random random(seed);
+    std::vector<SoakStep> plan;
+    Duration at{};
+    while (at < length) {
+        const StepKind kind = static_cast<StepKind>(random() % NAMES.size());
+        const std::size_t steps = 1 + random() % LONGEST_SERIES;
+        Duration step_at = at;
+        for (std::size_t i = 0; i < steps; ++i) {
+            SoakStep step;
+            step.at = step_at;
+            step.kind = kind;
+            step.length = drawn_ms(random, SHORTEST_MS, LONGEST_MS);
+            step.strength = uniform(random);
+            step.pick = random();
+            if (step.at + step.length <= length) {
+                plan.push_back(step);
+            }
+            step_at += drawn_ms(random, 0.0, 2.0 * STEP_GAP_MS);
+        }
+        at += drawn_ms(random, 0.0, 2.0 * SERIES_GAP_MS);
+    }
+    const auto earlier = [](const SoakStep& left, const SoakStep& right) {
+        return left.at < right.at;
+    };
+    std::stable_sort(plan.begin(), plan.end(), earlier);
+    return plan;
+}
+
+std::string describe(const std::vector<SoakStep>& plan) {
+    std::string text;
+    for (const SoakStep& step : plan) {
+        std::array<char, 128> line{};
+        std::snprintf(line.data(), line.size(), "  %7.3f s  %-22s %6.0f ms  strength %.2f\n",
+                      to_ms(step.at) / 1000.0, name_of(step.kind), to_ms(step.length),
+                      step.strength);
+        text += line.data();
+    }
+    return text;
+}
+
+}  // namespace soak
--- /dev/null
+++ b/test/soak/soak_world.cpp
@@ -0,0 +1,493 @@
+#include "soak_world.h"
+
+#include <Poco/StringTokenizer.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+
+#include "platform/names.h"
+
+namespace soak {
+
+using ebonymount::CallEnd;
+using ebonymount::ChannelCall;
+using ebonymount::from_ms;
+using ebonymount::HttpAnswerMessage;
+using ebonymount::HttpChannel;
+using ebonymount::HttpRequestMessage;
+using ebonymount::monotonic_now;
+using ebonymount::uniform;
+using Json = nlohmann::json;
+namespace names = ebonymount::platform::names;
+
+namespace {
+
+constexpr int PORT = 7101;
+constexpr int READY_PORT = 7102;
+constexpr int METRICS_PORT = 7103;
+
+/// Groups of loopback addresses: the third byte.
+constexpr int NODES = 1;
+constexpr int CALLER_LINKS = 2;
+constexpr int STORE_LINKS = 3;
+constexpr int STORE = 4;
+constexpr int TARGETS = 5;
+constexpr int TARGET_LINKS = 6;
+
+/// Until the nodes have read the store, and after the faults until all must serve again.
+constexpr Duration LEAD = from_ms(3000);
+constexpr Duration RECOVERY = from_ms(12000);
+constexpr Duration CALM = from_ms(3000);
+
+constexpr std::size_t SHARDS = 6;
+constexpr std::size_t SHARDS_AFTER_REPARTITION = 8;
+constexpr std::size_t REPLICAS = 3;
+const std::array<const char*, REPLICAS> DATA_CENTRES = {"east", "north", "west"};
+
+constexpr double DELAY_MS = 1.0;
+constexpr double JITTER_MS = 0.5;
+
+/// A stall of the soak itself counts as trouble of everything.
+constexpr Duration STALL_CHECK = from_ms(100);
+constexpr Duration STALL = from_ms(300);
+
+constexpr Duration WATCH_NODES = from_ms(50);
+constexpr Duration READINESS_INTERVAL = from_ms(1000);
+constexpr std::size_t MOST_CALLER_CONNECTIONS = 12;
+
+std::vector<std::string> split(std::string_view text) {
+    const Poco::StringTokenizer tokens(
+        std::string(text), ",",
+        Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    return {tokens.begin(), tokens.end()};
+}
+
+SoakTarget seen(const standin::PlatformTarget& target) {
+    return {target.traits().id, target.traits().service, target.traits().data_centre};
+}
+
+}  // namespace
+
+SoakWorld::SoakWorld(const SoakTerms& terms)
+    : m_terms(terms),
+      m_loop(ebonymount::LoopThread::caller),
+      m_random(terms.seed),
+      m_ledger(m_bounds),
+      m_rate(terms.rate) {
+    m_store = std::make_unique<standin::PlatformStore>(m_loop, address(STORE, 1, PORT), terms.seed);
+    make_targets();
+    make_nodes();
+}
+
+SoakWorld::~SoakWorld() = default;
+
+std::string SoakWorld::address(int group, std::size_t host, int port) const {
+    std::string text = "127." + std::to_string(m_terms.instance) + "." + std::to_string(group) +
+                       "." + std::to_string(host);
+    return port == 0 ? text : text + ":" + std::to_string(port);
+}
+
+void SoakWorld::after(Duration delay, std::function<void()> what) {
+    m_loop.run_at(monotonic_now() + delay, std::move(what));
+}
+
+const SoakLedger& SoakWorld::run(const std::vector<SoakStep>& plan) {
+    publish_config();
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        start_node(*node);
+        ask_readiness(*node);
+    }
+    measure_stalls();
+    watch_nodes();
+    after(LEAD, [this] {
+        m_traffic = true;
+        arrive();
+    });
+    for (const SoakStep& step : plan) {
+        after(LEAD + step.at, [this, step] { apply(step); });
+    }
+    const Time calm_since = monotonic_now() + LEAD + m_terms.faults + RECOVERY;
+    after(LEAD + m_terms.faults + RECOVERY + CALM, [this] {
+        m_traffic = false;
+        m_ending = true;
+        // Requests that are still open end first.
+        after(from_ms(2500), [this] { stop_all(); });
+    });
+    m_loop.run();
+    m_ledger.finish(calm_since, monotonic_now());
+    return m_ledger;
+}
+
+void SoakWorld::make_targets() {
+    const auto add = [this](const std::string& service, std::size_t replica, Duration time) {
+        std::unique_ptr<TargetSlot> slot = std::make_unique<TargetSlot>();
+        const std::size_t host = m_slots.size() + 1;
+        slot->host = host;
+        slot->traits.service = service;
+        slot->traits.data_centre = DATA_CENTRES.at(replica % DATA_CENTRES.size());
+        slot->traits.address = address(TARGETS, host, PORT);
+        slot->traits.service_time = time;
+        slot->traits.max_connections = 10 * m_terms.nodes;
+        slot->link = standin::Link::open(
+            m_loop, {"target-" + std::to_string(host), address(TARGET_LINKS, host, PORT),
+                     slot->traits.address, DELAY_MS, JITTER_MS});
+        open_target(*slot);
+        register_target(*slot, "ready");
+        m_slots.push_back(std::move(slot));
+    };
+    for (std::size_t replica = 0; replica < REPLICAS; ++replica) {
+        for (std::size_t shard = 0; shard < SHARDS; ++shard) {
+            add("catalogue-" + std::to_string(shard), replica, from_ms(6));
+        }
+        for (std::size_t shard = 0; shard < SHARDS_AFTER_REPARTITION; ++shard) {
+            add("members-" + std::to_string(shard), replica, from_ms(6));
+        }
+        for (const char* service : {"booking", "booking", "awards", "awards"}) {
+            add(service, replica, from_ms(30));
+        }
+    }
+}
+
+void SoakWorld::open_target(TargetSlot& slot) {
+    slot.traits.id = "t-" + std::to_string(m_next_id++);
+    standin::PlatformTargetObserver observer;
+    observer.on_arrival = [this](const standin::PlatformTarget& target,
+                                 const HttpRequestMessage& request) {
+        SoakRequest arrived;
+        arrived.id = std::string(find_header(request.headers, names::REQUEST_ID));
+        arrived.method = request.method;
+        arrived.path = request.target;
+        arrived.body = request.body;
+        m_ledger.on_arrival(seen(target), arrived, monotonic_now());
+    };
+    observer.on_run = [this](const standin::PlatformTarget& target, const std::string& request) {
+        m_ledger.on_run(seen(target), request, monotonic_now());
+    };
+    observer.on_answer = [this](const standin::PlatformTarget& target, const std::string& request,
+                                const std::string& signature, const std::string& body,
+                                bool success) {
+        m_ledger.on_target_answer(seen(target), request, signature, body, success);
+    };
+    observer.on_cancelled = [](const std::string& /*request*/) {
+    };
+    slot.target = standin::PlatformTarget::open(m_loop, slot.traits, observer);
+}
+
+void SoakWorld::register_target(TargetSlot& slot, const std::string& state) {
+    slot.registered = true;
+    m_store->put(names::TARGETS_KIND, slot.traits.id,
+                 {{"service", slot.traits.service},
+                  {"address", address(TARGET_LINKS, slot.host, PORT)},
+                  {"zone", slot.traits.data_centre},
+                  {"version", "v1"},
+                  {"max_concurrency", slot.traits.slots},
+                  {"state", state},
+                  {"cold_remaining_ms", 0},
+                  {"sequence", 1}});
+}
+
+void SoakWorld::unregister_target(TargetSlot& slot) {
+    if (slot.registered) {
+        slot.registered = false;
+        m_store->remove(names::TARGETS_KIND, slot.traits.id);
+        m_ledger.on_target_leaving(slot.traits.id, monotonic_now());
+    }
+}
+
+void SoakWorld::make_nodes() {
+    for (std::size_t i = 0; i < m_terms.nodes; ++i) {
+        std::unique_ptr<Node> node = std::make_unique<Node>();
+        node->host = static_cast<int>(i) + 1;
+        node->name = "node-" + std::to_string(node->host);
+        node->data_centre = DATA_CENTRES.at(i % DATA_CENTRES.size());
+        node->settings_file = m_terms.directory + "/" + node->name + ".conf";
+        node->log_file = m_terms.directory + "/" + node->name + ".log";
+        node->caller_link = standin::Link::open(
+            m_loop, {node->name + "-callers", address(CALLER_LINKS, i + 1, PORT),
+                     address(NODES, i + 1, PORT), DELAY_MS, JITTER_MS});
+        node->store_link =
+            standin::Link::open(m_loop, {node->name + "-store", address(STORE_LINKS, i + 1, PORT),
+                                         address(STORE, 1, PORT), DELAY_MS, JITTER_MS});
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+void SoakWorld::write_settings(Node& node) const {
+    const std::size_t host = static_cast<std::size_t>(node.host);
+    std::ofstream file(node.settings_file);
+    file << "node=" << node.name << "\nip=" << address(NODES, host, 0)
+         << "\nzone=" << node.data_centre << "\nregion=region-" << node.data_centre << "\n";
+    for (const char* data_centre : DATA_CENTRES) {
+        file << "zones." << data_centre << "=region-" << data_centre << "\n";
+    }
+    file << "bind_addresses.front=" << address(NODES, host, PORT)
+         << "\nbind_addresses.ready=" << address(NODES, host, READY_PORT)
+         << "\nplatform.address=" << address(STORE_LINKS, host, PORT)
+         << "\nlimits.cpu_share=1\nlimits.max_open_files=4096\nbounds.grace_s="
+         << m_bounds.grace.count() / from_ms(1000).count()
+         << "\nbounds.config_apply_ms=" << m_bounds.config_apply.count() / 1000
+         << "\nbounds.retry_budget_ratio=" << m_bounds.retry_ratio
+         << "\nbounds.budget_slack=" << m_bounds.retry_slack
+         << "\nbounds.budget_window_s=" << m_bounds.retry_window.count() / from_ms(1000).count()
+         << "\nbounds.cold_over=1.5\nbounds.cold_slack=5\nrevision=" << node.revision << "\n";
+}
+
+void SoakWorld::start_node(Node& node) {
+    write_settings(node);
+    node.stopping = false;
+    node.killed = false;
+    node.missed = 0;
+    disturb(node, Duration::zero());
+    node.process.start({m_terms.front_program, "--settings", node.settings_file, "--metrics-port",
+                        std::to_string(METRICS_PORT)},
+                       node.log_file);
+}
+
+void SoakWorld::watch_nodes() {
+    bool any_running = false;
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        const std::optional<int> status = node->process.poll_end();
+        if (status.has_value()) {
+            on_node_end(*node, *status);
+        }
+        any_running = any_running || node->process.is_running();
+        if (!m_ending && !node->process.is_running() && monotonic_now() >= node->restart_at) {
+            start_node(*node);
+        }
+    }
+    if (m_ending && !any_running) {
+        m_loop.stop();
+        return;
+    }
+    after(WATCH_NODES, [this] { watch_nodes(); });
+}
+
+void SoakWorld::on_node_end(Node& node, int status) {
+    const bool expected = node.killed || (node.stopping && status == 0);
+    if (!expected) {
+        m_ledger.on_unexpected_end(node.name, status);
+    }
+    node.in_rotation = false;
+}
+
+void SoakWorld::stop_all() {
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        stop_node(*node);
+    }
+}
+
+std::vector<std::string> SoakWorld::shard_names() const {
+    std::vector<std::string> shards;
+    const std::size_t count = m_repartitioned ? SHARDS_AFTER_REPARTITION : SHARDS;
+    const std::string prefix = m_repartitioned ? "members-" : "catalogue-";
+    for (std::size_t shard = 0; shard < count; ++shard) {
+        shards.push_back(prefix + std::to_string(shard));
+    }
+    return shards;
+}
+
+void SoakWorld::publish_config() {
+    const std::vector<std::string> shards = shard_names();
+    if (m_config.routes.empty()) {
+        m_config.routes["book"] = {"book", true, 2, from_ms(2000), {"booking"}};
+        m_config.routes["order"] = {"order", false, 2, from_ms(2000), {"awards"}};
+    }
+    m_config.routes["browse"] = {"browse", true, 2, from_ms(1200), shards, true, 20, 0.8};
+    m_config.routes["check"] = {"check", true, 2, from_ms(800), shards, true, 5, 0.6};
+    m_config.version += 1 + static_cast<std::int64_t>(m_random() % 4);
+    m_store->put(names::CONFIG_KIND, names::CONFIG_NAME, config_json(m_config));
+    m_config.acknowledged = monotonic_now();
+    m_ledger.on_config(m_config);
+}
+
+Json SoakWorld::config_json(const SoakConfig& config) const {
+    Json routes = Json::array();
+    for (const auto& [name, route] : config.routes) {
+        Json row = {{"name", name},
+                    {"hostname", "soak.example"},
+                    {"path_prefix", "/" + name + "/"},
+                    {"type", route.idempotent ? "idempotent" : "non_idempotent"},
+                    {"timeout_ms", route.timeout.count() / 1000},
+                    {"target_latency_ms", 150},
+                    {"priority", 1},
+                    {"max_attempts", route.max_attempts},
+                    {"allowed_regions", Json::array()}};
+        if (route.fan_out) {
+            row["fanout_services"] = route.services;
+            row["top_k"] = route.top_k;
+            row["min_success_share"] = route.min_coverage;
+        } else {
+            row["service"] = route.services.front();
+        }
+        routes.push_back(row);
+    }
+    Json services = Json::array();
+    for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
+        services.push_back({{"name", slot->traits.service},
+                            {"health_path", "/health"},
+                            {"max_connections", slot->traits.max_connections},
+                            {"cold_start_s", 1.0},
+                            {"cold_per_s", 0.0}});
+    }
+    return {{"version", config.version},
+            {"routes", routes},
+            {"services", services},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 262144},
+              {"header_timeout_ms", 5000},
+              {"idle_timeout_ms", 30000}}}};
+}
+
+void SoakWorld::ask_readiness(Node& node) {
+    if (m_ending) {
+        return;
+    }
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    node.readiness =
+        HttpChannel::open(m_loop, address(NODES, static_cast<std::size_t>(node.host), READY_PORT),
+                          [](HttpChannel&) {});
+    if (node.readiness != nullptr) {
+        ChannelCall call;
+        call.make_request = [] {
+            return encode(HttpRequestMessage{
+                "GET", names::READINESS_PATH, {{"Host", "soak.example"}}, "", false});
+        };
+        call.is_mine = [](const HttpAnswerMessage&) {
+            return true;
+        };
+        call.on_began = [] {
+        };
+        call.on_end = [answered](CallEnd end, const HttpAnswerMessage& answer) {
+            *answered = end == CallEnd::answered && answer.status == 200;
+        };
+        node.readiness->start(std::move(call));
+    }
+    after(READINESS_INTERVAL, [this, &node, answered] {
+        node.missed = *answered ? 0 : node.missed + 1;
+        node.in_rotation = *answered || (node.in_rotation && node.missed < 2);
+        ask_readiness(node);
+    });
+}
+
+void SoakWorld::arrive() {
+    if (!m_traffic) {
+        return;
+    }
+    std::vector<Node*> ready;
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        if (node->in_rotation) {
+            ready.push_back(node.get());
+        }
+    }
+    if (!ready.empty()) {
+        send_request(*ready[m_random() % ready.size()]);
+    }
+    const double gap_us = 1e6 / m_rate * 2.0 * uniform(m_random);
+    after(Duration(static_cast<std::int64_t>(gap_us)), [this] { arrive(); });
+}
+
+SoakWorld::Channel SoakWorld::take_connection(Node& node) {
+    std::erase_if(node.callers, [](const Channel& channel) { return channel->is_closed(); });
+    std::vector<Channel> idle;
+    for (const Channel& channel : node.callers) {
+        if (channel->is_idle()) {
+            idle.push_back(channel);
+        }
+    }
+    if (!idle.empty() &&
+        (uniform(m_random) < 0.8 || node.callers.size() >= MOST_CALLER_CONNECTIONS)) {
+        return idle[m_random() % idle.size()];
+    }
+    const Channel channel =
+        HttpChannel::open(m_loop, address(CALLER_LINKS, static_cast<std::size_t>(node.host), PORT),
+                          [](HttpChannel&) {});
+    if (channel != nullptr) {
+        node.callers.push_back(channel);
+    }
+    return channel;
+}
+
+void SoakWorld::send_request(Node& node) {
+    const Channel channel = take_connection(node);
+    if (channel == nullptr) {
+        return;
+    }
+    auto route = m_config.routes.begin();
+    std::advance(route, static_cast<std::ptrdiff_t>(m_random() % m_config.routes.size()));
+    SoakRequest request;
+    request.id = "r" + std::to_string(m_next_id++);
+    request.node = node.name;
+    request.route = route->first;
+    request.path = "/" + route->first + "/" + ebonymount::random_id(m_random);
+    request.method = route->second.fan_out ? "GET" : "POST";
+    request.body = route->second.fan_out ? "" : "body of " + request.id;
+    const Duration deadline = route->second.timeout + from_ms(200);
+    const bool leaves = uniform(m_random) < m_leaving_share;
+    ChannelCall call;
+    call.make_request = [this, request, deadline]() mutable {
+        request.sent = monotonic_now();
+        m_ledger.on_request(request);
+        return encode(
+            HttpRequestMessage{request.method,
+                               request.path,
+                               {{"Host", "soak.example"},
+                                {names::REQUEST_ID, request.id},
+                                {names::DEADLINE, std::to_string(deadline.count() / 1000)}},
+                               request.body,
+                               true});
+    };
+    call.is_mine = [](const HttpAnswerMessage&) {
+        return true;
+    };
+    call.on_began = [] {
+    };
+    call.on_end = [this, id = request.id](CallEnd end, const HttpAnswerMessage& answer) {
+        on_answer(id, end, answer);
+    };
+    channel->start(std::move(call));
+    const std::weak_ptr<HttpChannel> weak = channel;
+    after(leaves ? from_ms(60) : deadline + m_bounds.timeout_slack,
+          [this, weak, leaves, id = request.id] {
+              const Channel open = weak.lock();
+              // The connection may serve a later request by now, whose own time is not over.
+              if (open != nullptr && open->has_call() && m_ledger.is_open(id)) {
+                  if (leaves) {
+                      m_ledger.on_caller_left(id, monotonic_now());
+                  }
+                  open->close();
+              }
+          });
+}
+
+void SoakWorld::on_answer(const std::string& id, CallEnd end, const HttpAnswerMessage& answer) {
+    if (end == CallEnd::aborted || end == CallEnd::not_sent) {
+        return;
+    }
+    SoakAnswer given;
+    if (end == CallEnd::malformed) {
+        m_ledger.on_malformed(id);
+    }
+    if (end == CallEnd::answered) {
+        given.status = answer.status;
+        given.request_id = std::string(find_header(answer.headers, names::REQUEST_ID));
+        given.signature = std::string(find_header(answer.headers, names::SIGNATURE));
+        given.part_signatures = split(find_header(answer.headers, names::PART_SIGNATURES));
+        const std::string missing(find_header(answer.headers, names::MISSING_PARTS));
+        given.missing_parts = missing.empty() ? 0 : std::stoll(missing);
+        given.body = answer.body;
+    }
+    m_ledger.on_answer(id, given, monotonic_now());
+}
+
+void SoakWorld::measure_stalls() {
+    const Time now = monotonic_now();
+    if (m_next_stall_check != Time{} && now > m_next_stall_check + STALL) {
+        m_ledger.disturb_store(now);
+    }
+    m_next_stall_check = now + STALL_CHECK;
+    after(STALL_CHECK, [this] { measure_stalls(); });
+}
+
+}  // namespace soak
--- /dev/null
+++ b/test/soak/soak_world.h
@@ -0,0 +1,143 @@
+// The world of one soak: nodes as real processes, and around them the stand-ins for callers,
+// balancer, targets, store and operator, with a faulty link on every path.
+//
+// Every node reaches the store through a link of its own, callers reach a node through its caller
+// link, and all nodes reach a target through the target's link. Everything but the nodes runs on
+// one event loop, so the order of what callers and targets see is the order of the ledger.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "io/http_channel.h"
+#include "link.h"
+#include "platform_store.h"
+#include "platform_target.h"
+#include "soak_ledger.h"
+#include "soak_plan.h"
+#include "soak_process.h"
+
+namespace soak {
+
+struct SoakTerms {
+    std::uint64_t seed = 1;
+    std::size_t nodes = 6;
+    /// Of the part with faults; a lead, a recovery and a calm part come on top.
+    Duration faults = ebonymount::from_ms(14000);
+    /// Requests a second at all nodes together.
+    double rate = 80.0;
+    /// Second byte of the loopback addresses; runs at the same time need different ones.
+    int instance = 20;
+    std::string front_program;
+    /// For settings and logs of the nodes.
+    std::string directory;
+};
+
+class SoakWorld {
+public:
+    explicit SoakWorld(const SoakTerms& terms);
+    ~SoakWorld();
+    SoakWorld(const SoakWorld&) = delete;
+    SoakWorld& operator=(const SoakWorld&) = delete;
+    SoakWorld(SoakWorld&&) = delete;
+    SoakWorld& operator=(SoakWorld&&) = delete;
+
+    /// Plays the plan; returns when all nodes have stopped.
+    const SoakLedger& run(const std::vector<SoakStep>& plan);
+
+private:
+    using Channel = std::shared_ptr<ebonymount::HttpChannel>;
+    using LinkPointer = std::shared_ptr<standin::Link>;
+    struct Node {
+        std::string name;
+        std::string data_centre;
+        std::string settings_file;
+        std::string log_file;
+        int host = 0;
+        SoakProcess process;
+        LinkPointer caller_link;
+        LinkPointer store_link;
+        std::vector<Channel> callers;
+        Channel readiness;
+        int missed = 0;
+        bool in_rotation = false;
+        /// A stop in order is under way until the process has ended.
+        bool stopping = false;
+        bool killed = false;
+        Time restart_at{};
+        int revision = 0;
+    };
+    /// An address with a target behind a link; the target may be replaced.
+    struct TargetSlot {
+        std::size_t host = 0;
+        standin::PlatformTargetTraits traits;
+        LinkPointer link;
+        std::shared_ptr<standin::PlatformTarget> target;
+        bool registered = false;
+    };
+
+    std::string address(int group, std::size_t host, int port) const;
+    void after(Duration delay, std::function<void()> what);
+
+    // What is there.
+    void make_targets();
+    void make_nodes();
+    void open_target(TargetSlot& slot);
+    void register_target(TargetSlot& slot, const std::string& state);
+    void unregister_target(TargetSlot& slot);
+    void write_settings(Node& node) const;
+    void start_node(Node& node);
+    void watch_nodes();
+    void on_node_end(Node& node, int status);
+
+    // What the operator does.
+    void publish_config();
+    nlohmann::json config_json(const SoakConfig& config) const;
+    std::vector<std::string> shard_names() const;
+
+    // What callers do.
+    void ask_readiness(Node& node);
+    void arrive();
+    void send_request(Node& node);
+    Channel take_connection(Node& node);
+    void on_answer(const std::string& id, ebonymount::CallEnd end,
+                   const ebonymount::HttpAnswerMessage& answer);
+
+    // Faults.
+    void apply(const SoakStep& step);
+    void apply_to_node(const SoakStep& step, Node& node);
+    void apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot);
+    void apply_to_store(const SoakStep& step);
+    void apply_to_target(const SoakStep& step, TargetSlot& slot);
+    void apply_by_operator(const SoakStep& step);
+    void stop_node(Node& node);
+    void kill_node(Node& node, Duration down);
+    void crash_target(TargetSlot& slot, Duration down, const std::string& new_service);
+    void drain_target(TargetSlot& slot, bool silent);
+    void restart_target(TargetSlot& slot, const std::string& service);
+    void disturb(Node& node, Duration length);
+    void disturb(TargetSlot& slot, Duration length);
+    void measure_stalls();
+    void stop_all();
+
+    SoakTerms m_terms;
+    SoakBounds m_bounds;
+    ebonymount::EventLoop m_loop;
+    ebonymount::Random m_random;
+    SoakLedger m_ledger;
+    std::unique_ptr<standin::PlatformStore> m_store;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<std::unique_ptr<TargetSlot>> m_slots;
+    SoakConfig m_config;
+    bool m_repartitioned = false;
+    std::int64_t m_next_id = 1;
+    double m_rate = 0.0;
+    double m_leaving_share = 0.0;
+    bool m_traffic = false;
+    bool m_ending = false;
+    Time m_next_stall_check{};
+};
+
+}  // namespace soak
--- /dev/null
+++ b/test/soak/test_soak_ledger.cpp
@@ -0,0 +1,308 @@
+// For each check of the soak's ledger: events that keep the promise, and a twin that breaks it.
+#include <catch2/catch.hpp>
+
+#include "policy/record_merge.h"
+#include "soak_ledger.h"
+#include "soak_plan.h"
+
+namespace soak {
+namespace {
+
+using ebonymount::from_ms;
+
+const Time START = Time{} + from_ms(1000000);
+const std::string LOW = "0000000000000001";
+const std::string HIGH = "9999999999999999";
+
+Time at(std::int64_t milliseconds) {
+    return START + from_ms(milliseconds);
+}
+
+SoakConfig config(std::int64_t version, Time acknowledged) {
+    SoakConfig made;
+    made.version = version;
+    made.acknowledged = acknowledged;
+    made.routes["browse"] = {"browse", true, 2, from_ms(1000), {"a", "b"}, true, 1, 0.5};
+    made.routes["book"] = {"book", true, 2, from_ms(1000), {"booking"}, false, 0, 1.0};
+    made.routes["order"] = {"order", false, 2, from_ms(1000), {"booking"}, false, 0, 1.0};
+    return made;
+}
+
+SoakRequest request(const std::string& id, const std::string& route, Time sent) {
+    return {id, "node-1", route, "POST", "/" + route + "/x", "body", sent};
+}
+
+const SoakTarget BOOKING = {"t-1", "booking", "east"};
+const SoakTarget SHARD_A = {"t-2", "a", "east"};
+const SoakTarget SHARD_B = {"t-3", "b", "west"};
+
+/// A ledger with a configuration that is in force.
+SoakLedger ledger() {
+    SoakLedger made{SoakBounds{}};
+    made.on_config(config(1, START));
+    return made;
+}
+
+bool breaks(const SoakLedger& checked, const std::string& rule) {
+    for (const std::string& violation : checked.violations()) {
+        if (violation.rfind(rule + ":", 0) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Runs a request at a target and gives its answer the signature "s" and the number.
+void run_at(SoakLedger& checked, const SoakTarget& target, const SoakRequest& made, Time now,
+            const std::string& signature, const std::string& body) {
+    checked.on_arrival(target, made, now);
+    checked.on_run(target, made.id, now);
+    checked.on_target_answer(target, made.id, signature, body, true);
+}
+
+SoakAnswer merged(const std::vector<std::string>& signatures, std::int64_t missing,
+                  const std::string& body) {
+    SoakAnswer answer;
+    answer.status = 200;
+    answer.part_signatures = signatures;
+    answer.missing_parts = missing;
+    answer.body = body;
+    return answer;
+}
+
+SoakAnswer plain(int status, const std::string& signature, const std::string& body) {
+    SoakAnswer answer;
+    answer.status = status;
+    answer.signature = signature;
+    answer.body = body;
+    return answer;
+}
+
+/// A fan-out whose two shards have answered.
+SoakLedger with_parts() {
+    SoakLedger checked = ledger();
+    const SoakRequest made = request("r1", "browse", at(20000));
+    checked.on_request(made);
+    run_at(checked, SHARD_A, made, at(20001), "s1", LOW);
+    run_at(checked, SHARD_B, made, at(20001), "s2", HIGH);
+    return checked;
+}
+
+}  // namespace
+
+TEST_CASE("a merged answer must be true to its parts") {
+    SoakLedger good = with_parts();
+    good.on_answer("r1", merged({"s1", "s2"}, 0, HIGH), at(20010));
+    CHECK(good.violations().empty());
+    SoakLedger partial = with_parts();
+    partial.on_answer("r1", merged({"s1"}, 1, LOW), at(20010));
+    CHECK(partial.violations().empty());
+
+    const std::vector<SoakAnswer> wrong = {
+        merged({"s1", "s2"}, 0, LOW), merged({"s1", "s1"}, 0, LOW), merged({"s1"}, 0, LOW),
+        merged({"s1", "s9"}, 0, HIGH), merged({"s2", "s1"}, 1, HIGH)};
+    for (const SoakAnswer& answer : wrong) {
+        SoakLedger twin = with_parts();
+        twin.on_answer("r1", answer, at(20010));
+        CHECK(breaks(twin, "MIXED"));
+    }
+}
+
+TEST_CASE("a merged answer must cover enough") {
+    SoakLedger twin{SoakBounds{}};
+    SoakConfig strict = config(1, START);
+    strict.routes["browse"].min_coverage = 0.9;
+    twin.on_config(strict);
+    const SoakRequest made = request("r1", "browse", at(20000));
+    twin.on_request(made);
+    run_at(twin, SHARD_A, made, at(20001), "s1", LOW);
+    twin.on_answer("r1", merged({"s1"}, 1, LOW), at(20010));
+    CHECK(breaks(twin, "MIXED"));
+}
+
+TEST_CASE("a plain answer must be the target's own") {
+    for (const bool is_twin : {false, true}) {
+        SoakLedger checked = ledger();
+        const SoakRequest made = request("r1", "book", at(20000));
+        checked.on_request(made);
+        run_at(checked, BOOKING, made, at(20001), "s1", "kept");
+        checked.on_answer("r1", plain(200, "s1", is_twin ? "changed" : "kept"), at(20010));
+        CHECK(breaks(checked, "MIXED") == is_twin);
+    }
+    SoakLedger swapped = ledger();
+    swapped.on_request(request("r1", "book", at(20000)));
+    SoakAnswer of_other = plain(200, "s1", "kept");
+    of_other.request_id = "r2";
+    swapped.on_answer("r1", of_other, at(20010));
+    CHECK(breaks(swapped, "MIXED"));
+    SoakLedger garbled = ledger();
+    garbled.on_malformed("r1");
+    CHECK(breaks(garbled, "MIXED"));
+}
+
+TEST_CASE("targets get only what callers sent") {
+    SoakLedger good = ledger();
+    const SoakRequest made = request("r1", "book", at(20000));
+    good.on_request(made);
+    good.on_arrival(BOOKING, made, at(20001));
+    CHECK(good.violations().empty());
+    SoakRequest changed = made;
+    changed.body = "other";
+    good.on_arrival(BOOKING, changed, at(20001));
+    CHECK(breaks(good, "UNASKED"));
+    SoakLedger unknown = ledger();
+    unknown.on_arrival(BOOKING, made, at(20001));
+    CHECK(breaks(unknown, "UNASKED"));
+}
+
+TEST_CASE("a non-idempotent request runs at most once, and never after a refusal") {
+    SoakLedger once = ledger();
+    const SoakRequest order = request("r1", "order", at(20000));
+    once.on_request(order);
+    run_at(once, BOOKING, order, at(20001), "s1", "done");
+    CHECK(once.violations().empty());
+    run_at(once, BOOKING, order, at(20002), "s2", "done");
+    CHECK(breaks(once, "TWICE"));
+
+    SoakLedger refused = ledger();
+    refused.on_request(order);
+    refused.on_answer("r1", plain(503, "", ""), at(20010));
+    CHECK(refused.violations().empty());
+    run_at(refused, BOOKING, order, at(20020), "s1", "done");
+    CHECK(breaks(refused, "REFUSED"));
+
+    SoakLedger untrue = ledger();
+    untrue.on_request(order);
+    run_at(untrue, BOOKING, order, at(20001), "s1", "done");
+    untrue.on_answer("r1", plain(503, "", ""), at(20010));
+    CHECK(breaks(untrue, "REFUSED"));
+}
+
+TEST_CASE("a target that leaves, or whose data centre is out, gets nothing after the bound") {
+    for (const std::string rule : {"DRAIN", "EVAC"}) {
+        SoakLedger checked = ledger();
+        if (rule == "DRAIN") {
+            checked.on_target_leaving("t-1", at(20000));
+        } else {
+            checked.on_data_centre("east", false, at(20000));
+        }
+        const SoakRequest made = request("r1", "book", at(22900));
+        checked.on_request(made);
+        checked.on_arrival(BOOKING, made, at(22950));
+        CHECK(checked.violations().empty());
+        // A node in trouble may not have heard of it.
+        checked.disturb_node("node-1", at(21500));
+        checked.on_arrival(BOOKING, made, at(25400));
+        CHECK(checked.violations().empty());
+        checked.on_arrival(BOOKING, made, at(25600));
+        CHECK(breaks(checked, rule));
+    }
+}
+
+TEST_CASE("an acknowledged version is in force after the bound") {
+    for (const std::int64_t after_ms : {2900, 3100}) {
+        SoakLedger checked = ledger();
+        SoakConfig moved = config(2, at(20000));
+        moved.routes["book"].services = {"awards"};
+        checked.on_config(moved);
+        const SoakRequest made = request("r1", "book", at(20000 + after_ms));
+        checked.on_request(made);
+        run_at(checked, BOOKING, made, made.sent + from_ms(1), "s1", "done");
+        CHECK(breaks(checked, "CONFIG") == (after_ms > 3000));
+    }
+    SoakLedger never = ledger();
+    const SoakRequest made = request("r1", "book", at(20000));
+    never.on_request(made);
+    run_at(never, SHARD_A, made, at(20001), "s1", "done");
+    CHECK(breaks(never, "ROUTE"));
+}
+
+TEST_CASE("a route that is in force is not denied") {
+    for (const std::int64_t sent_ms : {2000, 20000}) {
+        SoakLedger checked = ledger();
+        checked.on_request(request("r1", "book", at(sent_ms)));
+        checked.on_answer("r1", plain(404, "", ""), at(sent_ms + 10));
+        CHECK(breaks(checked, "DENIED") == (sent_ms > 3000));
+    }
+}
+
+TEST_CASE("a planned stop cuts off no request that was read") {
+    for (const bool is_twin : {false, true}) {
+        SoakLedger checked = ledger();
+        const SoakRequest made = request("r1", "book", at(20000));
+        checked.on_request(made);
+        checked.on_planned_stop("node-1", at(19900));
+        if (is_twin) {
+            checked.on_arrival(BOOKING, made, at(20001));
+        }
+        checked.on_answer("r1", SoakAnswer{}, at(20100));
+        CHECK(breaks(checked, "LOST") == is_twin);
+    }
+    SoakLedger ended = ledger();
+    ended.on_unexpected_end("node-1", 9);
+    CHECK(breaks(ended, "ENDED"));
+}
+
+TEST_CASE("extra arrivals stay within ratio and slack") {
+    for (const std::int64_t extra : {40, 70}) {
+        SoakLedger checked = ledger();
+        for (std::int64_t i = 0; i < 100; ++i) {
+            const SoakRequest made = request("r" + std::to_string(i), "book", at(20000 + i * 10));
+            checked.on_request(made);
+            checked.on_arrival(BOOKING, made, made.sent);
+            if (i < extra) {
+                checked.on_arrival(BOOKING, made, made.sent);
+            }
+        }
+        checked.finish(at(90000), at(21000));
+        // A fifth of 100 requests and a slack of 40.
+        CHECK(breaks(checked, "BUDGET") == (extra > 60));
+    }
+}
+
+TEST_CASE("requests are answered in time, and served again after the faults") {
+    for (const bool is_twin : {false, true}) {
+        SoakLedger checked = ledger();
+        for (std::int64_t i = 0; i < 20; ++i) {
+            const SoakRequest made = request("r" + std::to_string(i), "book", at(20000 + i * 10));
+            checked.on_request(made);
+            checked.on_target_answer(BOOKING, made.id, "s" + std::to_string(i), "x", true);
+            const Time answered = made.sent + from_ms(is_twin ? 1600 : 1400);
+            checked.on_answer(made.id, plain(200, "s" + std::to_string(i), "x"), answered);
+        }
+        checked.finish(at(90000), at(30000));
+        CHECK(breaks(checked, "TIMEOUT") == is_twin);
+    }
+    SoakLedger down = ledger();
+    for (std::int64_t i = 0; i < 20; ++i) {
+        down.on_request(request("r" + std::to_string(i), "book", at(20000)));
+        down.on_answer("r" + std::to_string(i), plain(503, "", ""), at(20010));
+    }
+    down.finish(at(19000), at(30000));
+    CHECK(breaks(down, "RECOVER"));
+}
+
+TEST_CASE("no target begins to work for callers that have left") {
+    for (const std::int64_t delay_ms : {400, 600}) {
+        SoakLedger checked = ledger();
+        for (std::int64_t i = 0; i < 12; ++i) {
+            const SoakRequest made = request("r" + std::to_string(i), "book", at(20000));
+            checked.on_request(made);
+            checked.on_caller_left(made.id, at(20050));
+            checked.on_run(BOOKING, made.id, at(20050 + delay_ms));
+        }
+        checked.finish(at(90000), at(30000));
+        CHECK(breaks(checked, "GONE") == (delay_ms > 500));
+    }
+}
+
+TEST_CASE("a seed always draws the same plan, and other seeds draw others") {
+    const Duration length = from_ms(14000);
+    CHECK(make_plan(7, length) == make_plan(7, length));
+    CHECK(make_plan(7, length) != make_plan(8, length));
+    for (const SoakStep& step : make_plan(7, length)) {
+        CHECK(step.at + step.length <= length);
+    }
+}
+
+}  // namespace soak
--- a/test/standin/link.cpp
+++ b/test/standin/link.cpp
@@ -1,160 +1,304 @@
 #include "link.h"
 
-#include <Poco/Net/NetException.h>
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
 #include <Poco/Net/SocketAddress.h>
 
-#include <array>
-#include <chrono>
 #include <deque>
-#include <random>
+#include <vector>
+
+#include "base/hash.h"
+#include "io/tcp_stream.h"
 
 namespace standin {
 
-using Clock = std::chrono::steady_clock;
+using ebonymount::Duration;
+using ebonymount::monotonic_now;
+using ebonymount::StreamState;
+using ebonymount::Time;
+using Poco::Net::PollSet;
 
 namespace {
 
-constexpr std::size_t CHUNK_BYTES = 65536;
-const Poco::Timespan POLL_TIME(0, 50000);
-
-std::chrono::microseconds from_ms(double milliseconds) {
-    return std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1000.0));
-}
+constexpr int BACKLOG = 256;
 
 }  // namespace
 
 /// Two sockets that are forwarded to each other.
-struct Link::Pipe {
-    Poco::Net::StreamSocket near;
-    Poco::Net::StreamSocket far;
-    std::atomic<bool> closed{false};
+struct Link::Pipe : std::enable_shared_from_this<Link::Pipe> {
+    struct Chunk {
+        Time due;
+        std::string bytes;
+    };
+    /// One way: what was read at `from` and waits to be sent at `to`.
+    struct Flow {
+        std::deque<Chunk> waiting;
+        bool ended = false;
+        bool end_passed = false;
+        /// The connection is reset once everything is sent.
+        bool cut_short = false;
+    };
 
-    void close() {
-        if (closed.exchange(true)) {
-            return;
-        }
-        for (Poco::Net::StreamSocket* socket : {&near, &far}) {
-            try {
-                socket->shutdown();
-            } catch (const Poco::Exception&) {
-                // Already closed by its other end.
+    Pipe(const std::shared_ptr<Link>& owner, const Poco::Net::StreamSocket& client,
+         ebonymount::TcpStream server)
+        : link(owner), near(client), far(std::move(server)) {}
+
+    void start();
+    void watch();
+    void read(Way way);
+    void pump(Way way);
+    void close(bool reset);
+
+    ebonymount::TcpStream& source(Way way) {
+        return way == Way::there ? near : far;
+    }
+    ebonymount::TcpStream& sink(Way way) {
+        return way == Way::there ? far : near;
+    }
+    Flow& flow(Way way) {
+        return way == Way::there ? there : back;
+    }
+
+    std::shared_ptr<Link> link;
+    ebonymount::TcpStream near;
+    ebonymount::TcpStream far;
+    Flow there;
+    Flow back;
+    std::shared_ptr<End> near_end;
+    std::shared_ptr<End> far_end;
+    bool connected = false;
+    bool silent = false;
+    bool closed = false;
+};
+
+/// One socket of a pipe on the loop.
+class Link::End : public ebonymount::SocketOwner {
+public:
+    End(const std::shared_ptr<Pipe>& pipe, Way reads) : m_pipe(pipe), m_reads(reads) {}
+
+    void on_ready(int modes) override {
+        const std::shared_ptr<Pipe> pipe = m_pipe;
+        if (m_reads == Way::back && !pipe->connected) {
+            if (pipe->far.connect_error() != 0) {
+                pipe->close(true);
+                return;
             }
+            pipe->connected = true;
+            pipe->pump(Way::there);
+        }
+        if ((modes & PollSet::POLL_WRITE) != 0 && !pipe->closed) {
+            const Way writes = m_reads == Way::there ? Way::back : Way::there;
+            pipe->pump(writes);
+        }
+        if ((modes & (PollSet::POLL_READ | PollSet::POLL_ERROR)) != 0 && !pipe->closed) {
+            pipe->read(m_reads);
         }
     }
+
+private:
+    std::shared_ptr<Pipe> m_pipe;
+    Way m_reads;
 };
 
-Link::Link(const LinkTraits& traits)
-    : m_traits(traits), m_delay_ms(traits.delay_ms), m_jitter_ms(traits.jitter_ms) {
-    m_listener.bind(Poco::Net::SocketAddress(traits.listen), true);
-    m_listener.listen(64);
-    m_acceptor = std::thread([this] { accept_loop(); });
+void Link::Pipe::start() {
+    near_end = std::make_shared<End>(shared_from_this(), Way::there);
+    far_end = std::make_shared<End>(shared_from_this(), Way::back);
+    watch();
 }
 
-Link::~Link() {
-    m_stopping = true;
-    set_cut(true);
-    m_acceptor.join();
-    for (std::thread& thread : m_threads) {
-        thread.join();
+void Link::Pipe::watch() {
+    if (closed) {
+        return;
     }
+    const auto modes = [](bool reads, bool writes) {
+        return (reads ? PollSet::POLL_READ : 0) | (writes ? PollSet::POLL_WRITE : 0) |
+               PollSet::POLL_ERROR;
+    };
+    link->m_loop.watch(near.socket(), modes(!there.ended, near.has_unsent()), near_end);
+    link->m_loop.watch(far.socket(), modes(!back.ended, !connected || far.has_unsent()), far_end);
 }
 
-void Link::set_delay(double delay_ms, double jitter_ms) {
-    m_delay_ms = delay_ms;
-    m_jitter_ms = jitter_ms;
+void Link::Pipe::read(Way way) {
+    Flow& flow_read = flow(way);
+    std::string bytes;
+    const StreamState state = source(way).receive(bytes);
+    if (state == StreamState::broken) {
+        close(true);
+        return;
+    }
+    if (way == Way::back && ebonymount::uniform(link->m_random) < link->m_spoiled) {
+        if (ebonymount::uniform(link->m_random) < 0.5) {
+            bytes += std::string(bytes);
+        } else {
+            bytes.resize(bytes.size() / 2);
+            flow_read.cut_short = true;
+        }
+    }
+    if (!bytes.empty() && !silent) {
+        const double wait_ms = link->m_traits.delay_ms +
+                               link->m_traits.jitter_ms * ebonymount::uniform(link->m_random);
+        Time due = monotonic_now() + Duration(static_cast<std::int64_t>(wait_ms * 1000.0));
+        if (!flow_read.waiting.empty()) {
+            due = std::max(due, flow_read.waiting.back().due);
+        }
+        flow_read.waiting.push_back({due, std::move(bytes)});
+        const std::weak_ptr<Pipe> weak = weak_from_this();
+        link->m_loop.run_at(due, [weak, way] {
+            const std::shared_ptr<Pipe> pipe = weak.lock();
+            if (pipe != nullptr && !pipe->closed) {
+                pipe->pump(way);
+            }
+        });
+    }
+    if (state == StreamState::ended) {
+        flow_read.ended = true;
+        pump(way);
+    }
 }
 
-void Link::set_cut(bool cut) {
-    m_cut = cut;
-    if (!cut) {
+void Link::Pipe::pump(Way way) {
+    if (closed || link->is_frozen(way) || (way == Way::there && !connected)) {
+        return;
+    }
+    Flow& sending = flow(way);
+    const Time now = monotonic_now();
+    StreamState state = sink(way).flush();
+    while (state == StreamState::open && !sending.waiting.empty() &&
+           sending.waiting.front().due <= now) {
+        state = sink(way).send(std::move(sending.waiting.front().bytes));
+        sending.waiting.pop_front();
+    }
+    if (state == StreamState::broken) {
+        close(true);
         return;
     }
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const std::shared_ptr<Pipe>& pipe : m_pipes) {
-        pipe->close();
+    if (sending.cut_short && sending.waiting.empty() && !sink(way).has_unsent()) {
+        close(true);
+        return;
     }
-    m_pipes.clear();
+    if (sending.ended && sending.waiting.empty() && !sink(way).has_unsent() && !silent) {
+        if (!sending.end_passed) {
+            sending.end_passed = true;
+            sink(way).shutdown_send();
+        }
+        if (there.end_passed && back.end_passed) {
+            close(false);
+            return;
+        }
+    }
+    watch();
 }
 
-void Link::set_frozen(bool frozen) {
-    m_frozen = frozen;
+void Link::Pipe::close(bool reset) {
+    if (closed) {
+        return;
+    }
+    const std::shared_ptr<Pipe> keep = shared_from_this();
+    closed = true;
+    for (ebonymount::TcpStream* stream : {&near, &far}) {
+        if (reset) {
+            stream->reset_on_close();
+        }
+        link->m_loop.unwatch(stream->socket());
+        stream->close();
+    }
+    near_end.reset();
+    far_end.reset();
 }
 
-std::string Link::address() const {
-    return m_listener.address().toString();
+Link::Link(ebonymount::EventLoop& loop, const LinkTraits& traits)
+    : m_loop(loop), m_traits(traits), m_random(ebonymount::stable_hash(traits.name)) {
+    m_listener.bind(Poco::Net::SocketAddress(traits.listen), true);
+    m_listener.listen(BACKLOG);
+    m_listener.setBlocking(false);
 }
 
-void Link::accept_loop() {
-    while (!m_stopping) {
-        if (!m_listener.poll(POLL_TIME, Poco::Net::Socket::SELECT_READ)) {
-            continue;
-        }
-        const std::shared_ptr<Pipe> pipe = std::make_shared<Pipe>();
-        try {
-            pipe->near = m_listener.acceptConnection();
-            if (m_cut) {
-                pipe->near.close();
-                continue;
-            }
-            pipe->far.connect(Poco::Net::SocketAddress(m_traits.forward));
-            pipe->near.setNoDelay(true);
-            pipe->far.setNoDelay(true);
-        } catch (const Poco::Exception&) {
-            continue;
+std::shared_ptr<Link> Link::open(ebonymount::EventLoop& loop, const LinkTraits& traits) {
+    const std::shared_ptr<Link> link(new Link(loop, traits));
+    loop.watch(link->m_listener, PollSet::POLL_READ, link);
+    return link;
+}
+
+void Link::on_ready(int /*modes*/) {
+    try {
+        Poco::Net::StreamSocket client = m_listener.acceptConnection();
+        if (m_cut) {
+            client.setLinger(true, 0);
+            client.close();
+            return;
         }
-        const std::lock_guard<std::mutex> lock(m_mutex);
+        const std::shared_ptr<Pipe> pipe = std::make_shared<Pipe>(
+            shared_from_this(), client,
+            ebonymount::TcpStream::connect(Poco::Net::SocketAddress(m_traits.forward)));
+        pipe->start();
+        std::erase_if(m_pipes, [](const std::weak_ptr<Pipe>& weak) { return weak.expired(); });
         m_pipes.push_back(pipe);
-        m_threads.emplace_back([this, pipe] { pump(pipe, true); });
-        m_threads.emplace_back([this, pipe] { pump(pipe, false); });
+    } catch (const Poco::Exception&) {
+        // The client left, or the system refuses the connection at once; the socket closes here.
+        return;
     }
 }
 
-/// Reads from one end and writes to the other when each chunk is due, in order.
-void Link::pump(const std::shared_ptr<Pipe>& pipe, bool forwards) {
-    struct Chunk {
-        Clock::time_point due;
-        std::string bytes;
-    };
-    Poco::Net::StreamSocket& source = forwards ? pipe->near : pipe->far;
-    Poco::Net::StreamSocket& sink = forwards ? pipe->far : pipe->near;
-    std::mt19937_64 random(std::hash<std::string>{}(m_traits.name) + (forwards ? 1 : 2));
-    std::deque<Chunk> waiting;
-    std::array<char, CHUNK_BYTES> buffer{};
-    try {
-        while (!pipe->closed && !m_stopping) {
-            const Clock::time_point now = Clock::now();
-            Poco::Timespan wait = POLL_TIME;
-            if (!waiting.empty() && !m_frozen) {
-                const std::int64_t left =
-                    std::chrono::duration_cast<std::chrono::microseconds>(waiting.front().due - now)
-                        .count();
-                wait =
-                    Poco::Timespan(std::max<std::int64_t>(0, std::min<std::int64_t>(left, 50000)));
-            }
-            if (source.poll(wait, Poco::Net::Socket::SELECT_READ)) {
-                const int count =
-                    source.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-                if (count <= 0) {
-                    break;
-                }
-                std::uniform_real_distribution<double> jitter(0.0, m_jitter_ms + 1e-9);
-                Clock::time_point due = Clock::now() + from_ms(m_delay_ms + jitter(random));
-                if (!waiting.empty()) {
-                    due = std::max(due, waiting.back().due);
-                }
-                waiting.push_back(
-                    {due, std::string(buffer.data(), static_cast<std::size_t>(count))});
-            }
-            while (!waiting.empty() && waiting.front().due <= Clock::now() && !m_frozen) {
-                sink.sendBytes(waiting.front().bytes.data(),
-                               static_cast<int>(waiting.front().bytes.size()));
-                waiting.pop_front();
-            }
+bool Link::is_frozen(Way way) const {
+    return way == Way::there ? m_frozen_there : m_frozen_back;
+}
+
+void Link::pump_all() {
+    const std::list<std::weak_ptr<Pipe>> pipes = m_pipes;
+    for (const std::weak_ptr<Pipe>& weak : pipes) {
+        const std::shared_ptr<Pipe> pipe = weak.lock();
+        if (pipe != nullptr) {
+            pipe->pump(Way::there);
+            pipe->pump(Way::back);
+        }
+    }
+}
+
+void Link::set_delay(double delay_ms, double jitter_ms) {
+    m_traits.delay_ms = delay_ms;
+    m_traits.jitter_ms = jitter_ms;
+}
+
+void Link::set_cut(bool cut) {
+    m_cut = cut;
+    if (cut) {
+        reset_open(1.0);
+    }
+}
+
+void Link::set_frozen(bool frozen, Way way) {
+    m_frozen_there = way == Way::back ? m_frozen_there : frozen;
+    m_frozen_back = way == Way::there ? m_frozen_back : frozen;
+    if (!frozen) {
+        pump_all();
+    }
+}
+
+void Link::reset_open(double share) {
+    const std::list<std::weak_ptr<Pipe>> pipes = m_pipes;
+    for (const std::weak_ptr<Pipe>& weak : pipes) {
+        const std::shared_ptr<Pipe> pipe = weak.lock();
+        if (pipe != nullptr && ebonymount::uniform(m_random) < share) {
+            pipe->close(true);
         }
-    } catch (const Poco::Exception&) {
-        // One end broke; the other is closed below.
     }
-    pipe->close();
+}
+
+void Link::silence_open(double share) {
+    for (const std::weak_ptr<Pipe>& weak : m_pipes) {
+        const std::shared_ptr<Pipe> pipe = weak.lock();
+        if (pipe != nullptr && ebonymount::uniform(m_random) < share) {
+            pipe->silent = true;
+        }
+    }
+}
+
+void Link::set_spoiled(double share) {
+    m_spoiled = share;
+}
+
+const std::string& Link::name() const {
+    return m_traits.name;
 }
 
 }  // namespace standin
--- a/test/standin/link_fake.cpp
+++ b/test/standin/link_fake.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "io/http_server.h"
 #include "link.h"
@@ -13,7 +14,7 @@
 
 namespace {
 
-using Links = std::vector<std::unique_ptr<standin::Link>>;
+using Links = std::vector<std::shared_ptr<standin::Link>>;
 
 constexpr int CONTROL_THREADS = 2;
 
@@ -40,11 +41,12 @@
     }
 }
 
-ebonymount::HttpReply control(Links& links, const ebonymount::HttpCall& call) {
+ebonymount::HttpReply control(ebonymount::EventLoop& loop, const Links& links,
+                              const ebonymount::HttpCall& call) {
     int matched = 0;
-    for (const std::unique_ptr<standin::Link>& link : links) {
+    for (const std::shared_ptr<standin::Link>& link : links) {
         if (link->name().find(call.parameter("match")) != std::string::npos) {
-            apply(*link, call);
+            loop.post([link, call] { apply(*link, call); });
             ++matched;
         }
     }
@@ -61,18 +63,23 @@
     const sigset_t signals = standin::block_stop_signals();
     std::ifstream input(argv[1]);
     const nlohmann::json file = nlohmann::json::parse(input, nullptr, true, true);
+    ebonymount::EventLoop loop(ebonymount::LoopThread::caller);
     Links links;
     for (const nlohmann::json& document : file.at("links")) {
-        links.push_back(std::make_unique<standin::Link>(traits_from(document)));
+        links.push_back(standin::Link::open(loop, traits_from(document)));
     }
     ebonymount::Result<std::unique_ptr<ebonymount::HttpServer>> server =
-        ebonymount::HttpServer::start(
-            {file.at("control").get<std::string>(), CONTROL_THREADS},
-            [&links](const ebonymount::HttpCall& call) { return control(links, call); });
+        ebonymount::HttpServer::start({file.at("control").get<std::string>(), CONTROL_THREADS},
+                                      [&loop, &links](const ebonymount::HttpCall& call) {
+                                          return control(loop, links, call);
+                                      });
     if (!ebonymount::has_value(server)) {
         std::cerr << ebonymount::describe(ebonymount::error_of(server)) << "\n";
         return 1;
     }
+    std::thread forwarding([&loop] { loop.run(); });
     standin::wait_for_stop(signals);
+    loop.stop();
+    forwarding.join();
     return 0;
 }
--- /dev/null
+++ b/test/standin/platform_store.cpp
@@ -0,0 +1,248 @@
+#include "platform_store.h"
+
+#include <Poco/URI.h>
+
+#include <stdexcept>
+
+#include "io/http_status.h"
+
+namespace standin {
+
+using ebonymount::from_ms;
+using ebonymount::HttpAnswerMessage;
+using ebonymount::HttpRequestMessage;
+using ebonymount::monotonic_now;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string PREFIX = "/ebonymount/objects/";
+constexpr std::size_t PAGE = 50;
+constexpr ebonymount::Duration TICK = from_ms(100);
+
+Json object_json(const std::string& name, std::int64_t revision, const Json& spec) {
+    return {{"meta",
+             {{"name", name},
+              {"revision", revision},
+              {"create_rev", revision},
+              {"finalizers", Json::array()},
+              {"deleting", false}}},
+            {"spec", spec},
+            {"status", nullptr}};
+}
+
+}  // namespace
+
+PlatformStore::PlatformStore(ebonymount::EventLoop& loop, const std::string& address,
+                             std::uint64_t seed)
+    : m_loop(loop), m_random(seed) {
+    const auto handler = [this](const Connection& connection, const HttpRequestMessage& request) {
+        take(connection, request);
+    };
+    ebonymount::Result<std::shared_ptr<ebonymount::HttpListener>> listener =
+        ebonymount::HttpListener::listen(loop, address, {}, handler);
+    if (!has_value(listener)) {
+        throw std::runtime_error(describe(error_of(listener)));
+    }
+    m_listener = value_of(listener);
+    tick();
+}
+
+void PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) {
+    m_changes.push_back({kind, name, ++m_revision, monotonic_now(), false, spec});
+    answer_watches();
+}
+
+void PlatformStore::remove(const std::string& kind, const std::string& name) {
+    m_changes.push_back({kind, name, ++m_revision, monotonic_now(), true, nullptr});
+    answer_watches();
+}
+
+void PlatformStore::set_faults(const PlatformFaults& faults) {
+    m_faults = faults;
+    answer_watches();
+}
+
+const PlatformFaults& PlatformStore::faults() const {
+    return m_faults;
+}
+
+void PlatformStore::compact() {
+    m_oldest_watch = m_revision;
+    answer_watches();
+}
+
+std::int64_t PlatformStore::calls() const {
+    return m_calls;
+}
+
+void PlatformStore::take(const Connection& connection, const HttpRequestMessage& request) {
+    ++m_calls;
+    switch (m_faults.outage) {
+        case Outage::silent:
+            // Keeps the connection open without an answer, as a partition does.
+            connection->on_caller_gone([connection] {});
+            return;
+        case Outage::reset:
+            connection->drop();
+            return;
+        case Outage::busy:
+            reply(connection, ebonymount::http::UNAVAILABLE, Json::object());
+            return;
+        case Outage::none:
+            break;
+    }
+    connection->on_caller_gone([] {});
+    m_loop.run_at(monotonic_now() + m_faults.answer_time,
+                  [this, connection, request] { serve(connection, request); });
+}
+
+void PlatformStore::serve(const Connection& connection, const HttpRequestMessage& request) {
+    const Poco::URI uri(request.target);
+    Query query;
+    for (const auto& [key, value] : uri.getQueryParameters()) {
+        query[key] = value;
+    }
+    if (uri.getPath().rfind(PREFIX, 0) != 0) {
+        reply(connection, ebonymount::http::NOT_FOUND, Json::object());
+        return;
+    }
+    const std::string rest = uri.getPath().substr(PREFIX.size());
+    const std::size_t slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    if (request.method == "GET") {
+        if (query.count("watch") > 0) {
+            watch(connection, kind, query);
+        } else {
+            list(connection, kind, query);
+        }
+        return;
+    }
+    const Json body = request.body.empty() ? Json::object() : Json::parse(request.body);
+    const std::string name = slash != std::string::npos
+                                 ? rest.substr(slash + 1)
+                                 : body.at("meta").at("name").get<std::string>();
+    write(connection, request.method, kind, name, body.value("spec", Json()));
+}
+
+std::size_t PlatformStore::visible_changes(bool stale) const {
+    const ebonymount::Time until = monotonic_now() - (stale ? m_faults.stale_by : from_ms(0));
+    std::size_t count = m_changes.size();
+    while (count > 0 && m_changes[count - 1].at > until) {
+        --count;
+    }
+    return count;
+}
+
+std::map<std::string, PlatformStore::Change> PlatformStore::objects_of(const std::string& kind,
+                                                                       std::size_t changes) const {
+    std::map<std::string, Change> objects;
+    for (std::size_t i = 0; i < changes; ++i) {
+        if (m_changes[i].kind != kind) {
+            continue;
+        }
+        if (m_changes[i].removed) {
+            objects.erase(m_changes[i].name);
+        } else {
+            objects[m_changes[i].name] = m_changes[i];
+        }
+    }
+    return objects;
+}
+
+void PlatformStore::list(const Connection& connection, const std::string& kind,
+                         const Query& query) {
+    const std::size_t changes = visible_changes(query.count("allow_stale") > 0);
+    const std::map<std::string, Change> objects = objects_of(kind, changes);
+    const auto after = query.find("after");
+    auto next = after == query.end() ? objects.begin() : objects.upper_bound(after->second);
+    Json items = Json::array();
+    for (; next != objects.end() && items.size() < PAGE; ++next) {
+        items.push_back(object_json(next->first, next->second.revision, next->second.spec));
+    }
+    const std::int64_t revision = changes == 0 ? 1 : m_changes[changes - 1].revision;
+    reply(connection, ebonymount::http::OK,
+          {{"items", items}, {"has_more", next != objects.end()}, {"store_revision", revision}});
+}
+
+void PlatformStore::watch(const Connection& connection, const std::string& kind,
+                          const Query& query) {
+    const Watch waiting{connection, kind, std::stoll(query.at("watch")),
+                        query.count("allow_stale") > 0,
+                        monotonic_now() + from_ms(std::stoll(query.at("wait_ms")))};
+    if (!try_answer(waiting)) {
+        m_watches.push_back(waiting);
+    }
+}
+
+bool PlatformStore::try_answer(const Watch& watch) {
+    if (watch.after < m_oldest_watch) {
+        reply(watch.connection, ebonymount::http::GONE, Json::object());
+        return true;
+    }
+    Json events = Json::array();
+    const std::size_t changes = visible_changes(watch.stale);
+    for (std::size_t i = 0; i < changes; ++i) {
+        const Change& change = m_changes[i];
+        if (change.kind == watch.kind && change.revision > watch.after) {
+            events.push_back({{"deleted", change.removed},
+                              {"object", object_json(change.name, change.revision, change.spec)}});
+        }
+    }
+    if (events.empty() && monotonic_now() < watch.until) {
+        return false;
+    }
+    const std::int64_t revision = changes == 0 ? watch.after : m_changes[changes - 1].revision;
+    reply(watch.connection, ebonymount::http::OK,
+          {{"events", events}, {"store_revision", std::max(watch.after, revision)}});
+    return true;
+}
+
+void PlatformStore::answer_watches() {
+    for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+        if (m_faults.outage == Outage::silent) {
+            return;
+        }
+        const bool cut = m_faults.outage != Outage::none;
+        if (cut) {
+            watch->connection->drop();
+        }
+        watch = cut || try_answer(*watch) ? m_watches.erase(watch) : std::next(watch);
+    }
+}
+
+void PlatformStore::write(const Connection& connection, const std::string& method,
+                          const std::string& kind, const std::string& name, const Json& spec) {
+    const std::map<std::string, Change> objects = objects_of(kind, m_changes.size());
+    const bool exists = objects.count(name) > 0;
+    int status = ebonymount::http::OK;
+    if (method == "POST" && exists) {
+        status = ebonymount::http::CONFLICT;
+    } else if (method == "DELETE" && !exists) {
+        status = ebonymount::http::NOT_FOUND;
+    } else if (method == "DELETE") {
+        remove(kind, name);
+    } else {
+        put(kind, name, spec);
+    }
+    if (ebonymount::uniform(m_random) < m_faults.lost_answers) {
+        connection->drop();
+        return;
+    }
+    reply(connection, status, object_json(name, m_revision, spec));
+}
+
+void PlatformStore::reply(const Connection& connection, int status, const Json& body) {
+    HttpAnswerMessage answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    answer.body = body.dump();
+    connection->respond(std::move(answer));
+}
+
+void PlatformStore::tick() {
+    answer_watches();
+    m_loop.run_at(monotonic_now() + TICK, [this] { tick(); });
+}
+
+}  // namespace standin
--- /dev/null
+++ b/test/standin/platform_store.h
@@ -0,0 +1,92 @@
+// Stand-in for the object store of the users' platform: lists, watches, conditional writes, and
+// the faults that its pages name. Single-threaded, on the event loop that it is given.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "io/http_listener.h"
+
+namespace standin {
+
+/// How an absent store looks to its callers.
+enum class Outage : std::uint8_t { none, silent, reset, busy };
+
+/// Faults in force.
+struct PlatformFaults {
+    Outage outage = Outage::none;
+    ebonymount::Duration answer_time = ebonymount::from_ms(4);
+    /// Part of the writes that take effect while their answer is lost.
+    double lost_answers = 0.0;
+    /// Age of the data that stale reads get.
+    ebonymount::Duration stale_by = ebonymount::from_ms(500);
+};
+
+class PlatformStore {
+public:
+    /// Listens; throws Poco::Exception if the address is taken.
+    PlatformStore(ebonymount::EventLoop& loop, const std::string& address, std::uint64_t seed);
+
+    /// What the operator and the targets write; acknowledged on return.
+    void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    void remove(const std::string& kind, const std::string& name);
+
+    void set_faults(const PlatformFaults& faults);
+    const PlatformFaults& faults() const;
+
+    /// Forgets the history, so that watches must begin anew.
+    void compact();
+
+    /// Calls so far, refused ones included.
+    std::int64_t calls() const;
+
+private:
+    using Connection = std::shared_ptr<ebonymount::HttpServerConnection>;
+    struct Change {
+        std::string kind;
+        std::string name;
+        std::int64_t revision = 0;
+        ebonymount::Time at{};
+        bool removed = false;
+        nlohmann::json spec;
+    };
+    struct Watch {
+        Connection connection;
+        std::string kind;
+        std::int64_t after = 0;
+        bool stale = false;
+        ebonymount::Time until{};
+    };
+    using Query = std::map<std::string, std::string>;
+
+    void take(const Connection& connection, const ebonymount::HttpRequestMessage& request);
+    void serve(const Connection& connection, const ebonymount::HttpRequestMessage& request);
+    void list(const Connection& connection, const std::string& kind, const Query& query);
+    void watch(const Connection& connection, const std::string& kind, const Query& query);
+    void write(const Connection& connection, const std::string& method, const std::string& kind,
+               const std::string& name, const nlohmann::json& spec);
+    void answer_watches();
+    bool try_answer(const Watch& watch);
+    void reply(const Connection& connection, int status, const nlohmann::json& body);
+    std::size_t visible_changes(bool stale) const;
+    std::map<std::string, Change> objects_of(const std::string& kind, std::size_t changes) const;
+    void tick();
+
+    ebonymount::EventLoop& m_loop;
+    std::shared_ptr<ebonymount::HttpListener> m_listener;
+    ebonymount::Random m_random;
+    PlatformFaults m_faults;
+    std::vector<Change> m_changes;
+    std::int64_t m_revision = 1;
+    std::int64_t m_oldest_watch = 1;
+    std::int64_t m_calls = 0;
+    std::list<Watch> m_watches;
+};
+
+}  // namespace standin
--- /dev/null
+++ b/test/standin/platform_target.cpp
@@ -0,0 +1,178 @@
+#include "platform_target.h"
+
+#include <stdexcept>
+
+#include "base/hash.h"
+#include "io/http_status.h"
+#include "platform/names.h"
+#include "policy/record_merge.h"
+
+namespace standin {
+
+using ebonymount::find_header;
+using ebonymount::HttpAnswerMessage;
+using ebonymount::HttpRequestMessage;
+using ebonymount::monotonic_now;
+using ebonymount::uniform;
+namespace names = ebonymount::platform::names;
+
+namespace {
+
+constexpr int INTERNAL_ERROR = 500;
+
+}  // namespace
+
+PlatformTarget::PlatformTarget(ebonymount::EventLoop& loop, const PlatformTargetTraits& traits,
+                               const PlatformTargetObserver& observer)
+    : m_loop(loop),
+      m_traits(traits),
+      m_observer(observer),
+      m_random(ebonymount::stable_hash(traits.id)) {}
+
+std::shared_ptr<PlatformTarget> PlatformTarget::open(ebonymount::EventLoop& loop,
+                                                     const PlatformTargetTraits& traits,
+                                                     const PlatformTargetObserver& observer) {
+    const std::shared_ptr<PlatformTarget> target(new PlatformTarget(loop, traits, observer));
+    const std::weak_ptr<PlatformTarget> weak = target;
+    ebonymount::HttpListenerOptions options;
+    options.max_connections = traits.max_connections;
+    const auto handler = [weak](const Connection& connection, const HttpRequestMessage& request) {
+        const std::shared_ptr<PlatformTarget> self = weak.lock();
+        if (self != nullptr && !self->m_down) {
+            self->take(connection, request);
+        } else {
+            connection->drop();
+        }
+    };
+    ebonymount::Result<std::shared_ptr<ebonymount::HttpListener>> listener =
+        ebonymount::HttpListener::listen(loop, traits.address, options, handler);
+    if (!has_value(listener)) {
+        throw std::runtime_error(describe(error_of(listener)));
+    }
+    target->m_listener = value_of(listener);
+    return target;
+}
+
+void PlatformTarget::crash() {
+    if (!m_down) {
+        m_down = true;
+        m_waiting.clear();
+        m_listener->close();
+    }
+}
+
+void PlatformTarget::set_mood(const PlatformTargetMood& mood) {
+    m_mood = mood;
+}
+
+const PlatformTargetMood& PlatformTarget::mood() const {
+    return m_mood;
+}
+
+const PlatformTargetTraits& PlatformTarget::traits() const {
+    return m_traits;
+}
+
+bool PlatformTarget::is_down() const {
+    return m_down;
+}
+
+void PlatformTarget::refuse(const Connection& connection, int status,
+                            const std::string& request_id) {
+    HttpAnswerMessage answer;
+    answer.status = status;
+    answer.headers.push_back({names::REQUEST_ID, request_id});
+    answer.headers.push_back({names::INSTANCE_ID, m_traits.id});
+    answer.headers.push_back({names::NOT_EXECUTED, "1"});
+    connection->respond(std::move(answer));
+}
+
+void PlatformTarget::take(const Connection& connection, const HttpRequestMessage& request) {
+    const std::string request_id(find_header(request.headers, names::REQUEST_ID));
+    const std::string_view expected = find_header(request.headers, names::EXPECT_INSTANCE);
+    if (!expected.empty() && expected != m_traits.id) {
+        refuse(connection, ebonymount::http::MISDIRECTED, request_id);
+        return;
+    }
+    m_observer.on_arrival(*this, request);
+    const bool is_full = m_running >= m_traits.slots && m_waiting.size() >= m_traits.queue;
+    if (is_full || uniform(m_random) < m_mood.refuses) {
+        refuse(connection, ebonymount::http::UNAVAILABLE, request_id);
+        return;
+    }
+    const std::shared_ptr<Work> work = std::make_shared<Work>();
+    work->connection = connection;
+    work->request_id = request_id;
+    connection->on_caller_gone([work, on_cancelled = m_observer.on_cancelled] {
+        work->cancelled = true;
+        if (!work->done) {
+            on_cancelled(work->request_id);
+        }
+    });
+    if (m_running >= m_traits.slots) {
+        m_waiting.push_back(work);
+    } else {
+        run(work);
+    }
+}
+
+void PlatformTarget::run(const std::shared_ptr<Work>& work) {
+    ++m_running;
+    m_observer.on_run(*this, work->request_id);
+    // Most requests take about the usual time, a few five times as long.
+    const double spread = uniform(m_random) < 0.02 ? 5.0 : 0.6 + 0.8 * uniform(m_random);
+    const ebonymount::Duration time =
+        ebonymount::scaled(m_traits.service_time, spread * m_mood.slow_factor);
+    const std::weak_ptr<PlatformTarget> weak = weak_from_this();
+    m_loop.run_at(monotonic_now() + time, [weak, work] {
+        const std::shared_ptr<PlatformTarget> self = weak.lock();
+        if (self != nullptr && !self->m_down) {
+            self->finish(work);
+        }
+    });
+}
+
+std::string PlatformTarget::make_records() {
+    std::string records;
+    while (records.size() < m_traits.records * ebonymount::RECORD_BYTES) {
+        records += ebonymount::random_id(m_random);
+    }
+    return records;
+}
+
+void PlatformTarget::finish(const std::shared_ptr<Work>& work) {
+    --m_running;
+    work->done = true;
+    if (!work->cancelled) {
+        const bool success = uniform(m_random) >= m_mood.fails;
+        HttpAnswerMessage answer;
+        answer.status = success ? ebonymount::http::OK : INTERNAL_ERROR;
+        const std::string signature = m_traits.id + "." + std::to_string(++m_answers);
+        answer.headers.push_back({names::REQUEST_ID, work->request_id});
+        answer.headers.push_back({names::SIGNATURE, signature});
+        answer.headers.push_back({names::LOAD, std::to_string(m_running) + "," +
+                                                   std::to_string(m_waiting.size()) + "," +
+                                                   std::to_string(m_traits.slots)});
+        answer.body = make_records();
+        m_observer.on_answer(*this, work->request_id, signature, answer.body, success);
+        if (uniform(m_random) < m_mood.loses_answer) {
+            work->connection->drop();
+        } else {
+            work->connection->respond(std::move(answer));
+        }
+    }
+    work->connection.reset();
+    next();
+}
+
+void PlatformTarget::next() {
+    while (!m_waiting.empty() && m_running < m_traits.slots) {
+        const std::shared_ptr<Work> work = m_waiting.front();
+        m_waiting.pop_front();
+        if (!work->cancelled) {
+            run(work);
+        }
+    }
+}
+
+}  // namespace standin
--- /dev/null
+++ b/test/standin/platform_target.h
@@ -0,0 +1,100 @@
+// Stand-in for targets of the users' platform: slots and a queue, signed answers, records, and the
+// faults that callers of a target see. Single-threaded, on the event loop that it is given.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/random.h"
+#include "io/http_listener.h"
+
+namespace standin {
+
+/// What a target is.
+struct PlatformTargetTraits {
+    std::string id;
+    std::string service;
+    std::string data_centre;
+    std::string address;
+    std::int64_t slots = 2;
+    std::size_t queue = 12;
+    std::size_t max_connections = 30;
+    ebonymount::Duration service_time = ebonymount::from_ms(6);
+    /// Records in an answer.
+    std::size_t records = 30;
+};
+
+/// How a target behaves at present.
+struct PlatformTargetMood {
+    double slow_factor = 1.0;
+    /// Parts of the requests that are refused, fail, or lose their answer after they ran.
+    double refuses = 0.0;
+    double fails = 0.0;
+    double loses_answer = 0.0;
+    bool draining = false;
+};
+
+class PlatformTarget;
+
+/// Who sees what happens at targets.
+struct PlatformTargetObserver {
+    /// A request came in for this target, whether it runs or not.
+    std::function<void(const PlatformTarget&, const ebonymount::HttpRequestMessage&)> on_arrival;
+    /// A request begins to run.
+    std::function<void(const PlatformTarget&, const std::string& request_id)> on_run;
+    /// A request has run; `body` and `signature` were answered, with success or not.
+    std::function<void(const PlatformTarget&, const std::string& request_id,
+                       const std::string& signature, const std::string& body, bool success)>
+        on_answer;
+    /// The caller closed its connection while the request ran.
+    std::function<void(const std::string& request_id)> on_cancelled;
+};
+
+class PlatformTarget : public std::enable_shared_from_this<PlatformTarget> {
+public:
+    /// Listens; throws std::runtime_error if the address is taken.
+    static std::shared_ptr<PlatformTarget> open(ebonymount::EventLoop& loop,
+                                                const PlatformTargetTraits& traits,
+                                                const PlatformTargetObserver& observer);
+
+    /// Ends as a crash does: connections are reset and nothing is answered any more.
+    void crash();
+
+    void set_mood(const PlatformTargetMood& mood);
+    const PlatformTargetMood& mood() const;
+    const PlatformTargetTraits& traits() const;
+    bool is_down() const;
+
+private:
+    using Connection = std::shared_ptr<ebonymount::HttpServerConnection>;
+    struct Work {
+        Connection connection;
+        std::string request_id;
+        bool cancelled = false;
+        bool done = false;
+    };
+
+    PlatformTarget(ebonymount::EventLoop& loop, const PlatformTargetTraits& traits,
+                   const PlatformTargetObserver& observer);
+    void take(const Connection& connection, const ebonymount::HttpRequestMessage& request);
+    void run(const std::shared_ptr<Work>& work);
+    void finish(const std::shared_ptr<Work>& work);
+    void next();
+    void refuse(const Connection& connection, int status, const std::string& request_id);
+    std::string make_records();
+
+    ebonymount::EventLoop& m_loop;
+    PlatformTargetTraits m_traits;
+    PlatformTargetObserver m_observer;
+    PlatformTargetMood m_mood;
+    std::shared_ptr<ebonymount::HttpListener> m_listener;
+    ebonymount::Random m_random;
+    std::int64_t m_running = 0;
+    std::deque<std::shared_ptr<Work>> m_waiting;
+    std::int64_t m_answers = 0;
+    bool m_down = false;
+};
+
+}  // namespace standin
--- /dev/null
+++ b/tools/soak.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Randomized soak: the real programs as separate processes, faults from outside, promises checked.
+#
+#   tools/soak.sh [--seed N] [--seeds N] [--minutes M] [--nodes K] [--jobs J]
+#
+# Plays --seeds seeds (default 1) from --seed on (default: drawn from the time), --jobs at a time.
+# With --minutes, goes on with further seeds until the time is over. Exits 0 only if every promise
+# held. Logs of seeds that broke one stay in build/soak; the others' are removed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seed=$(($(date +%s) % 100000000))
+seeds=1
+minutes=0
+nodes=6
+jobs=1
+while [ $# -gt 0 ]; do
+    case "$1" in
+        --seed) seed="$2"; shift 2 ;;
+        --seeds) seeds="$2"; shift 2 ;;
+        --minutes) minutes="$2"; shift 2 ;;
+        --nodes) nodes="$2"; shift 2 ;;
+        --jobs) jobs="$2"; shift 2 ;;
+        *) echo "soak.sh: unknown option $1" >&2; exit 2 ;;
+    esac
+done
+
+tools/build.sh > /dev/null
+out=build/soak
+mkdir -p "$out"
+end=$(($(date +%s) + minutes * 60))
+
+# Plays every jobs-th seed, beginning with the job's own.
+job() {
+    local number="$1" i="$1" status=0
+    while [ "$i" -lt "$seeds" ] || [ "$(date +%s)" -lt "$end" ]; do
+        local one=$((seed + i)) result=0
+        build/ebonymount_soak --seed "$one" --nodes "$nodes" --instance $((20 + number)) \
+            --front build/ebonymount_front --directory "$out" || result=$?
+        if [ "$result" = 0 ]; then
+            rm -rf "${out:?}/seed-$one"
+        else
+            status=1
+        fi
+        i=$((i + jobs))
+    done
+    return "$status"
+}
+
+pids=()
+for ((number = 0; number < jobs; number++)); do
+    job "$number" &
+    pids+=("$!")
+done
+status=0
+for pid in "${pids[@]}"; do
+    wait "$pid" || status=1
+done
+exit "$status"
