Two nodes of each data centre read the store, the others follow them

Readers are chosen by rendezvous hashing over the registered nodes, followers hear changes over one stream with heartbeats that carry the age of the news, and read the store themselves when it grows old. Only what is newer than what a node has goes through, so a stale source takes nothing back. Also: a watch waits for a part of the stable window only.

--- a/src/front/fleet_follower.cpp
+++ b/src/front/fleet_follower.cpp
@@ -8,17 +8,6 @@
 namespace ebonymount {
 namespace {
 
-/// Longest wait of one watch.
-constexpr Duration WATCH_WAIT = from_ms(8000);
-
-/// How often the list of nodes is read; it only changes when nodes are added.
-constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
-
-/// Part of the time in which a change must be in force that may pass before the next is heard of.
-/// The store's recent data, which is about a second old, and the grace of removed targets need
-/// most of the rest.
-constexpr double CHANGE_PAUSE_SHARE = 0.2;
-
 constexpr Duration REGISTRATION_RETRY = from_ms(2000);
 
 /// How long any node leaves a report in the store: the node that wrote it removes it after
@@ -35,20 +24,20 @@
       m_loop(state.event_loop),
       m_terms(std::move(terms)),
       m_handlers(std::move(handlers)),
-      m_started_at_ms(wall_clock_ms()) {
+      m_started_at_ms(wall_clock_ms()),
+      m_feed(state.event_loop, state.metrics, m_terms.feed,
+             [this](const KindNews& news) { take_news(news); }) {
     m_state.on_crash = [this](std::uint64_t request) {
         report_crash(request);
     };
-    watch_store();
+    // The list of nodes tells whether the node is registered already, unless nobody is yet.
+    m_next_registration = m_terms.feed.first_start ? Time{} : monotonic_now() + REGISTRATION_RETRY;
 }
 
-FleetFollower::~FleetFollower() {
-    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-        watcher->stop();
-    }
-}
+FleetFollower::~FleetFollower() = default;
 
 void FleetFollower::sweep(Time now) {
+    m_feed.sweep(now);
     for (const std::string& id : expire_missing(m_registry, now)) {
         LogEvent(LogLevel::info, "targets", "gone").add("target", id).write();
         rebuild_view();
@@ -60,51 +49,27 @@
     remove_old_reports(now);
 }
 
-void FleetFollower::watch_store() {
-    const auto add = [this](platform::Kind kind, Duration wait,
-                            std::function<void(Objects, bool)> on_list,
-                            std::function<void(Objects)> on_changes) {
-        const bool is_probe = kind == platform::Kind::config;
-        KindWatcherOptions options;
-        options.kind = kind;
-        options.store_address = m_terms.store_address;
-        options.watch_wait = wait;
-        options.poll_interval = NODE_LIST_INTERVAL;
-        options.pause_after_changes = scaled(m_terms.config_apply, CHANGE_PAUSE_SHARE);
-        options.is_probe = is_probe;
-        const std::function<void()> on_recovered = is_probe ? [this] { on_store_recovered(); }
-                                                            : std::function<void()>();
-        m_watchers.push_back(KindWatcher::start(
-            m_loop, options, {std::move(on_list), std::move(on_changes), on_recovered},
-            m_state.metrics));
-    };
-    add(
-        platform::Kind::config, WATCH_WAIT,
-        [this](const Objects& objects, bool /*after_outage*/) { take_config(objects); },
-        [this](const Objects& objects) { take_config(objects); });
-    add(
-        platform::Kind::targets, WATCH_WAIT,
-        [this](const Objects& objects, bool after_outage) {
-            take_target_list(objects, after_outage);
-        },
-        [this](const Objects& objects) { take_target_changes(objects); });
-    add(
-        platform::Kind::evacuations, WATCH_WAIT,
-        [this](const Objects& objects, bool /*after_outage*/) { take_evacuations(objects, true); },
-        [this](const Objects& objects) { take_evacuations(objects, false); });
-    add(
-        platform::Kind::quarantine, WATCH_WAIT,
-        [this](const Objects& objects, bool /*after_outage*/) { take_suspects(objects); },
-        [this](const Objects& objects) { take_suspects(objects); });
-    add(
-        platform::Kind::nodes, Duration::zero(),
-        [this](const Objects& objects, bool /*after_outage*/) { take_nodes(objects); },
-        [](const Objects& /*objects*/) {});
-}
-
-void FleetFollower::on_store_recovered() {
-    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-        watcher->retry_now();
+void FleetFollower::take_news(const KindNews& news) {
+    switch (news.kind) {
+        case platform::Kind::config:
+            take_config(news.objects);
+            return;
+        case platform::Kind::targets:
+            if (news.is_list) {
+                take_target_list(news.objects, news.after_outage);
+            } else {
+                take_target_changes(news.objects);
+            }
+            return;
+        case platform::Kind::evacuations:
+            take_evacuations(news.objects, news.is_list);
+            return;
+        case platform::Kind::nodes:
+            take_nodes(news.objects);
+            return;
+        case platform::Kind::quarantine:
+            take_suspects(news.objects);
+            return;
     }
 }
 
@@ -173,7 +138,9 @@
         }
         const Result<TargetEntry> entry = platform::decode_target(object.name, object.spec);
         if (!has_value(entry)) {
-            log_warning("targets", "a change is left out: " + describe(error_of(entry)));
+            // Whoever wrote it, the entry names no target any more, as a list would show.
+            log_warning("targets", "an entry is left out: " + describe(error_of(entry)));
+            remove(m_registry, object.name, monotonic_now());
             continue;
         }
         upsert(m_registry, value_of(entry));
@@ -211,11 +178,15 @@
 }
 
 void FleetFollower::take_nodes(const Objects& objects) {
-    const auto is_own = [this](const platform::StoredObject& object) {
-        return object.name == m_terms.node;
-    };
-    m_registered = std::any_of(objects.begin(), objects.end(), is_own);
-    const std::int64_t nodes = static_cast<std::int64_t>(objects.size()) + (m_registered ? 0 : 1);
+    const auto own =
+        std::find_if(objects.begin(), objects.end(), [this](const platform::StoredObject& object) {
+            return object.name == m_terms.feed.self.node;
+        });
+    m_name_is_taken = own != objects.end();
+    m_registered = m_name_is_taken && platform::decode_registration(*own) == m_terms.feed.self;
+    m_next_registration = Time{};
+    const std::int64_t nodes =
+        static_cast<std::int64_t>(objects.size()) + (m_name_is_taken ? 0 : 1);
     if (nodes != m_nodes) {
         LogEvent(LogLevel::info, "front", "nodes")
             .add("nodes", nodes)
@@ -245,7 +216,7 @@
 void FleetFollower::report_crash(std::uint64_t request) {
     const Time now = monotonic_now();
     const std::string name =
-        crash_report_name({request, m_terms.node, m_started_at_ms, ++m_crash_reports});
+        crash_report_name({request, m_terms.feed.self.node, m_started_at_ms, ++m_crash_reports});
     m_known_reports.emplace(name, now + SUSPICION_TIME);
     add_crashes(m_state.quarantine, request, 1, now);
     LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
@@ -291,7 +262,7 @@
 void FleetFollower::call_store(const std::string& method, const std::string& path,
                                const std::string& body, CallHandler on_end) {
     const std::shared_ptr<HttpChannel> channel =
-        HttpChannel::open(m_loop, m_terms.store_address, [](HttpChannel&) {});
+        HttpChannel::open(m_loop, m_terms.feed.store_address, [](HttpChannel&) {});
     if (channel == nullptr) {
         on_end(CallEnd::not_sent, HttpAnswerMessage{});
         return;
@@ -304,7 +275,7 @@
         }
     });
     ChannelCall call;
-    call.make_request = [method, path, body, address = m_terms.store_address] {
+    call.make_request = [method, path, body, address = m_terms.feed.store_address] {
         const HttpHeaders headers = {{"Host", address}, {"Content-Type", "application/json"}};
         return encode(HttpRequestMessage{method, path, headers, body, false});
     };
@@ -319,13 +290,16 @@
 
 void FleetFollower::register_node() {
     m_next_registration = monotonic_now() + REGISTRATION_RETRY;
-    call_store("POST", platform::create_path(platform::Kind::nodes),
-               platform::create_body(m_terms.node, ""),
+    const Member& self = m_terms.feed.self;
+    // An earlier node of that name may have had another address.
+    const std::string path = m_name_is_taken
+                                 ? platform::object_path(platform::Kind::nodes, self.node)
+                                 : platform::create_path(platform::Kind::nodes);
+    call_store(m_name_is_taken ? "PUT" : "POST", path, platform::registration_body(self),
                [this](CallEnd end, const HttpAnswerMessage& answer) {
-                   const bool is_there = answer.status == http::OK ||
-                                         answer.status == http::CREATED ||
-                                         answer.status == http::CONFLICT;
-                   m_registered = end == CallEnd::answered && is_there;
+                   m_name_is_taken = m_name_is_taken || answer.status == http::CONFLICT;
+                   m_registered = end == CallEnd::answered &&
+                                  (answer.status == http::OK || answer.status == http::CREATED);
                    LogEvent(LogLevel::info, "front", "registered")
                        .add("outcome", name_of(end))
                        .add("status", answer.status)
--- a/src/front/fleet_follower.h
+++ b/src/front/fleet_follower.h
@@ -14,19 +14,16 @@
 #include <vector>
 
 #include "front/front_state.h"
-#include "front/kind_watcher.h"
+#include "front/store_feed.h"
 #include "policy/target_registry.h"
 
 namespace ebonymount {
 
 /// Who follows, and whom.
 struct FollowerTerms {
-    std::string node;
-    std::string store_address;
+    StoreFeedTerms feed;
     /// Region of each data centre.
     std::map<std::string, std::string> regions;
-    /// From the acknowledgement of a change until it must be in force.
-    Duration config_apply{};
 };
 
 /// Who is told, on the loop's thread.
@@ -54,8 +51,7 @@
     using Objects = std::vector<platform::StoredObject>;
     using CallHandler = std::function<void(CallEnd, const HttpAnswerMessage&)>;
 
-    void watch_store();
-    void on_store_recovered();
+    void take_news(const KindNews& news);
     void take_config(const Objects& objects);
     void take_target_list(const Objects& objects, bool after_outage);
     void take_target_changes(const Objects& objects);
@@ -74,7 +70,6 @@
     EventLoop& m_loop;
     FollowerTerms m_terms;
     FollowerHandlers m_handlers;
-    std::vector<std::shared_ptr<KindWatcher>> m_watchers;
     std::optional<RouteTable> m_table;
     TargetRegistry m_registry;
     bool m_knows_targets = false;
@@ -82,6 +77,8 @@
     std::set<std::string> m_out_of_service;
     std::int64_t m_nodes = 0;
     bool m_registered = false;
+    /// The store has an object of this node's name.
+    bool m_name_is_taken = false;
     Time m_next_registration{};
     bool m_view_is_old = false;
     /// Reports of crashes that were counted, with the time until which they stay in the store.
@@ -89,6 +86,7 @@
     std::int64_t m_crash_reports = 0;
     /// Wall-clock milliseconds; tells the reports of this start from those of others.
     std::int64_t m_started_at_ms = 0;
+    StoreFeed m_feed;
 };
 
 }  // namespace ebonymount
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -118,8 +118,13 @@
 }
 
 void Front::follow_store() {
-    const FollowerTerms terms{m_settings.node, m_settings.store_address, m_settings.regions,
-                              m_settings.config_apply};
+    StoreFeedTerms feed;
+    feed.self = {m_settings.node, m_settings.data_centre, m_settings.peer_address};
+    feed.store_address = m_settings.store_address;
+    feed.config_apply = m_settings.config_apply;
+    feed.stable_window = m_settings.stable_window;
+    feed.first_start = m_settings.first_start;
+    const FollowerTerms terms{feed, m_settings.regions};
     m_follower = std::make_unique<FleetFollower>(
         m_state, terms,
         FollowerHandlers{[this](const RouteTable& table) { apply_limits(table.limits); },
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -8,14 +8,9 @@
 namespace ebonymount {
 namespace {
 
-/// The store answers in 4 ms, and in a quarter of a second when it is slow; a call that takes
-/// longer has met an outage.
-constexpr Duration CALL_TIMEOUT = from_ms(600);
-
 /// Pause after a call that failed: first, later for the watcher that probes an absent store, and
 /// later for the others, which are called when the probe succeeds.
 constexpr Duration FIRST_PAUSE = from_ms(100);
-constexpr Duration PROBE_PAUSE = from_ms(200);
 constexpr Duration OTHERS_PAUSE = from_ms(3000);
 
 /// Pause before the second reading of a list that is polled: when all nodes start at once, the
@@ -46,10 +41,64 @@
                                                 KindWatcherHandlers handlers, Metrics& metrics) {
     const std::shared_ptr<KindWatcher> watcher(
         new KindWatcher(loop, options, std::move(handlers), metrics));
-    watcher->read_list();
+    watcher->m_paused = options.is_paused;
+    if (!options.is_paused) {
+        watcher->read_list();
+    }
     return watcher;
 }
 
+void KindWatcher::pause() {
+    if (m_paused) {
+        return;
+    }
+    m_paused = true;
+    ++m_call_number;
+    m_pages.clear();
+    if (m_pause.has_value()) {
+        m_loop.cancel(*m_pause);
+        m_pause.reset();
+    }
+    if (m_channel != nullptr) {
+        m_channel->close();
+        m_channel.reset();
+    }
+}
+
+void KindWatcher::resume(std::int64_t revision, bool in_trouble) {
+    if (!m_paused) {
+        return;
+    }
+    m_paused = false;
+    m_consecutive_failures = 0;
+    if (revision == 0 || m_options.poll_interval > Duration::zero()) {
+        read_list();
+        return;
+    }
+    m_revision = revision;
+    m_resumed = true;
+    if (in_trouble) {
+        m_last_failure = monotonic_now();
+    }
+    wait_for_changes();
+}
+
+bool KindWatcher::is_paused() const {
+    return m_paused;
+}
+
+platform::Kind KindWatcher::kind() const {
+    return m_options.kind;
+}
+
+void KindWatcher::set_pace(const WatcherPace& pace) {
+    m_options.pace = pace;
+}
+
+Time KindWatcher::last_contact() const {
+    return m_last_contact;
+}
+
 void KindWatcher::stop() {
     m_stopped = true;
     if (m_channel != nullptr) {
@@ -58,7 +107,7 @@
 }
 
 void KindWatcher::call(const std::string& path, Duration timeout, const CallHandler& on_end) {
-    if (m_stopped) {
+    if (m_stopped || m_paused) {
         return;
     }
     ++m_calls;
@@ -68,8 +117,9 @@
         m_channel = HttpChannel::open(m_loop, m_options.store_address, [](HttpChannel&) {});
     }
     if (m_channel == nullptr) {
-        m_loop.post([weak, on_end] {
-            if (!weak.expired()) {
+        m_loop.post([weak, number, on_end] {
+            const std::shared_ptr<KindWatcher> self = weak.lock();
+            if (self != nullptr && self->m_call_number == number) {
                 on_end(CallEnd::not_sent, HttpAnswerMessage{});
             }
         });
@@ -90,11 +140,11 @@
     };
     request.on_began = [] {
     };
-    request.on_end = [weak, timer, on_end](CallEnd end, const HttpAnswerMessage& answer) {
+    request.on_end = [weak, timer, number, on_end](CallEnd end, const HttpAnswerMessage& answer) {
         const std::shared_ptr<KindWatcher> self = weak.lock();
         if (self != nullptr) {
             self->m_loop.cancel(timer);
-            if (!self->m_stopped) {
+            if (!self->m_stopped && self->m_call_number == number) {
                 on_end(end, answer);
             }
         }
@@ -104,10 +154,10 @@
 
 void KindWatcher::read_list() {
     const std::string after = m_pages.empty() ? std::string() : m_pages.back().name;
-    const platform::Freshness freshness = m_options.watch_wait == Duration::zero()
+    const platform::Freshness freshness = m_options.poll_interval > Duration::zero()
                                               ? platform::Freshness::recent
                                               : platform::Freshness::current;
-    call(platform::list_path(m_options.kind, after, freshness), CALL_TIMEOUT,
+    call(platform::list_path(m_options.kind, after, freshness), STORE_CALL_TIMEOUT,
          [this](CallEnd end, const HttpAnswerMessage& answer) { on_page(end, answer); });
 }
 
@@ -139,8 +189,8 @@
     on_success();
     std::vector<platform::StoredObject> objects;
     objects.swap(m_pages);
-    m_handlers.on_list(std::move(objects), after_outage);
-    if (m_options.watch_wait == Duration::zero()) {
+    m_handlers.on_news({m_options.kind, true, after_outage, m_revision, std::move(objects)});
+    if (m_options.poll_interval > Duration::zero()) {
         run_later(++m_polls == 1 ? FIRST_POLL_INTERVAL : m_options.poll_interval,
                   &KindWatcher::read_list);
     } else {
@@ -149,8 +199,9 @@
 }
 
 void KindWatcher::wait_for_changes() {
-    call(platform::watch_path(m_options.kind, m_revision, m_options.watch_wait, watch_freshness()),
-         m_options.watch_wait + CALL_TIMEOUT,
+    call(platform::watch_path(m_options.kind, m_revision, m_options.pace.watch_wait,
+                              watch_freshness()),
+         m_options.pace.watch_wait + STORE_CALL_TIMEOUT,
          [this](CallEnd end, const HttpAnswerMessage& answer) { on_watch_end(end, answer); });
 }
 
@@ -173,19 +224,22 @@
         return;
     }
     on_success();
+    m_resumed = false;
     platform::ObjectPage& found = std::get<platform::ObjectPage>(changes);
     m_revision = std::max(m_revision, found.store_revision);
     if (found.objects.empty()) {
         wait_for_changes();
         return;
     }
-    m_handlers.on_changes(std::move(found.objects));
+    m_handlers.on_news({m_options.kind, false, false, m_revision, std::move(found.objects)});
     // Current watches cost ten times as much, and their news is a second younger.
     const bool is_current = watch_freshness() == platform::Freshness::current;
-    run_later(m_options.pause_after_changes * (is_current ? 2 : 1), &KindWatcher::wait_for_changes);
+    run_later(m_options.pace.pause_after_changes * (is_current ? 2 : 1),
+              &KindWatcher::wait_for_changes);
 }
 
 void KindWatcher::on_success() {
+    m_last_contact = monotonic_now();
     if (m_consecutive_failures > 0) {
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": answers again after " + std::to_string(m_consecutive_failures) +
@@ -213,7 +267,7 @@
     if (m_consecutive_failures < 2) {
         return FIRST_PAUSE;
     }
-    return m_options.is_probe ? PROBE_PAUSE : OTHERS_PAUSE;
+    return m_options.is_probe ? m_options.pace.probe_pause : OTHERS_PAUSE;
 }
 
 void KindWatcher::retry_now() {
@@ -224,10 +278,13 @@
     }
 }
 
+bool KindWatcher::is_in_trouble() const {
+    return m_last_failure != Time{} && monotonic_now() - m_last_failure < TROUBLE_TIME;
+}
+
 platform::Freshness KindWatcher::watch_freshness() const {
-    const bool in_trouble =
-        m_last_failure != Time{} && monotonic_now() - m_last_failure < TROUBLE_TIME;
-    return in_trouble ? platform::Freshness::current : platform::Freshness::recent;
+    return is_in_trouble() || m_resumed ? platform::Freshness::current
+                                        : platform::Freshness::recent;
 }
 
 void KindWatcher::run_later(Duration delay, void (KindWatcher::*next)()) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "front/store_mirror.h"
 #include "io/event_loop.h"
 #include "io/http_channel.h"
 #include "io/metrics.h"
@@ -19,27 +20,37 @@
 
 namespace ebonymount {
 
+/// How often a watcher calls the store; may change while it runs.
+struct WatcherPace {
+    /// Longest wait of one watch.
+    Duration watch_wait{};
+    /// Pause after a watch that brought changes. Changes come in bursts; those of a pause cost one
+    /// call together.
+    Duration pause_after_changes{};
+    /// Pause between the calls of the probe to an absent store.
+    Duration probe_pause = from_ms(200);
+
+    friend bool operator==(const WatcherPace&, const WatcherPace&) = default;
+};
+
 /// How a kind is followed.
 struct KindWatcherOptions {
     platform::Kind kind = platform::Kind::config;
     std::string store_address;
-    /// Longest wait of one watch; zero to read lists at `poll_interval` instead.
-    Duration watch_wait{};
+    WatcherPace pace;
+    /// Above zero, lists are read at this interval instead of watches.
     Duration poll_interval{};
-    /// Pause after a watch that brought changes. Changes come in bursts; those of a pause cost one
-    /// call together.
-    Duration pause_after_changes{};
     /// True for the one watcher of a node that finds out when an absent store is back. The others
     /// wait for it, as calls to an absent store cost as much as others.
     bool is_probe = false;
+    /// Makes no call before `resume`.
+    bool is_paused = false;
 };
 
-/// Who is told of objects. All are called on the loop's thread.
+/// Who is told of objects, on the loop's thread.
 struct KindWatcherHandlers {
-    /// A complete list; `after_outage` if the store was out of reach before it.
-    std::function<void(std::vector<platform::StoredObject>, bool after_outage)> on_list;
-    /// Changes since then.
-    std::function<void(std::vector<platform::StoredObject>)> on_changes;
+    /// A complete list, or the changes since what was told before.
+    std::function<void(KindNews)> on_news;
     /// The store answers again after failures.
     std::function<void()> on_recovered;
 };
@@ -55,6 +66,22 @@
     /// Reads the list now if the watcher waits after a failure.
     void retry_now();
 
+    /// Makes no calls until `resume`, which goes on from a revision that is known from elsewhere;
+    /// 0 begins with the list. `in_trouble` if the store had failed there a while ago.
+    void pause();
+    void resume(std::int64_t revision, bool in_trouble);
+    bool is_paused() const;
+    platform::Kind kind() const;
+
+    /// Takes effect with the next call.
+    void set_pace(const WatcherPace& pace);
+
+    /// When the store last answered this watcher.
+    Time last_contact() const;
+
+    /// True for a while after a failure, in which only current data is taken.
+    bool is_in_trouble() const;
+
 private:
     using CallHandler = std::function<void(CallEnd, const HttpAnswerMessage&)>;
 
@@ -86,6 +113,10 @@
     std::uint64_t m_call_number = 0;
     std::optional<TimerId> m_pause;
     std::int64_t m_polls = 0;
+    Time m_last_contact{};
+    /// The next watch must be current, as its revision is known from elsewhere.
+    bool m_resumed = false;
+    bool m_paused = false;
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/src/front/store_feed.cpp
@@ -0,0 +1,345 @@
+#include "front/store_feed.h"
+
+#include <algorithm>
+
+#include "io/log_event.h"
+
+namespace ebonymount {
+namespace {
+
+/// The call by which a node begins to follow; the number is the version of the messages.
+constexpr const char* NEWS_PATH = "/store-news/1";
+
+/// How often the list of nodes is read; it only changes when nodes are added.
+constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
+
+/// How long a node that starts waits for a reader: its own lists take about 50 ms, and the reader
+/// may have started at the same moment.
+constexpr Duration READER_PATIENCE = from_ms(500);
+
+/// How long a node waits for the list of nodes before it reads everything itself, and how long it
+/// waits before that list when the whole system starts for the first time: nodes register within
+/// 0.3 s of each other.
+constexpr Duration NODE_LIST_PATIENCE = from_ms(700);
+constexpr Duration FIRST_START_PAUSE = from_ms(900);
+
+/// How long a reader that failed is not followed: a process that ended is back in a second or two.
+constexpr Duration AVOID_TIME = from_ms(3000);
+
+/// Pause between two readers that are tried by a node that reads the store itself.
+constexpr Duration CANDIDATE_PAUSE = from_ms(1000);
+
+/// Pause between calls to an absent store, and the pause of a node that hears of its return from a
+/// reader.
+constexpr Duration PROBE_PAUSE = from_ms(200);
+constexpr Duration FOLLOWER_PROBE_PAUSE = from_ms(1000);
+
+}  // namespace
+
+StoreFeed::StoreFeed(EventLoop& loop, Metrics& metrics, StoreFeedTerms terms,
+                     std::function<void(const KindNews&)> on_news)
+    : m_loop(loop),
+      m_metrics(metrics),
+      m_terms(std::move(terms)),
+      m_news_terms(news_terms(m_terms.config_apply, m_terms.stable_window)),
+      m_on_news(std::move(on_news)),
+      m_relayed(metrics.counter("ebonymount_store_news_relayed_total")),
+      m_followed(metrics.counter("ebonymount_store_news_followed_total")),
+      m_traffic{metrics.counter("ebonymount_peer_bytes_in_total"),
+                metrics.counter("ebonymount_peer_bytes_out_total")},
+      m_peers(loop, m_traffic) {
+    const Time now = monotonic_now();
+    m_watch_at = now + NODE_LIST_PATIENCE;
+    if (!m_terms.self.address.empty()) {
+        const StreamHandler handler = [this](const std::shared_ptr<ServerStream>& stream,
+                                             const std::string& path, const std::string&) {
+            if (path == NEWS_PATH) {
+                serve(stream);
+            } else {
+                stream->finish();
+            }
+        };
+        Result<std::shared_ptr<PeerServer>> server =
+            PeerServer::listen(loop, m_terms.self.address, handler, m_traffic);
+        if (has_value(server)) {
+            m_server = value_of(server);
+        } else {
+            // Others follow another node; this one loses nothing.
+            log_warning("store", describe(error_of(server)));
+        }
+    }
+    watch_store();
+    const std::shared_ptr<KindWatcher>& nodes = m_watchers.back();
+    if (m_terms.first_start) {
+        m_watch_at += FIRST_START_PAUSE;
+        const std::weak_ptr<KindWatcher> weak = nodes;
+        loop.run_at(now + FIRST_START_PAUSE, [weak] {
+            const std::shared_ptr<KindWatcher> watcher = weak.lock();
+            if (watcher != nullptr) {
+                watcher->resume(0, false);
+            }
+        });
+    } else {
+        nodes->resume(0, false);
+    }
+}
+
+StoreFeed::~StoreFeed() {
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->stop();
+    }
+}
+
+void StoreFeed::watch_store() {
+    for (const platform::Kind kind :
+         {platform::Kind::config, platform::Kind::targets, platform::Kind::evacuations,
+          platform::Kind::quarantine, platform::Kind::nodes}) {
+        const bool is_probe = kind == platform::Kind::config;
+        KindWatcherOptions options;
+        options.kind = kind;
+        options.store_address = m_terms.store_address;
+        options.poll_interval =
+            kind == platform::Kind::nodes ? NODE_LIST_INTERVAL : Duration::zero();
+        options.is_probe = is_probe;
+        options.is_paused = true;
+        KindWatcherHandlers handlers;
+        handlers.on_news = [this](KindNews news) {
+            take_news(std::move(news));
+        };
+        if (is_probe) {
+            handlers.on_recovered = [this] {
+                for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+                    watcher->retry_now();
+                }
+            };
+        }
+        m_watchers.push_back(KindWatcher::start(m_loop, options, handlers, m_metrics));
+    }
+    set_pace();
+}
+
+void StoreFeed::set_pace() {
+    const bool is_reader = has_followers(m_terms.self, m_members);
+    const bool is_follower = !readers_for(m_terms.self, m_members, {}, monotonic_now()).empty();
+    WatcherPace pace;
+    pace.watch_wait = m_news_terms.watch_wait;
+    pace.pause_after_changes = is_reader ? m_news_terms.reader_pause : m_news_terms.change_pause;
+    pace.probe_pause = is_follower ? FOLLOWER_PROBE_PAUSE : PROBE_PAUSE;
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->set_pace(pace);
+    }
+    if (is_reader) {
+        pace.watch_wait = m_news_terms.probe_wait;
+        m_watchers.front()->set_pace(pace);
+    }
+}
+
+void StoreFeed::start_watching(Time now) {
+    m_watching = true;
+    m_hold_until = now + m_news_terms.hold;
+    const bool in_trouble = is_in_trouble();
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->resume(revision_of(m_mirror, watcher->kind()), in_trouble);
+    }
+}
+
+void StoreFeed::take_news(KindNews news) {
+    const Time now = monotonic_now();
+    const std::optional<KindNews> fresh = take(m_mirror, std::move(news), now);
+    if (!fresh.has_value()) {
+        return;
+    }
+    if (fresh->kind == platform::Kind::nodes) {
+        take_members(*fresh);
+    }
+    send({fresh, now - store_heard(), is_in_trouble()});
+    m_on_news(*fresh);
+}
+
+void StoreFeed::take_members(const KindNews& news) {
+    m_members.clear();
+    for (const platform::StoredObject& object : news.objects) {
+        m_members.push_back(platform::decode_registration(object));
+    }
+    set_pace();
+    if (!m_watching && m_upstream == nullptr) {
+        // The first list of nodes: the store is read now, or once a reader was given its chance.
+        const Time now = monotonic_now();
+        const bool has_reader = !readers_for(m_terms.self, m_members, m_avoided, now).empty();
+        m_watch_at = has_reader ? now + READER_PATIENCE : now;
+        sweep(now);
+    }
+}
+
+Time StoreFeed::store_heard() const {
+    Time heard{};
+    if (m_watching) {
+        for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+            heard = std::max(heard, watcher->last_contact());
+        }
+    }
+    if (m_upstream != nullptr) {
+        heard = std::max(heard, m_upstream->as_of.value_or(Time{}));
+    }
+    return heard;
+}
+
+bool StoreFeed::is_in_trouble() const {
+    const auto in_trouble = [](const std::shared_ptr<KindWatcher>& watcher) {
+        return watcher->is_in_trouble();
+    };
+    return std::any_of(m_watchers.begin(), m_watchers.end(), in_trouble) ||
+           (m_upstream != nullptr && m_upstream->in_trouble);
+}
+
+void StoreFeed::sweep(Time now) {
+    if (m_upstream == nullptr || m_upstream->ended ||
+        now - store_heard() > m_news_terms.worrying_age) {
+        sweep_candidate(now);
+    }
+    if (m_upstream != nullptr && now - store_heard() > m_news_terms.longest_age) {
+        stop_following(now);
+    }
+    if (m_upstream == nullptr && !m_watching && now >= m_watch_at) {
+        start_watching(now);
+    }
+    if (now >= m_next_heartbeat) {
+        m_next_heartbeat = now + m_news_terms.heartbeat;
+        send({std::nullopt, now - store_heard(), is_in_trouble()});
+    }
+}
+
+bool StoreFeed::is_following() const {
+    return m_upstream != nullptr;
+}
+
+void StoreFeed::sweep_candidate(Time now) {
+    if (m_candidate == nullptr) {
+        // A node that reads the store itself is in no hurry.
+        if (!m_watching || now >= m_next_candidate_at) {
+            m_next_candidate_at = now + CANDIDATE_PAUSE;
+            open_candidate(now);
+        }
+        return;
+    }
+    const bool is_fresh =
+        m_candidate->as_of.has_value() && now - *m_candidate->as_of < m_news_terms.worrying_age;
+    if (is_fresh && !m_candidate->ended && is_complete(m_mirror)) {
+        if (now >= m_hold_until) {
+            follow_candidate(now);
+        }
+    } else if (m_candidate->ended || now > m_candidate->opened + READER_PATIENCE) {
+        drop(m_candidate, "no fresh news", now);
+    }
+}
+
+void StoreFeed::open_candidate(Time now) {
+    AvoidedReaders avoided = m_avoided;
+    if (m_upstream != nullptr) {
+        avoided[m_upstream->reader.node] = Time::max();
+    }
+    const std::vector<Member> readers = readers_for(m_terms.self, m_members, avoided, now);
+    if (readers.empty()) {
+        return;
+    }
+    const std::shared_ptr<Upstream> upstream = std::make_shared<Upstream>();
+    upstream->reader = readers.front();
+    upstream->opened = now;
+    m_candidate = upstream;
+    StreamEvents events;
+    events.on_data = [this, upstream](std::string_view bytes) {
+        on_upstream_data(upstream, bytes);
+    };
+    events.on_end = [upstream](StreamEnd /*end*/) {
+        upstream->ended = true;
+    };
+    upstream->call = m_peers.call(upstream->reader.address, NEWS_PATH, "", std::move(events));
+}
+
+void StoreFeed::on_upstream_data(const std::shared_ptr<Upstream>& upstream,
+                                 std::string_view bytes) {
+    if (upstream != m_upstream && upstream != m_candidate) {
+        return;
+    }
+    upstream->input.append(bytes);
+    std::size_t begin = 0;
+    for (std::size_t end = upstream->input.find('\n', begin); end != std::string::npos;
+         end = upstream->input.find('\n', begin)) {
+        const Result<StoreNews> news =
+            decode_news(std::string_view(upstream->input).substr(begin, end - begin));
+        begin = end + 1;
+        if (!has_value(news)) {
+            log_warning("store", describe(error_of(news)));
+            upstream->ended = true;
+            return;
+        }
+        const Time as_of = monotonic_now() - value_of(news).age;
+        upstream->as_of = std::max(upstream->as_of.value_or(as_of), as_of);
+        upstream->in_trouble = value_of(news).in_trouble;
+        if (value_of(news).change.has_value()) {
+            ++m_followed;
+            take_news(*value_of(news).change);
+        }
+    }
+    upstream->input.erase(0, begin);
+}
+
+void StoreFeed::drop(std::shared_ptr<Upstream>& upstream, const char* reason, Time now) {
+    m_avoided[upstream->reader.node] = now + AVOID_TIME;
+    LogEvent(LogLevel::info, "store", "reader_avoided")
+        .add("reader", upstream->reader.node)
+        .add("reason", upstream->ended ? "the stream ended" : reason)
+        .write();
+    // A session that hangs would take the next call to the same reader with it.
+    m_peers.close(upstream->reader.address);
+    upstream.reset();
+}
+
+void StoreFeed::follow_candidate(Time now) {
+    if (m_upstream != nullptr) {
+        drop(m_upstream, "the news is old", now);
+    }
+    m_upstream = std::move(m_candidate);
+    m_candidate.reset();
+    m_watching = false;
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->pause();
+    }
+    LogEvent(LogLevel::info, "store", "follows")
+        .add("reader", m_upstream->reader.node)
+        .add_ms("age_ms", now - *m_upstream->as_of)
+        .write();
+}
+
+void StoreFeed::stop_following(Time now) {
+    LogEvent(LogLevel::info, "store", "reads_itself")
+        .add("reader", m_upstream->reader.node)
+        .add_ms("age_ms", now - *m_upstream->as_of)
+        .write();
+    start_watching(now);
+    drop(m_upstream, "the news is too old", now);
+}
+
+void StoreFeed::serve(const std::shared_ptr<ServerStream>& stream) {
+    const Time now = monotonic_now();
+    for (KindNews& list : lists_of(m_mirror, now)) {
+        stream->write(encode({std::move(list), now - store_heard(), is_in_trouble()}));
+    }
+    m_followers.push_back(stream);
+}
+
+void StoreFeed::send(const StoreNews& news) {
+    std::erase_if(m_followers, [](const std::shared_ptr<ServerStream>& follower) {
+        return follower->is_cancelled();
+    });
+    if (m_followers.empty()) {
+        return;
+    }
+    const std::string line = encode(news);
+    for (const std::shared_ptr<ServerStream>& follower : m_followers) {
+        ++m_relayed;
+        follower->write(line);
+    }
+}
+
+}  // namespace ebonymount
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -30,6 +30,17 @@
     return call;
 }
 
+void PeerPool::close(const std::string& address) {
+    m_loop.post([this, address] {
+        const auto found = m_sessions.find(address);
+        if (found != m_sessions.end()) {
+            const std::shared_ptr<Http2Session> session = found->second;
+            m_sessions.erase(found);
+            session->close();
+        }
+    });
+}
+
 void PeerPool::close_all() {
     m_loop.post([this] {
         for (const auto& [address, session] : m_sessions) {
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -39,6 +39,9 @@
     std::shared_ptr<PeerCall> call(const std::string& address, const std::string& path,
                                    std::string body, StreamEvents events);
 
+    /// Closes the session to an address, so that the next call opens another.
+    void close(const std::string& address);
+
     /// Closes all sessions. May be called from any thread.
     void close_all();
 
--- /dev/null
+++ b/test/correctness/test_store_readers.cpp
@@ -0,0 +1,118 @@
+// Who reads the platform's store, and how fresh relayed news is kept.
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "policy/store_readers.h"
+
+namespace ebonymount {
+namespace {
+
+const Time NOW = Time{} + from_ms(1000000);
+
+std::vector<Member> members(std::size_t count, const std::string& data_centre) {
+    std::vector<Member> made;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string number = std::to_string(i);
+        made.push_back({data_centre + "-" + number, data_centre, "10.0.0." + number + ":7740"});
+    }
+    return made;
+}
+
+std::vector<Member> readers_among(const std::vector<Member>& all) {
+    std::vector<Member> readers;
+    for (const Member& member : all) {
+        if (readers_for(member, all, {}, NOW).empty()) {
+            readers.push_back(member);
+        }
+    }
+    return readers;
+}
+
+}  // namespace
+
+TEST_CASE("two nodes of a data centre read the store, the others follow one of them") {
+    std::vector<Member> all = members(12, "east");
+    const std::vector<Member> west = members(12, "west");
+    all.insert(all.end(), west.begin(), west.end());
+    const std::vector<Member> readers = readers_among(all);
+    CHECK(readers.size() == 2 * READERS_PER_DATA_CENTRE);
+    std::map<std::string, int> followers;
+    for (const Member& member : all) {
+        const std::vector<Member> choice = readers_for(member, all, {}, NOW);
+        CHECK(has_followers(member, all) == choice.empty());
+        if (!choice.empty()) {
+            CHECK(choice.front().data_centre == member.data_centre);
+            CHECK(std::find(readers.begin(), readers.end(), choice.front()) != readers.end());
+            ++followers[choice.front().node];
+        }
+    }
+    // Rendezvous hashing spreads the followers over both readers.
+    CHECK(followers.size() == readers.size());
+}
+
+TEST_CASE("in a small data centre every node reads the store") {
+    const std::vector<Member> few = members(READERS_PER_DATA_CENTRE + LEAST_FOLLOWERS - 1, "east");
+    for (const Member& member : few) {
+        CHECK(readers_for(member, few, {}, NOW).empty());
+        CHECK_FALSE(has_followers(member, few));
+    }
+}
+
+TEST_CASE("a follower turns to the other reader first, and at last to the store") {
+    const std::vector<Member> all = members(10, "east");
+    const std::vector<Member> readers = readers_among(all);
+    for (const Member& member : all) {
+        std::vector<Member> choice = readers_for(member, all, {}, NOW);
+        if (choice.empty()) {
+            continue;
+        }
+        AvoidedReaders avoided;
+        avoided[choice.front().node] = NOW + from_ms(1);
+        const std::vector<Member> second = readers_for(member, all, avoided, NOW);
+        REQUIRE_FALSE(second.empty());
+        CHECK(std::find(readers.begin(), readers.end(), second.front()) != readers.end());
+        CHECK(second.front() != choice.front());
+        // The reader that failed is followed again later.
+        CHECK(readers_for(member, all, avoided, NOW + from_ms(1)) == choice);
+        for (const Member& other : choice) {
+            avoided[other.node] = NOW + from_ms(1);
+        }
+        CHECK(readers_for(member, all, avoided, NOW).empty());
+    }
+}
+
+TEST_CASE("a node that serves no others is not followed") {
+    std::vector<Member> all = members(10, "east");
+    for (const Member& reader : readers_among(all)) {
+        for (Member& member : all) {
+            if (member.node == reader.node) {
+                member.address.clear();
+            }
+        }
+    }
+    for (const Member& member : all) {
+        for (const Member& choice : readers_for(member, all, {}, NOW)) {
+            CHECK_FALSE(choice.address.empty());
+        }
+    }
+}
+
+TEST_CASE("news terms leave time to read the store within the bounds") {
+    // The bounds of the two sizes of deployment.
+    for (const auto& [config_apply, stable_window] :
+         {std::pair(from_ms(3000), from_ms(4000)), std::pair(from_ms(5000), from_ms(6000))}) {
+        const NewsTerms terms = news_terms(config_apply, stable_window);
+        // A connection that fell silent is found out before the node counts as in touch again.
+        CHECK(terms.watch_wait + 2 * STORE_CALL_TIMEOUT < stable_window);
+        // A calm reader is never given up.
+        CHECK(terms.reader_pause + terms.probe_wait + terms.heartbeat < terms.worrying_age);
+        CHECK(terms.worrying_age < terms.longest_age);
+        // After a silent loss of its reader, a follower still reads the store in time.
+        CHECK(terms.longest_age + 2 * STORE_CALL_TIMEOUT < config_apply);
+        // Recent data is about a second old; a change heard then passes a pause of the reader.
+        CHECK(from_ms(1000) + terms.change_pause + STORE_CALL_TIMEOUT < config_apply);
+    }
+}
+
+}  // namespace ebonymount
--- a/test/soak/soak_world.h
+++ b/test/soak/soak_world.h
@@ -66,6 +66,9 @@
         /// A stop in order is under way until the process has ended.
         bool stopping = false;
         bool killed = false;
+        /// Stops in order so far.
+        int stops = 0;
+        Time started_at{};
         Time restart_at{};
         int revision = 0;
     };
