Choose replicas by what failures and new connections cost; leave room at targets' connection limits

Cause: a target that loses answers or fails fast looked as good as any, or better; after a loss of power the connections of 84 dead nodes filled targets that take 74. Now the share of tries that brought nothing counts in the choice and fades, a connect counts, and only near nodes and a third of the others keep an idle connection where nodes outnumber connections.

--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -305,10 +305,13 @@
     const Duration cold_start = m_view->services[service].limits.cold_start;
     switch (end) {
         case TryEnd::answered:
-        case TryEnd::target_error:
             on_answer(target, now - attempt.sent, attempt.ahead, now);
             m_front.counters.try_time.add(now - attempt.sent);
             return;
+        case TryEnd::target_error:
+            on_target_error(target, now - attempt.sent, attempt.ahead, now);
+            m_front.counters.try_time.add(now - attempt.sent);
+            return;
         case TryEnd::refused:
         case TryEnd::misdirected:
             on_refusal(target, now);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -147,6 +147,7 @@
 void Front::split_fleet_limits() {
     const std::int64_t nodes = m_nodes > 0 ? m_nodes : UNKNOWN_NODES;
     m_state.targets.nodes = nodes;
+    m_state.targets.own_node = m_settings.node;
     m_state.targets.own_data_centre = m_settings.data_centre;
     m_state.targets.own_region = m_settings.region;
     m_state.targets.cold_overrun = m_settings.cold_overrun;
--- a/src/front/request_log.cpp
+++ b/src/front/request_log.cpp
@@ -59,7 +59,8 @@
         .add("target", target.entry.id)
         .add("outcome", attempt.outcome)
         .add_ms("after_ms", now - facts.state.terms.started)
-        .add_ms("expected_ms", Duration(static_cast<std::int64_t>(expected_us(target, 0.0, now))))
+        .add_ms("expected_ms",
+                Duration(static_cast<std::int64_t>(expected_us(target, TryCosts{}, now))))
         .add("outstanding", target.outstanding)
         .add("failures", target.failures)
         .add("milli_tokens", facts.front.budgets[service].milli_tokens)
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -70,9 +70,10 @@
     }
     for (TargetIndex target = 0; target < m_channels.size(); ++target) {
         const Channel newest = take_idle(target, ANY_IDLE_TIME);
+        const bool keeps_newest = may_keep_idle(m_targets, m_targets.states[target]);
         for (const Channel& channel : m_channels[target]) {
-            if (channel != newest && channel->is_idle() &&
-                now - channel->last_used() > SPARE_IDLE_TIME) {
+            const bool is_spare = channel != newest || !keeps_newest;
+            if (is_spare && channel->is_idle() && now - channel->last_used() > SPARE_IDLE_TIME) {
                 closing.push_back(channel);
             }
             const bool stale = now - channel->last_used() > channel->idle_limit() ||
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -11,6 +11,11 @@
 constexpr double REFUSAL_US = 50000.0;
 constexpr double REFUSAL_WITHOUT_TOKEN_US = 150000.0;
 
+/// Cost of a failure, microseconds: as a refusal, with the time that the first target took, and one
+/// of the few targets that may run the request.
+constexpr double FAILURE_US = 100000.0;
+constexpr double FAILURE_WITHOUT_TOKEN_US = 200000.0;
+
 /// Noise in the choice, as a part of the expected time, keeps nodes from choosing the same replica
 /// on the same old news.
 constexpr double CHOICE_NOISE = 0.1;
@@ -53,15 +58,19 @@
     return std::find(shard.tried.begin(), shard.tried.end(), target) != shard.tried.end();
 }
 
-/// Cost of a refusal at a target of the service: dear without a token to go elsewhere.
-double refusal_us(const Step& s, ServiceIndex service) {
-    return has_token(s.context.budgets[service]) ? REFUSAL_US : REFUSAL_WITHOUT_TOKEN_US;
+/// Costs of a try that brings nothing at a target of the service: dear without a token to go
+/// elsewhere.
+TryCosts costs_at(const Step& s, ServiceIndex service) {
+    if (has_token(s.context.budgets[service])) {
+        return {REFUSAL_US, FAILURE_US};
+    }
+    return {REFUSAL_WITHOUT_TOKEN_US, FAILURE_WITHOUT_TOKEN_US};
 }
 
 /// The untried candidate with the shortest expected time.
 std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
     const ServiceView& service = service_of(s, shard);
-    const double refusal = refusal_us(s, shard.service);
+    const TryCosts costs = costs_at(s, shard.service);
     std::optional<TargetIndex> best;
     double best_us = 0.0;
     for (const TargetIndex index : service.targets) {
@@ -72,7 +81,7 @@
             continue;
         }
         const double noise = 1.0 + CHOICE_NOISE * uniform(s.context.random);
-        const double us = expected_us(target, refusal, s.context.now) * noise;
+        const double us = expected_us(target, costs, s.context.now) * noise;
         if (!best.has_value() || us < best_us) {
             best = index;
             best_us = us;
@@ -87,7 +96,7 @@
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(objective.count()) * LATEST_HEDGE_SHARE));
     const Duration learned(
-        static_cast<std::int64_t>(expected_us(target, 0.0, s.context.now) * HEDGE_FACTOR));
+        static_cast<std::int64_t>(expected_us(target, TryCosts{}, s.context.now) * HEDGE_FACTOR));
     return std::min(std::max(learned, SHORTEST_HEDGE), std::max(latest, SHORTEST_HEDGE));
 }
 
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
+
 namespace ebonymount {
 namespace {
 
@@ -13,6 +15,10 @@
 /// that was slow is tried again after a few of these.
 constexpr double PACE_HALF_LIFE_US = 3e6;
 
+/// Time in which a failure share halves, microseconds: a target that failed is tried again after a
+/// few of these, also when another one took all its work meanwhile.
+constexpr double FAILURE_HALF_LIFE_US = 3e6;
+
 /// Weight of requests ahead relative to the slots: other nodes' requests are seen late or not.
 constexpr double QUEUE_WEIGHT = 1.5;
 
@@ -30,6 +36,10 @@
 /// for those bytes, callers hardly notice the wait.
 constexpr double REGION_BYTES_US = 15000.0;
 
+/// Time that a target takes to accept a connection, microseconds, beside one more way there and
+/// back.
+constexpr double CONNECT_US = 6000.0;
+
 /// Reports of the queue length older than this say nothing, milliseconds.
 constexpr Duration REPORT_AGE = from_ms(300);
 
@@ -49,6 +59,12 @@
 /// its queue is long.
 constexpr double CONNECTION_SHARE = 0.8;
 
+/// Idle connections of all nodes together may take this part of a target's cap. Where there are
+/// more nodes, those of its region keep one, and a third of the others: a target then has room for
+/// the third of the nodes that needs it most after a loss of power.
+constexpr double IDLE_SHARE = 0.6;
+constexpr std::uint64_t IDLE_DRAWS = 300;
+
 /// Pause before a new connection after one was rejected.
 constexpr Duration REJECTED_PAUSE = from_ms(400);
 
@@ -61,6 +77,17 @@
     return PRIOR_PACE_US + (state.pace_us - PRIOR_PACE_US) * kept;
 }
 
+double faded_failure_share(const TargetState& state, Time now) {
+    const double age = static_cast<double>((now - state.failure_learned).count());
+    return state.failure_share * std::exp2(-std::max(age, 0.0) / FAILURE_HALF_LIFE_US);
+}
+
+void add_outcome(TargetState& state, bool failed, Time now) {
+    const double share = faded_failure_share(state, now);
+    state.failure_share = share + SAMPLE_WEIGHT * ((failed ? 1.0 : 0.0) - share);
+    state.failure_learned = now;
+}
+
 double way_us(const TargetState& state) {
     if (state.same_data_centre) {
         return 0.0;
@@ -150,6 +177,13 @@
     state.failures = 0;
     state.unreachable_until = Time{};
     state.refusal_share -= SAMPLE_WEIGHT * state.refusal_share;
+    add_outcome(state, false, now);
+}
+
+void on_target_error(TargetState& state, Duration took, std::int64_t ahead, Time now) {
+    on_answer(state, took, ahead, now);
+    // Outweighs the success that was just counted.
+    add_outcome(state, true, now);
 }
 
 void on_refusal(TargetState& state, Time now) {
@@ -162,6 +196,9 @@
 void on_failure(TargetState& state, bool reached, Duration cold_start, Time now) {
     end_one(state);
     ++state.failures;
+    if (reached) {
+        add_outcome(state, true, now);
+    }
     // A broken connection alone may be one lost answer; two in a row look like a crash.
     if (reached && state.failures < 2) {
         return;
@@ -199,7 +236,7 @@
     return is_recent ? std::max(state.outstanding, state.reported_waiting) : state.outstanding;
 }
 
-double expected_us(const TargetState& state, double refusal_us, Time now) {
+double expected_us(const TargetState& state, const TryCosts& costs, Time now) {
     double expected = drifted_pace(state, now) * queue_factor(state, requests_ahead(state, now));
     if (state.outstanding > 0 && now - state.waiting_since > STALL_TIME) {
         expected += STALL_US;
@@ -208,7 +245,11 @@
         expected *= 2.0;
     }
     expected += state.same_region ? 0.0 : REGION_BYTES_US;
-    return expected + way_us(state) + state.refusal_share * refusal_us;
+    if (state.idle_connections == 0) {
+        expected += CONNECT_US + way_us(state);
+    }
+    return expected + way_us(state) + state.refusal_share * costs.refusal_us +
+           faded_failure_share(state, now) * costs.failure_us;
 }
 
 const char* name_of(Availability availability) {
@@ -260,6 +301,15 @@
     return availability(table, state, cold_per_second, now) == Availability::available;
 }
 
+bool may_keep_idle(const TargetTable& table, const TargetState& state) {
+    const double allowed = static_cast<double>(state.max_connections) * IDLE_SHARE;
+    if (state.same_region || static_cast<double>(table.nodes) <= allowed) {
+        return true;
+    }
+    const std::uint64_t draw = stable_hash(table.own_node + "/" + state.entry.id);
+    return draw % IDLE_DRAWS < IDLE_DRAWS / 3;
+}
+
 Time available_at(const TargetState& state, Time now) {
     return std::max(now, state.unreachable_until);
 }
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -36,6 +36,10 @@
     Time paced_at{};
     /// Share of requests refused before they ran, 0 to 1, smoothed.
     double refusal_share = 0.0;
+    /// Share of requests that ran and brought no good answer, 0 to 1, smoothed; fades when nothing
+    /// is learned.
+    double failure_share = 0.0;
+    Time failure_learned{};
     /// Requests of this node that are with the target.
     std::int64_t outstanding = 0;
     /// When the target last answered, and when the oldest request after that was sent.
@@ -64,6 +68,7 @@
 struct TargetTable {
     std::vector<TargetState> states;
     std::unordered_map<std::string, TargetIndex> by_id;
+    std::string own_node;
     std::string own_data_centre;
     std::string own_region;
     /// Nodes that share the targets; splits connection caps and what cold targets bear.
@@ -84,6 +89,8 @@
 /// `ahead` is what `requests_ahead` gave when the request was sent.
 void on_answer(TargetState& state, Duration took, std::int64_t ahead, Time now);
 void on_refusal(TargetState& state, Time now);
+/// The target answered that it failed to carry the request out.
+void on_target_error(TargetState& state, Duration took, std::int64_t ahead, Time now);
 /// The request ended without an answer; `reached` is false if the target could not be connected.
 void on_failure(TargetState& state, bool reached, Duration cold_start, Time now);
 /// A new connection was closed before its first answer: the target is at its connection limit,
@@ -98,8 +105,14 @@
 /// Requests that are with the target or wait there, as far as this node can tell.
 std::int64_t requests_ahead(const TargetState& state, Time now);
 
-/// Expected microseconds until an answer; a refusal is taken to cost `refusal_us`.
-double expected_us(const TargetState& state, double refusal_us, Time now);
+/// Cost, in microseconds, of a try that brings nothing.
+struct TryCosts {
+    double refusal_us = 0.0;
+    double failure_us = 0.0;
+};
+
+/// Expected microseconds until an answer, with what refusals and failures cost on average.
+double expected_us(const TargetState& state, const TryCosts& costs, Time now);
 
 /// Whether a target may be sent a request, and if not, why.
 enum class Availability : std::uint8_t {
@@ -122,6 +135,11 @@
 bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
                   Time now);
 
+/// True when the target is in this node's region, or its connections suffice for one idle
+/// connection of every node. Else the node keeps one only while it uses it, so that connections
+/// that a loss of power leaves open at the target still leave room.
+bool may_keep_idle(const TargetTable& table, const TargetState& state);
+
 /// When an unreachable target is tried again, or `now`.
 Time available_at(const TargetState& state, Time now);
 
--- a/test/load/test_heavy_days.cpp
+++ b/test/load/test_heavy_days.cpp
@@ -77,6 +77,23 @@
     check_budget(terms, report);
 }
 
+TEST_CASE("one replica of each shard loses answers or fails: outlier ejection by failure share") {
+    for (const bool loses : {true, false}) {
+        FarmTerms terms;
+        TargetFarm farm(terms);
+        for (std::size_t shard = 0; shard < terms.shards; ++shard) {
+            FarmTarget& target = farm.target(shard, shard % terms.replicas);
+            (loses ? target.loses_answer : target.fails) = 0.4;
+        }
+        const FarmReport report = farm.run();
+        // The two sound replicas can carry all of the load.
+        CHECK(report.goodput() > 0.97);
+        // Without ejection the replicas nearest to a third of the nodes would go on losing parts.
+        CHECK(report.parts_missing < report.requests / 20);
+        check_budget(terms, report);
+    }
+}
+
 TEST_CASE("a shard that is down leaves the other parts of the answer in time") {
     FarmTerms terms;
     TargetFarm farm(terms);
--- a/test/support/target_farm.cpp
+++ b/test/support/target_farm.cpp
@@ -129,9 +129,14 @@
                  [this, request, action] { answer(request, action, TryEnd::refused); });
         return;
     }
-    serve(target, [this, request, action, way] {
-        schedule(m_now + way,
-                 [this, request, action] { answer(request, action, TryEnd::answered); });
+    serve(target, [this, request, action, way, &target] {
+        TryEnd end = TryEnd::answered;
+        if (target.loses_answer > 0.0 && uniform(m_random) < target.loses_answer) {
+            end = TryEnd::broken;
+        } else if (target.fails > 0.0 && uniform(m_random) < target.fails) {
+            end = TryEnd::target_error;
+        }
+        schedule(m_now + way, [this, request, action, end] { answer(request, action, end); });
     });
 }
 
@@ -166,6 +171,10 @@
     on_load_report(state, static_cast<std::int64_t>(target.waiting.size()), m_now);
     if (end == TryEnd::refused) {
         on_refusal(state, m_now);
+    } else if (end == TryEnd::broken) {
+        on_failure(state, true, Duration::zero(), m_now);
+    } else if (end == TryEnd::target_error) {
+        on_target_error(state, m_now - request->sent[action.id], request->ahead[action.id], m_now);
     } else {
         on_answer(state, m_now - request->sent[action.id], request->ahead[action.id], m_now);
     }
--- a/test/support/target_farm.h
+++ b/test/support/target_farm.h
@@ -21,6 +21,9 @@
     double slow_factor = 1.0;
     /// Part of the requests that are refused at once.
     double shed = 0.0;
+    /// Parts of the requests that run and lose their answer, or are answered with a failure.
+    double loses_answer = 0.0;
+    double fails = 0.0;
     /// Nothing runs before this time.
     Time paused_until{};
 
