--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -51,9 +51,10 @@
     const Time now = monotonic_now();
     m_watch_at = now + NODE_LIST_PATIENCE;
     if (!m_terms.self.address.empty()) {
-        const StreamHandler handler = [this](const std::shared_ptr<ServerStream>& stream,
-                                             const std::string& path, const std::string&) {
-            if (path == NEWS_PATH) {
+        const std::weak_ptr<bool> alive = m_alive;
+        const StreamHandler handler = [this, alive](const std::shared_ptr<ServerStream>& stream,
+                                                    const std::string& path, const std::string&) {
+            if (path == NEWS_PATH && !alive.expired()) {
                 serve(stream);
             } else {
                 stream->finish();
@@ -88,6 +89,17 @@
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->stop();
     }
+    for (const std::shared_ptr<ServerStream>& follower : m_followers) {
+        follower->finish();
+    }
+    if (m_server != nullptr) {
+        m_server->close();
+    }
+    for (const std::shared_ptr<Upstream>& upstream : {m_upstream, m_candidate}) {
+        if (upstream != nullptr) {
+            PeerCall::cancel(upstream->call);
+        }
+    }
 }
 
 void StoreFeed::watch_store() {
@@ -247,8 +259,11 @@
     upstream->opened = now;
     m_candidate = upstream;
     StreamEvents events;
-    events.on_data = [this, upstream](std::string_view bytes) {
-        on_upstream_data(upstream, bytes);
+    events.on_data = [this, upstream,
+                      alive = std::weak_ptr<bool>(m_alive)](std::string_view bytes) {
+        if (!alive.expired()) {
+            on_upstream_data(upstream, bytes);
+        }
     };
     events.on_end = [upstream](StreamEnd /*end*/) {
         upstream->ended = true;
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -81,6 +81,8 @@
 
     EventLoop& m_loop;
     Metrics& m_metrics;
+    /// Streams outlive the feed on the loop; their handlers ask whether it is still there.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     StoreFeedTerms m_terms;
     NewsTerms m_news_terms;
     std::function<void(const KindNews&)> m_on_news;
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -75,6 +75,11 @@
     return server;
 }
 
+void PeerServer::close() {
+    m_loop.unwatch(m_socket);
+    m_socket.close();
+}
+
 std::string PeerServer::address() const {
     return m_socket.address().toString();
 }
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -62,6 +62,9 @@
                                                       StreamHandler handler,
                                                       TrafficCounters& traffic);
 
+    /// Accepts no more sessions. Only on the loop's thread.
+    void close();
+
     /// The address that is listened on, with the port chosen by the system if none was given.
     std::string address() const;
 
--- /dev/null
+++ b/test/failure/test_store_feed.cpp
@@ -0,0 +1,197 @@
+// Nodes of one data centre that share what they read of the store, over loopback. Each case runs
+// until something has happened; no check depends on the time that passes.
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "front/store_feed.h"
+#include "platform/names.h"
+#include "platform_store.h"
+
+namespace ebonymount {
+namespace {
+
+/// Ends a test that hangs.
+constexpr Duration HANG_LIMIT = from_ms(30000);
+
+constexpr std::size_t NODES = 6;
+constexpr std::size_t FOLLOWERS = NODES - READERS_PER_DATA_CENTRE;
+
+std::string free_address() {
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().toString();
+}
+
+class FeedFleet {
+public:
+    FeedFleet() : m_loop(LoopThread::caller), store(m_loop, "127.0.0.1:0", 1) {
+        for (const char* kind : {platform::names::CONFIG_KIND, platform::names::EVACUATIONS_KIND,
+                                 platform::names::QUARANTINE_KIND}) {
+            store.put(kind, "any", nlohmann::json::object());
+        }
+        add_target("t0");
+        for (std::size_t i = 0; i < NODES; ++i) {
+            nodes.push_back(std::make_unique<Node>());
+            nodes.back()->self = {"node-" + std::to_string(i), "east", free_address()};
+            const nlohmann::json registration = {{"data_centre", "east"},
+                                                 {"address", nodes.back()->self.address}};
+            store.put(platform::names::NODES_KIND, nodes.back()->self.node, registration);
+        }
+        for (const std::unique_ptr<Node>& node : nodes) {
+            start(*node);
+        }
+        m_loop.run_at(monotonic_now() + HANG_LIMIT, [this] { m_loop.stop(); });
+        sweep();
+    }
+
+    struct Node {
+        Member self;
+        Metrics metrics;
+        std::set<std::string> targets;
+        std::unique_ptr<StoreFeed> feed;
+    };
+
+    void add_target(const std::string& name) {
+        store.put(platform::names::TARGETS_KIND, name, {{"service", "s"}});
+    }
+
+    std::size_t following() const {
+        std::size_t count = 0;
+        for (const std::unique_ptr<Node>& node : nodes) {
+            count += node->feed != nullptr && node->feed->is_following() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// True when every node that runs knows the target.
+    bool all_know(const std::string& target) const {
+        for (const std::unique_ptr<Node>& node : nodes) {
+            if (node->feed != nullptr && node->targets.count(target) == 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Something to do once the condition holds.
+    struct Step {
+        std::function<bool()> condition;
+        std::function<void()> action;
+    };
+
+    /// Serves until each condition has held in turn; false if one never did.
+    bool play(std::vector<Step> steps) {
+        m_steps = std::move(steps);
+        m_loop.run();
+        return m_steps.empty();
+    }
+
+    /// A node that reads the store.
+    Node& reader() {
+        for (const std::unique_ptr<Node>& node : nodes) {
+            if (node->feed != nullptr && !node->feed->is_following()) {
+                return *node;
+            }
+        }
+        return *nodes.front();
+    }
+
+private:
+    EventLoop m_loop;
+
+public:
+    standin::PlatformStore store;
+    std::vector<std::unique_ptr<Node>> nodes;
+
+private:
+    void start(Node& node) {
+        StoreFeedTerms terms;
+        terms.self = node.self;
+        terms.store_address = store.address();
+        terms.config_apply = from_ms(1000);
+        terms.stable_window = from_ms(1500);
+        node.feed =
+            std::make_unique<StoreFeed>(m_loop, node.metrics, terms, [&node](const KindNews& news) {
+                for (const platform::StoredObject& object : news.objects) {
+                    if (news.kind == platform::Kind::targets) {
+                        node.targets.insert(object.name);
+                    }
+                }
+            });
+    }
+
+    void sweep() {
+        for (const std::unique_ptr<Node>& node : nodes) {
+            if (node->feed != nullptr) {
+                node->feed->sweep(monotonic_now());
+            }
+        }
+        if (!m_steps.empty() && m_steps.front().condition()) {
+            const Step step = m_steps.front();
+            m_steps.erase(m_steps.begin());
+            if (step.action) {
+                step.action();
+            }
+            if (m_steps.empty()) {
+                m_loop.stop();
+                return;
+            }
+        }
+        m_loop.run_at(monotonic_now() + from_ms(20), [this] { sweep(); });
+    }
+
+    std::vector<Step> m_steps;
+};
+
+}  // namespace
+
+TEST_CASE("two nodes read the store, and all hear of a change") {
+    FeedFleet fleet;
+    CHECK(fleet.play({{[&fleet] { return fleet.following() == FOLLOWERS && fleet.all_know("t0"); },
+                       [&fleet] {
+                           fleet.add_target("t1");
+                       }},
+                      {[&fleet] { return fleet.all_know("t1"); }, nullptr}}));
+}
+
+TEST_CASE("followers of a reader that ends go on hearing changes") {
+    FeedFleet fleet;
+    CHECK(fleet.play({{[&fleet] { return fleet.following() == FOLLOWERS; },
+                       [&fleet] {
+                           fleet.reader().feed.reset();
+                           fleet.add_target("t1");
+                       }},
+                      {[&fleet] { return fleet.all_know("t1"); }, nullptr}}));
+}
+
+TEST_CASE("after an outage of the store all nodes hear changes and follow again") {
+    FeedFleet fleet;
+    CHECK(fleet.play({{[&fleet] { return fleet.following() == FOLLOWERS; },
+                       [&fleet] {
+                           standin::PlatformFaults faults;
+                           faults.outage = standin::Outage::reset;
+                           fleet.store.set_faults(faults);
+                       }},
+                      // Nobody follows news that has grown old.
+                      {[&fleet] { return fleet.following() == 0; },
+                       [&fleet] {
+                           fleet.store.set_faults(standin::PlatformFaults{});
+                           fleet.add_target("t1");
+                       }},
+                      {[&fleet] { return fleet.all_know("t1"); }, nullptr},
+                      {[&fleet] { return fleet.following() == FOLLOWERS; }, nullptr}}));
+}
+
+TEST_CASE("a history that is gone costs no change") {
+    FeedFleet fleet;
+    CHECK(fleet.play({{[&fleet] { return fleet.following() == FOLLOWERS; },
+                       [&fleet] {
+                           fleet.add_target("t1");
+                           fleet.store.compact();
+                       }},
+                      {[&fleet] { return fleet.all_know("t1"); }, nullptr}}));
+}
+
+}  // namespace ebonymount
--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -72,6 +72,10 @@
     answer_watches();
 }
 
+std::string PlatformStore::address() const {
+    return m_listener->address();
+}
+
 std::int64_t PlatformStore::calls() const {
     return m_calls;
 }
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -43,6 +43,9 @@
     /// Forgets the history, so that watches must begin anew.
     void compact();
 
+    /// The address with the port that the system chose if none was given.
+    std::string address() const;
+
     /// Calls so far, refused ones included.
     std::int64_t calls() const;
 
