--- a/src/front/caller_request.cpp
+++ b/src/front/caller_request.cpp
@@ -125,6 +125,7 @@
         services = {services[choose_service(route, uniform(m_front.random))]};
     }
     m_parts.resize(services.size());
+    m_prepared = platform::prepare_for_targets(m_request);
     m_state = begin_request(terms_of(route), services);
     const std::shared_ptr<CallerRequest> self = shared_from_this();
     // The connection keeps the request alive while the caller waits.
@@ -157,6 +158,11 @@
 }
 
 void CallerRequest::schedule_tick() {
+    const Time next = m_state.finished ? Time::max() : next_tick(m_state);
+    // A timer that is early costs one look at the request; moving it with each event costs more.
+    if (m_timer.has_value() && !m_state.finished && m_timer_due <= next) {
+        return;
+    }
     if (m_timer.has_value()) {
         m_front.event_loop.cancel(*m_timer);
         m_timer.reset();
@@ -164,8 +170,9 @@
     if (m_state.finished) {
         return;
     }
+    m_timer_due = next;
     const std::weak_ptr<CallerRequest> weak = weak_from_this();
-    m_timer = m_front.event_loop.run_at(next_tick(m_state), [weak] {
+    m_timer = m_front.event_loop.run_at(next, [weak] {
         const std::shared_ptr<CallerRequest> self = weak.lock();
         if (self != nullptr) {
             self->m_timer.reset();
@@ -208,8 +215,7 @@
     call.freshest_idle = m_state.terms.idempotent ? ANY_CONNECTION : FRESH_CONNECTION;
     call.call.is_head = m_request.method == "HEAD";
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
-        return encode(
-            platform::request_for_target(self->m_request, deadline - monotonic_now(), target_id));
+        return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
     };
     call.call.is_mine = [self](const HttpAnswerMessage& answer) {
         const std::string_view request_id = platform::request_id_of(answer);
--- a/src/front/caller_request.h
+++ b/src/front/caller_request.h
@@ -69,6 +69,7 @@
     std::shared_ptr<HttpServerConnection> m_connection;
     HttpRequestMessage m_request;
     platform::CallerTerms m_caller;
+    platform::PreparedRequest m_prepared;
     std::shared_ptr<const FleetView> m_view;
     std::size_t m_route = 0;
     std::uint64_t m_fingerprint = 0;
@@ -79,6 +80,7 @@
     bool m_advancing = false;
     bool m_caller_gone = false;
     std::optional<TimerId> m_timer;
+    Time m_timer_due{};
 };
 
 }  // namespace ebonymount
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -23,7 +23,7 @@
 
 PoolCallId TargetPool::start(PoolCall call) {
     const PoolCallId id = m_next_call++;
-    Channel channel = take_idle(call.target, call.freshest_idle);
+    Channel channel = take_idle(call.target, call.freshest_idle, monotonic_now());
     if (channel == nullptr) {
         channel = open(call.target);
     }
@@ -69,7 +69,10 @@
         }
     }
     for (TargetIndex target = 0; target < m_channels.size(); ++target) {
-        const Channel newest = take_idle(target, ANY_IDLE_TIME);
+        if (m_channels[target].empty()) {
+            continue;
+        }
+        const Channel newest = take_idle(target, ANY_IDLE_TIME, now);
         const bool keeps_newest = may_keep_idle(m_targets, m_targets.states[target]);
         for (const Channel& channel : m_channels[target]) {
             const bool is_spare = channel != newest || !keeps_newest;
@@ -95,11 +98,10 @@
     return m_opened;
 }
 
-TargetPool::Channel TargetPool::take_idle(TargetIndex target, Duration freshest_idle) {
+TargetPool::Channel TargetPool::take_idle(TargetIndex target, Duration freshest_idle, Time now) {
     if (target >= m_channels.size()) {
         return nullptr;
     }
-    const Time now = monotonic_now();
     Channel best;
     for (const Channel& channel : m_channels[target]) {
         const Duration idle = now - channel->last_used();
--- a/src/front/target_pool.h
+++ b/src/front/target_pool.h
@@ -57,7 +57,7 @@
         Time deadline{};
     };
 
-    Channel take_idle(TargetIndex target, Duration freshest_idle);
+    Channel take_idle(TargetIndex target, Duration freshest_idle, Time now);
     Channel open(TargetIndex target);
     void on_change(TargetIndex target, HttpChannel& channel);
     void count(TargetIndex target);
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -14,6 +14,17 @@
     "internal_port_range=7740,7755\nplatform.address=10.9.0.1:82\nheartbeat_ms=1200\n"
     "bounds.retry_budget_ratio=0.2\nbounds.budget_slack=52\nbounds.grace_s=6\nnew.key=x,y\n";
 
+/// The request as a target reads it.
+HttpRequestMessage read_back(const HttpRequestMessage& request, Duration left,
+                             const std::string& target) {
+    std::string bytes =
+        platform::encode_for_target(platform::prepare_for_targets(request), left, target);
+    HttpRequestReader reader(HttpLimits{});
+    REQUIRE(reader.consume(bytes) == ReadState::complete);
+    CHECK(bytes.empty());
+    return reader.take();
+}
+
 }  // namespace
 
 TEST_CASE("settings are read by name, unknown keys are passed over") {
@@ -123,7 +134,7 @@
                        {"X-Hop", "1"},
                        {"Transfer-Encoding", "chunked"},
                        {"X-Own", "kept"}};
-    const HttpRequestMessage sent = platform::request_for_target(request, from_ms(700), "i-1");
+    const HttpRequestMessage sent = read_back(request, from_ms(700), "i-1");
     CHECK(sent.method == "POST");
     CHECK(sent.target == "/a?b");
     CHECK(sent.body == "body");
--- a/test/error/test_platform_fuzz.cpp
+++ b/test/error/test_platform_fuzz.cpp
@@ -157,7 +157,7 @@
             const HttpRequestMessage request = requests.take();
             CHECK(request.body.size() <= limits.max_body_bytes);
             platform::decode_caller_terms(request.headers);
-            platform::request_for_target(request, from_ms(5), "i");
+            platform::encode_for_target(platform::prepare_for_targets(request), from_ms(5), "i");
         }
         if (answers.consume(second) == ReadState::complete) {
             const HttpAnswerMessage answer = answers.take();
--- a/test/error/test_platform_input.cpp
+++ b/test/error/test_platform_input.cpp
@@ -59,6 +59,14 @@
     CHECK(is_refused(R"({"service": "s"})"));
 }
 
+TEST_CASE("a name that would break a header names no target") {
+    const std::string spec = entry_with("sequence", "1");
+    CHECK(has_value(platform::decode_target("i-1", spec)));
+    for (const std::string name : {"", "i 1", "i\r\nX-Other: 1", "i\n", "i\x7f", "\xc3\xa9"}) {
+        CHECK_FALSE(has_value(platform::decode_target(name, spec)));
+    }
+}
+
 TEST_CASE("a start that is no whole number makes an entry unusable") {
     std::string text = entry_with("sequence", "1");
     text.insert(1, R"("born": 12.5, )");
