--- /dev/null
+++ b/test/soak/soak_callers.cpp
@@ -0,0 +1,174 @@
+// Callers and the balancer in the world of a soak.
+#include <Poco/StringTokenizer.h>
+
+#include "platform/names.h"
+#include "soak_world.h"
+
+namespace soak {
+
+using ebonymount::CallEnd;
+using ebonymount::ChannelCall;
+using ebonymount::from_ms;
+using ebonymount::HttpAnswerMessage;
+using ebonymount::HttpChannel;
+using ebonymount::HttpRequestMessage;
+using ebonymount::monotonic_now;
+using ebonymount::uniform;
+namespace names = ebonymount::platform::names;
+
+namespace {
+
+constexpr Duration READINESS_INTERVAL = from_ms(1000);
+constexpr std::size_t MOST_CALLER_CONNECTIONS = 12;
+
+std::vector<std::string> split(std::string_view text) {
+    const Poco::StringTokenizer tokens(
+        std::string(text), ",",
+        Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    return {tokens.begin(), tokens.end()};
+}
+
+}  // namespace
+
+void SoakWorld::ask_readiness(Node& node) {
+    if (m_ending) {
+        return;
+    }
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    node.readiness =
+        HttpChannel::open(m_loop, address(NODES, static_cast<std::size_t>(node.host), READY_PORT),
+                          [](HttpChannel&) {});
+    if (node.readiness != nullptr) {
+        ChannelCall call;
+        call.make_request = [] {
+            return encode(HttpRequestMessage{
+                "GET", names::READINESS_PATH, {{"Host", "soak.example"}}, "", false});
+        };
+        call.is_mine = [](const HttpAnswerMessage&) {
+            return true;
+        };
+        call.on_began = [] {
+        };
+        call.on_end = [answered](CallEnd end, const HttpAnswerMessage& answer) {
+            *answered = end == CallEnd::answered && answer.status == 200;
+        };
+        node.readiness->start(std::move(call));
+    }
+    after(READINESS_INTERVAL, [this, &node, answered] {
+        node.missed = *answered ? 0 : node.missed + 1;
+        node.in_rotation = *answered || (node.in_rotation && node.missed < 2);
+        ask_readiness(node);
+    });
+}
+
+void SoakWorld::arrive() {
+    if (!m_traffic) {
+        return;
+    }
+    std::vector<Node*> ready;
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        if (node->in_rotation) {
+            ready.push_back(node.get());
+        }
+    }
+    if (!ready.empty()) {
+        send_request(*ready[m_random() % ready.size()]);
+    }
+    const double gap_us = 1e6 / m_rate * 2.0 * uniform(m_random);
+    after(Duration(static_cast<std::int64_t>(gap_us)), [this] { arrive(); });
+}
+
+SoakWorld::Channel SoakWorld::take_connection(Node& node) {
+    std::erase_if(node.callers, [](const Channel& channel) { return channel->is_closed(); });
+    std::vector<Channel> idle;
+    for (const Channel& channel : node.callers) {
+        if (channel->is_idle()) {
+            idle.push_back(channel);
+        }
+    }
+    if (!idle.empty() &&
+        (uniform(m_random) < 0.8 || node.callers.size() >= MOST_CALLER_CONNECTIONS)) {
+        return idle[m_random() % idle.size()];
+    }
+    const Channel channel =
+        HttpChannel::open(m_loop, address(CALLER_LINKS, static_cast<std::size_t>(node.host), PORT),
+                          [](HttpChannel&) {});
+    if (channel != nullptr) {
+        node.callers.push_back(channel);
+    }
+    return channel;
+}
+
+void SoakWorld::send_request(Node& node) {
+    const Channel channel = take_connection(node);
+    if (channel == nullptr) {
+        return;
+    }
+    auto route = m_config.routes.begin();
+    std::advance(route, static_cast<std::ptrdiff_t>(m_random() % m_config.routes.size()));
+    SoakRequest request;
+    request.id = "r" + std::to_string(m_next_id++);
+    request.node = node.name;
+    request.route = route->first;
+    request.path = "/" + route->first + "/" + ebonymount::random_id(m_random);
+    request.method = route->second.fan_out ? "GET" : "POST";
+    request.body = route->second.fan_out ? "" : "body of " + request.id;
+    const Duration deadline = route->second.timeout + from_ms(200);
+    const bool leaves = uniform(m_random) < m_leaving_share;
+    ChannelCall call;
+    call.make_request = [this, request, deadline]() mutable {
+        request.sent = monotonic_now();
+        m_ledger.on_request(request);
+        return encode(
+            HttpRequestMessage{request.method,
+                               request.path,
+                               {{"Host", "soak.example"},
+                                {names::REQUEST_ID, request.id},
+                                {names::DEADLINE, std::to_string(deadline.count() / 1000)}},
+                               request.body,
+                               true});
+    };
+    call.is_mine = [](const HttpAnswerMessage&) {
+        return true;
+    };
+    call.on_began = [] {
+    };
+    call.on_end = [this, id = request.id](CallEnd end, const HttpAnswerMessage& answer) {
+        on_answer(id, end, answer);
+    };
+    channel->start(std::move(call));
+    const std::weak_ptr<HttpChannel> weak = channel;
+    after(leaves ? from_ms(60) : deadline + m_bounds.timeout_slack,
+          [this, weak, leaves, id = request.id] {
+              const Channel open = weak.lock();
+              // The connection may serve a later request by now, whose own time is not over.
+              if (open != nullptr && open->has_call() && m_ledger.is_open(id)) {
+                  if (leaves) {
+                      m_ledger.on_caller_left(id, monotonic_now());
+                  }
+                  open->close();
+              }
+          });
+}
+
+void SoakWorld::on_answer(const std::string& id, CallEnd end, const HttpAnswerMessage& answer) {
+    if (end == CallEnd::aborted || end == CallEnd::not_sent) {
+        return;
+    }
+    SoakAnswer given;
+    if (end == CallEnd::malformed) {
+        m_ledger.on_malformed(id);
+    }
+    if (end == CallEnd::answered) {
+        given.status = answer.status;
+        given.request_id = std::string(find_header(answer.headers, names::REQUEST_ID));
+        given.signature = std::string(find_header(answer.headers, names::SIGNATURE));
+        given.part_signatures = split(find_header(answer.headers, names::PART_SIGNATURES));
+        const std::string missing(find_header(answer.headers, names::MISSING_PARTS));
+        given.missing_parts = missing.empty() ? 0 : std::stoll(missing);
+        given.body = answer.body;
+    }
+    m_ledger.on_answer(id, given, monotonic_now());
+}
+
+}  // namespace soak
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -1,7 +1,5 @@
 #include "soak_world.h"
 
-#include <Poco/StringTokenizer.h>
-
 #include <array>
 #include <csignal>
 #include <fstream>
@@ -10,11 +8,7 @@
 
 namespace soak {
 
-using ebonymount::CallEnd;
-using ebonymount::ChannelCall;
 using ebonymount::from_ms;
-using ebonymount::HttpAnswerMessage;
-using ebonymount::HttpChannel;
 using ebonymount::HttpRequestMessage;
 using ebonymount::monotonic_now;
 using ebonymount::uniform;
@@ -23,19 +17,6 @@
 
 namespace {
 
-constexpr int PORT = 7101;
-constexpr int READY_PORT = 7102;
-constexpr int METRICS_PORT = 7103;
-constexpr int PEER_PORT = 7104;
-
-/// Groups of loopback addresses: the third byte.
-constexpr int NODES = 1;
-constexpr int CALLER_LINKS = 2;
-constexpr int STORE_LINKS = 3;
-constexpr int STORE = 4;
-constexpr int TARGETS = 5;
-constexpr int TARGET_LINKS = 6;
-
 /// Until the nodes have read the store, and after the faults until all must serve again.
 constexpr Duration LEAD = from_ms(3000);
 constexpr Duration RECOVERY = from_ms(12000);
@@ -57,15 +38,6 @@
 constexpr Duration START_TIME = from_ms(1000);
 
 constexpr Duration WATCH_NODES = from_ms(50);
-constexpr Duration READINESS_INTERVAL = from_ms(1000);
-constexpr std::size_t MOST_CALLER_CONNECTIONS = 12;
-
-std::vector<std::string> split(std::string_view text) {
-    const Poco::StringTokenizer tokens(
-        std::string(text), ",",
-        Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-    return {tokens.begin(), tokens.end()};
-}
 
 SoakTarget seen(const standin::PlatformTarget& target) {
     return {target.traits().id, target.traits().service, target.traits().data_centre};
@@ -349,147 +321,6 @@
               {"idle_timeout_ms", 30000}}}};
 }
 
-void SoakWorld::ask_readiness(Node& node) {
-    if (m_ending) {
-        return;
-    }
-    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-    node.readiness =
-        HttpChannel::open(m_loop, address(NODES, static_cast<std::size_t>(node.host), READY_PORT),
-                          [](HttpChannel&) {});
-    if (node.readiness != nullptr) {
-        ChannelCall call;
-        call.make_request = [] {
-            return encode(HttpRequestMessage{
-                "GET", names::READINESS_PATH, {{"Host", "soak.example"}}, "", false});
-        };
-        call.is_mine = [](const HttpAnswerMessage&) {
-            return true;
-        };
-        call.on_began = [] {
-        };
-        call.on_end = [answered](CallEnd end, const HttpAnswerMessage& answer) {
-            *answered = end == CallEnd::answered && answer.status == 200;
-        };
-        node.readiness->start(std::move(call));
-    }
-    after(READINESS_INTERVAL, [this, &node, answered] {
-        node.missed = *answered ? 0 : node.missed + 1;
-        node.in_rotation = *answered || (node.in_rotation && node.missed < 2);
-        ask_readiness(node);
-    });
-}
-
-void SoakWorld::arrive() {
-    if (!m_traffic) {
-        return;
-    }
-    std::vector<Node*> ready;
-    for (const std::unique_ptr<Node>& node : m_nodes) {
-        if (node->in_rotation) {
-            ready.push_back(node.get());
-        }
-    }
-    if (!ready.empty()) {
-        send_request(*ready[m_random() % ready.size()]);
-    }
-    const double gap_us = 1e6 / m_rate * 2.0 * uniform(m_random);
-    after(Duration(static_cast<std::int64_t>(gap_us)), [this] { arrive(); });
-}
-
-SoakWorld::Channel SoakWorld::take_connection(Node& node) {
-    std::erase_if(node.callers, [](const Channel& channel) { return channel->is_closed(); });
-    std::vector<Channel> idle;
-    for (const Channel& channel : node.callers) {
-        if (channel->is_idle()) {
-            idle.push_back(channel);
-        }
-    }
-    if (!idle.empty() &&
-        (uniform(m_random) < 0.8 || node.callers.size() >= MOST_CALLER_CONNECTIONS)) {
-        return idle[m_random() % idle.size()];
-    }
-    const Channel channel =
-        HttpChannel::open(m_loop, address(CALLER_LINKS, static_cast<std::size_t>(node.host), PORT),
-                          [](HttpChannel&) {});
-    if (channel != nullptr) {
-        node.callers.push_back(channel);
-    }
-    return channel;
-}
-
-void SoakWorld::send_request(Node& node) {
-    const Channel channel = take_connection(node);
-    if (channel == nullptr) {
-        return;
-    }
-    auto route = m_config.routes.begin();
-    std::advance(route, static_cast<std::ptrdiff_t>(m_random() % m_config.routes.size()));
-    SoakRequest request;
-    request.id = "r" + std::to_string(m_next_id++);
-    request.node = node.name;
-    request.route = route->first;
-    request.path = "/" + route->first + "/" + ebonymount::random_id(m_random);
-    request.method = route->second.fan_out ? "GET" : "POST";
-    request.body = route->second.fan_out ? "" : "body of " + request.id;
-    const Duration deadline = route->second.timeout + from_ms(200);
-    const bool leaves = uniform(m_random) < m_leaving_share;
-    ChannelCall call;
-    call.make_request = [this, request, deadline]() mutable {
-        request.sent = monotonic_now();
-        m_ledger.on_request(request);
-        return encode(
-            HttpRequestMessage{request.method,
-                               request.path,
-                               {{"Host", "soak.example"},
-                                {names::REQUEST_ID, request.id},
-                                {names::DEADLINE, std::to_string(deadline.count() / 1000)}},
-                               request.body,
-                               true});
-    };
-    call.is_mine = [](const HttpAnswerMessage&) {
-        return true;
-    };
-    call.on_began = [] {
-    };
-    call.on_end = [this, id = request.id](CallEnd end, const HttpAnswerMessage& answer) {
-        on_answer(id, end, answer);
-    };
-    channel->start(std::move(call));
-    const std::weak_ptr<HttpChannel> weak = channel;
-    after(leaves ? from_ms(60) : deadline + m_bounds.timeout_slack,
-          [this, weak, leaves, id = request.id] {
-              const Channel open = weak.lock();
-              // The connection may serve a later request by now, whose own time is not over.
-              if (open != nullptr && open->has_call() && m_ledger.is_open(id)) {
-                  if (leaves) {
-                      m_ledger.on_caller_left(id, monotonic_now());
-                  }
-                  open->close();
-              }
-          });
-}
-
-void SoakWorld::on_answer(const std::string& id, CallEnd end, const HttpAnswerMessage& answer) {
-    if (end == CallEnd::aborted || end == CallEnd::not_sent) {
-        return;
-    }
-    SoakAnswer given;
-    if (end == CallEnd::malformed) {
-        m_ledger.on_malformed(id);
-    }
-    if (end == CallEnd::answered) {
-        given.status = answer.status;
-        given.request_id = std::string(find_header(answer.headers, names::REQUEST_ID));
-        given.signature = std::string(find_header(answer.headers, names::SIGNATURE));
-        given.part_signatures = split(find_header(answer.headers, names::PART_SIGNATURES));
-        const std::string missing(find_header(answer.headers, names::MISSING_PARTS));
-        given.missing_parts = missing.empty() ? 0 : std::stoll(missing);
-        given.body = answer.body;
-    }
-    m_ledger.on_answer(id, given, monotonic_now());
-}
-
 void SoakWorld::measure_stalls() {
     const Time now = monotonic_now();
     if (m_next_stall_check != Time{} && now > m_next_stall_check + STALL) {
--- a/test/soak/soak_world.h
+++ b/test/soak/soak_world.h
@@ -21,6 +21,19 @@
 
 namespace soak {
 
+constexpr int PORT = 7101;
+constexpr int READY_PORT = 7102;
+constexpr int METRICS_PORT = 7103;
+constexpr int PEER_PORT = 7104;
+
+/// Groups of loopback addresses: the third byte.
+constexpr int NODES = 1;
+constexpr int CALLER_LINKS = 2;
+constexpr int STORE_LINKS = 3;
+constexpr int STORE = 4;
+constexpr int TARGETS = 5;
+constexpr int TARGET_LINKS = 6;
+
 struct SoakTerms {
     std::uint64_t seed = 1;
     std::size_t nodes = 6;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,10 +2,11 @@
 # Randomized soak: the real programs as separate processes, faults from outside, promises checked.
 #
 #   tools/soak.sh [--seed N] [--seeds N] [--minutes M] [--nodes K] [--jobs J]
+#   tools/soak.sh --kept
 #
 # Plays --seeds seeds (default 1) from --seed on (default: drawn from the time), --jobs at a time.
 # With --minutes, goes on with further seeds until the time is over. Exits 0 only if every promise
-# held. Logs of seeds that broke one stay in build/soak; the others' are removed.
+# held. --kept plays the seeds of test/soak/kept_seeds.txt. Logs of seeds that broke one stay in build/soak; the others' are removed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -14,6 +15,7 @@
 minutes=0
 nodes=6
 jobs=1
+kept=no
 while [ $# -gt 0 ]; do
     case "$1" in
         --seed) seed="$2"; shift 2 ;;
@@ -21,6 +23,7 @@
         --minutes) minutes="$2"; shift 2 ;;
         --nodes) nodes="$2"; shift 2 ;;
         --jobs) jobs="$2"; shift 2 ;;
+        --kept) kept=yes; shift ;;
         *) echo "soak.sh: unknown option $1" >&2; exit 2 ;;
     esac
 done
@@ -30,6 +33,18 @@
 mkdir -p "$out"
 end=$(($(date +%s) + minutes * 60))
 
+if [ "$kept" = yes ]; then
+    status=0
+    while read -r one nodes _; do
+        case "$one" in
+            '' | '#'*) continue ;;
+        esac
+        build/ebonymount_soak --seed "$one" --nodes "$nodes" --front build/ebonymount_front \
+            --directory "$out" || status=1
+    done < test/soak/kept_seeds.txt
+    exit "$status"
+fi
+
 # Plays every jobs-th seed, beginning with the job's own.
 job() {
     local number="$1" i="$1" status=0
