A node that starts while the store is away asks the nodes that its settings name

Cause: a restarted node answered 503 until the store was back, although others knew everything. Test over loopback fails without the peers.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -121,6 +121,7 @@
     StoreFeedTerms feed;
     feed.self = {m_settings.node, m_settings.data_centre, m_settings.peer_address};
     feed.store_address = m_settings.store_address;
+    feed.first_peers = m_settings.first_peers;
     feed.config_apply = m_settings.config_apply;
     feed.stable_window = m_settings.stable_window;
     feed.first_start = m_settings.first_start;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -245,12 +245,28 @@
     }
 }
 
-void StoreFeed::open_candidate(Time now) {
+std::vector<Member> StoreFeed::candidates(Time now) const {
     AvoidedReaders avoided = m_avoided;
     if (m_upstream != nullptr) {
         avoided[m_upstream->reader.node] = Time::max();
     }
-    const std::vector<Member> readers = readers_for(m_terms.self, m_members, avoided, now);
+    if (!m_members.empty()) {
+        return readers_for(m_terms.self, m_members, avoided, now);
+    }
+    // The store has not answered yet. What another node heard before is better than nothing.
+    std::vector<Member> peers;
+    for (const std::string& address : m_terms.first_peers) {
+        const auto found = avoided.find(address);
+        const bool is_avoided = found != avoided.end() && now < found->second;
+        if (m_watching && !is_avoided && address != m_terms.self.address) {
+            peers.push_back({address, m_terms.self.data_centre, address});
+        }
+    }
+    return peers;
+}
+
+void StoreFeed::open_candidate(Time now) {
+    const std::vector<Member> readers = candidates(now);
     if (readers.empty()) {
         return;
     }
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -24,6 +24,8 @@
 struct StoreFeedTerms {
     Member self;
     std::string store_address;
+    /// Nodes to ask while the list of nodes is not known because the store is away.
+    std::vector<std::string> first_peers;
     Duration config_apply{};
     Duration stable_window{};
     /// The whole system starts for the first time, so the list of nodes fills only now.
@@ -69,6 +71,7 @@
     Time store_heard() const;
 
     void sweep_candidate(Time now);
+    std::vector<Member> candidates(Time now) const;
     void open_candidate(Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
     void drop(std::shared_ptr<Upstream>& upstream, const char* reason, Time now);
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -41,6 +41,37 @@
     CHECK(settings.grace == from_ms(6000));
 }
 
+TEST_CASE("nodes reach each other at their own interface, else at the first free port") {
+    const Result<platform::Settings> by_port = platform::parse_settings(SETTINGS, "f");
+    REQUIRE(has_value(by_port));
+    CHECK(value_of(by_port).peer_address == "10.1.0.3:7740");
+    CHECK(value_of(by_port).first_peers.empty());
+    CHECK_FALSE(value_of(by_port).first_start);
+    const Result<platform::Settings> named = platform::parse_settings(
+        SETTINGS +
+            "bind_addresses.control=10.1.0.3:83\nseeds=10.1.0.3:83,,10.2.0.4:83\n"
+            "bootstrap=true\n",
+        "f");
+    REQUIRE(has_value(named));
+    CHECK(value_of(named).peer_address == "10.1.0.3:83");
+    CHECK(value_of(named).first_peers == std::vector<std::string>{"10.1.0.3:83", "10.2.0.4:83"});
+    CHECK(value_of(named).first_start);
+}
+
+TEST_CASE("a node's registration is read as it was written") {
+    const Member member = {"front-1", "east-a", "10.1.0.3:83"};
+    platform::StoredObject object;
+    object.name = member.node;
+    object.spec = R"({"address":"10.1.0.3:83","data_centre":"east-a"})";
+    CHECK(platform::registration_body(member).find(object.spec) != std::string::npos);
+    CHECK(platform::decode_registration(object) == member);
+    // Anything else is a node that serves no others.
+    for (const char* spec : {"", "null", "7", "{}", R"({"address":"name:80"})"}) {
+        object.spec = spec;
+        CHECK(platform::decode_registration(object).address.empty());
+    }
+}
+
 TEST_CASE("a configuration becomes a table of routes") {
     const std::string spec = R"({"version": 7, "routes": [
         {"name": "all", "hostname": "h", "path_prefix": "/a/", "type": "idempotent",
--- a/test/failure/test_store_feed.cpp
+++ b/test/failure/test_store_feed.cpp
@@ -26,7 +26,9 @@
 
 class FeedFleet {
 public:
-    FeedFleet() : m_loop(LoopThread::caller), store(m_loop, "127.0.0.1:0", 1) {
+    /// `late` nodes are not started yet.
+    explicit FeedFleet(std::size_t late = 0)
+        : m_loop(LoopThread::caller), store(m_loop, "127.0.0.1:0", 1) {
         for (const char* kind : {platform::names::CONFIG_KIND, platform::names::EVACUATIONS_KIND,
                                  platform::names::QUARANTINE_KIND}) {
             store.put(kind, "any", nlohmann::json::object());
@@ -39,8 +41,8 @@
                                                  {"address", nodes.back()->self.address}};
             store.put(platform::names::NODES_KIND, nodes.back()->self.node, registration);
         }
-        for (const std::unique_ptr<Node>& node : nodes) {
-            start(*node);
+        for (std::size_t i = 0; i < NODES - late; ++i) {
+            start(*nodes[i]);
         }
         m_loop.run_at(monotonic_now() + HANG_LIMIT, [this] { m_loop.stop(); });
         sweep();
@@ -88,6 +90,23 @@
         return m_steps.empty();
     }
 
+    void start(Node& node) {
+        StoreFeedTerms terms;
+        terms.self = node.self;
+        terms.store_address = store.address();
+        terms.first_peers = {"127.0.0.1:1", nodes.front()->self.address};
+        terms.config_apply = from_ms(1000);
+        terms.stable_window = from_ms(1500);
+        node.feed =
+            std::make_unique<StoreFeed>(m_loop, node.metrics, terms, [&node](const KindNews& news) {
+                for (const platform::StoredObject& object : news.objects) {
+                    if (news.kind == platform::Kind::targets) {
+                        node.targets.insert(object.name);
+                    }
+                }
+            });
+    }
+
     /// A node that reads the store.
     Node& reader() {
         for (const std::unique_ptr<Node>& node : nodes) {
@@ -106,22 +125,6 @@
     std::vector<std::unique_ptr<Node>> nodes;
 
 private:
-    void start(Node& node) {
-        StoreFeedTerms terms;
-        terms.self = node.self;
-        terms.store_address = store.address();
-        terms.config_apply = from_ms(1000);
-        terms.stable_window = from_ms(1500);
-        node.feed =
-            std::make_unique<StoreFeed>(m_loop, node.metrics, terms, [&node](const KindNews& news) {
-                for (const platform::StoredObject& object : news.objects) {
-                    if (news.kind == platform::Kind::targets) {
-                        node.targets.insert(object.name);
-                    }
-                }
-            });
-    }
-
     void sweep() {
         for (const std::unique_ptr<Node>& node : nodes) {
             if (node->feed != nullptr) {
@@ -184,6 +187,18 @@
                       {[&fleet] { return fleet.following() == FOLLOWERS; }, nullptr}}));
 }
 
+TEST_CASE("a node that starts while the store is away hears what others know") {
+    FeedFleet fleet(1);
+    CHECK(fleet.play({{[&fleet] { return fleet.all_know("t0"); },
+                       [&fleet] {
+                           standin::PlatformFaults faults;
+                           faults.outage = standin::Outage::reset;
+                           fleet.store.set_faults(faults);
+                           fleet.start(*fleet.nodes.back());
+                       }},
+                      {[&fleet] { return fleet.all_know("t0"); }, nullptr}}));
+}
+
 TEST_CASE("a history that is gone costs no change") {
     FeedFleet fleet;
     CHECK(fleet.play({{[&fleet] { return fleet.following() == FOLLOWERS; },
--- a/test/soak/ebonymount_soak.cpp
+++ b/test/soak/ebonymount_soak.cpp
@@ -37,7 +37,7 @@
               << terms.seed << " --nodes " << terms.nodes << "\n";
 }
 
-bool play(soak::SoakTerms terms) {
+bool play(const soak::SoakTerms& terms) {
     std::filesystem::create_directories(terms.directory);
     const std::vector<soak::SoakStep> plan = soak::make_plan(terms.seed, terms.faults);
     soak::SoakWorld world(terms);
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -200,7 +200,8 @@
     file << "bind_addresses.front=" << address(NODES, host, PORT)
          << "\nbind_addresses.ready=" << address(NODES, host, READY_PORT)
          << "\nplatform.address=" << address(STORE_LINKS, host, PORT)
-         << "\ninternal_port_range=" << PEER_PORT << "," << PEER_PORT + 1
+         << "\nbind_addresses.control=" << address(NODES, host, PEER_PORT)
+         << "\nseeds=" << address(NODES, 1, PEER_PORT) << "," << address(NODES, 2, PEER_PORT)
          << "\nbounds.stable_window_ms=" << m_bounds.stable_window.count() / 1000
          << "\nlimits.cpu_share=1\nlimits.max_open_files=4096\nbounds.grace_s="
          << m_bounds.grace.count() / from_ms(1000).count()
