--- a/src/policy/store_readers.cpp
+++ b/src/policy/store_readers.cpp
@@ -8,10 +8,9 @@
 namespace ebonymount {
 namespace {
 
-// Parts of the stable window, and of the time in which a change must be in force. A reader that
-// loses the store is found out after the longest age, which leaves more than half of the time to
-// read the store instead. The longest age exceeds a pause, a probe and a heartbeat, or calm readers
-// would be given up.
+// Parts of the stable window (the first) and of the time in which a change must be in force. The
+// worrying age exceeds a pause, a probe and a heartbeat together, or calm readers would be given
+// up. The longest age leaves half of that time to read the store instead.
 constexpr double WATCH_SHARE = 0.6;
 constexpr double PROBE_SHARE = 0.15;
 constexpr double HEARTBEAT_SHARE = 0.1;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -1,6 +1,7 @@
 // The steps of a plan, carried out in the world of a soak.
 #include <csignal>
 
+#include "platform/names.h"
 #include "soak_world.h"
 
 namespace soak {
@@ -8,9 +9,10 @@
 using ebonymount::from_ms;
 using ebonymount::monotonic_now;
 using ebonymount::scaled;
+namespace names = ebonymount::platform::names;
 using standin::Outage;
 using standin::PlatformFaults;
-using standin::PlatformTargetMood;
+using standin::TargetBehaviour;
 using standin::Way;
 
 namespace {
@@ -195,13 +197,14 @@
     if (step.kind == StepKind::entries_lapse) {
         for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
             if (slot->registered && ebonymount::uniform(m_random) < step.strength) {
-                m_store->remove("servers", slot->traits.id);
+                m_store->remove(names::TARGETS_KIND, slot->traits.id);
             }
         }
         after(step.length + REGISTERED_AGAIN, [this] {
             for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
                 if (slot->registered) {
-                    register_target(*slot, slot->target->mood().draining ? "draining" : "ready");
+                    register_target(*slot,
+                                    slot->target->behaviour().draining ? "draining" : "ready");
                 }
             }
         });
@@ -228,12 +231,12 @@
 }
 
 void SoakWorld::drain_target(TargetSlot& slot, bool silent) {
-    if (slot.target->is_down() || slot.target->mood().draining || !slot.registered) {
+    if (slot.target->is_down() || slot.target->behaviour().draining || !slot.registered) {
         return;
     }
-    PlatformTargetMood mood = slot.target->mood();
-    mood.draining = true;
-    slot.target->set_mood(mood);
+    TargetBehaviour behaviour = slot.target->behaviour();
+    behaviour.draining = true;
+    slot.target->set_behaviour(behaviour);
     if (silent) {
         unregister_target(slot);
     } else {
@@ -248,7 +251,7 @@
 }
 
 void SoakWorld::apply_to_target(const SoakStep& step, TargetSlot& slot) {
-    PlatformTargetMood mood = slot.target->mood();
+    TargetBehaviour behaviour = slot.target->behaviour();
     switch (step.kind) {
         case StepKind::target_crashes:
             crash_target(slot, step.length, slot.traits.service);
@@ -274,23 +277,23 @@
             }
             return;
         case StepKind::target_slow:
-            mood.slow_factor = 2.0 + 10.0 * step.strength;
+            behaviour.slow_factor = 2.0 + 10.0 * step.strength;
             break;
         case StepKind::target_refuses:
-            mood.refuses = 0.2 + 0.8 * step.strength;
+            behaviour.refuses = 0.2 + 0.8 * step.strength;
             break;
         case StepKind::target_fails:
-            mood.fails = 0.2 + 0.8 * step.strength;
+            behaviour.fails = 0.2 + 0.8 * step.strength;
             break;
         default:
-            mood.loses_answer = 0.05 + 0.3 * step.strength;
+            behaviour.loses_answer = 0.05 + 0.3 * step.strength;
             break;
     }
-    slot.target->set_mood(mood);
+    slot.target->set_behaviour(behaviour);
     after(step.length, [&slot] {
-        PlatformTargetMood usual;
-        usual.draining = slot.target->mood().draining;
-        slot.target->set_mood(usual);
+        TargetBehaviour usual;
+        usual.draining = slot.target->behaviour().draining;
+        slot.target->set_behaviour(usual);
     });
 }
 
@@ -319,10 +322,10 @@
             return;
         case StepKind::data_centre_out: {
             const std::string data_centre = m_slots[step.pick % m_slots.size()]->traits.data_centre;
-            m_store->put("evacuations", data_centre, nlohmann::json::object());
+            m_store->put(names::EVACUATIONS_KIND, data_centre, nlohmann::json::object());
             m_ledger.on_data_centre(data_centre, false, monotonic_now());
             after(step.length, [this, data_centre] {
-                m_store->remove("evacuations", data_centre);
+                m_store->remove(names::EVACUATIONS_KIND, data_centre);
                 m_ledger.on_data_centre(data_centre, true, monotonic_now());
             });
             return;
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -61,12 +61,12 @@
     }
 }
 
-void PlatformTarget::set_mood(const PlatformTargetMood& mood) {
-    m_mood = mood;
+void PlatformTarget::set_behaviour(const TargetBehaviour& behaviour) {
+    m_behaviour = behaviour;
 }
 
-const PlatformTargetMood& PlatformTarget::mood() const {
-    return m_mood;
+const TargetBehaviour& PlatformTarget::behaviour() const {
+    return m_behaviour;
 }
 
 const PlatformTargetTraits& PlatformTarget::traits() const {
@@ -96,7 +96,7 @@
     }
     m_observer.on_arrival(*this, request);
     const bool is_full = m_running >= m_traits.slots && m_waiting.size() >= m_traits.queue;
-    if (is_full || uniform(m_random) < m_mood.refuses) {
+    if (is_full || uniform(m_random) < m_behaviour.refuses) {
         refuse(connection, ebonymount::http::UNAVAILABLE, request_id);
         return;
     }
@@ -122,7 +122,7 @@
     // Most requests take about the usual time, a few five times as long.
     const double spread = uniform(m_random) < 0.02 ? 5.0 : 0.6 + 0.8 * uniform(m_random);
     const ebonymount::Duration time =
-        ebonymount::scaled(m_traits.service_time, spread * m_mood.slow_factor);
+        ebonymount::scaled(m_traits.service_time, spread * m_behaviour.slow_factor);
     const std::weak_ptr<PlatformTarget> weak = weak_from_this();
     m_loop.run_at(monotonic_now() + time, [weak, work] {
         const std::shared_ptr<PlatformTarget> self = weak.lock();
@@ -144,7 +144,7 @@
     --m_running;
     work->done = true;
     if (!work->cancelled) {
-        const bool success = uniform(m_random) >= m_mood.fails;
+        const bool success = uniform(m_random) >= m_behaviour.fails;
         HttpAnswerMessage answer;
         answer.status = success ? ebonymount::http::OK : INTERNAL_ERROR;
         const std::string signature = m_traits.id + "." + std::to_string(++m_answers);
@@ -155,7 +155,7 @@
                                                    std::to_string(m_traits.slots)});
         answer.body = make_records();
         m_observer.on_answer(*this, work->request_id, signature, answer.body, success);
-        if (uniform(m_random) < m_mood.loses_answer) {
+        if (uniform(m_random) < m_behaviour.loses_answer) {
             work->connection->drop();
         } else {
             work->connection->respond(std::move(answer));
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -27,7 +27,7 @@
 };
 
 /// How a target behaves at present.
-struct PlatformTargetMood {
+struct TargetBehaviour {
     double slow_factor = 1.0;
     /// Parts of the requests that are refused, fail, or lose their answer after they ran.
     double refuses = 0.0;
@@ -62,8 +62,8 @@
     /// Ends as a crash does: connections are reset and nothing is answered any more.
     void crash();
 
-    void set_mood(const PlatformTargetMood& mood);
-    const PlatformTargetMood& mood() const;
+    void set_behaviour(const TargetBehaviour& behaviour);
+    const TargetBehaviour& behaviour() const;
     const PlatformTargetTraits& traits() const;
     bool is_down() const;
 
@@ -88,7 +88,7 @@
     ebonymount::EventLoop& m_loop;
     PlatformTargetTraits m_traits;
     PlatformTargetObserver m_observer;
-    PlatformTargetMood m_mood;
+    TargetBehaviour m_behaviour;
     std::shared_ptr<ebonymount::HttpListener> m_listener;
     ebonymount::Random m_random;
     std::int64_t m_running = 0;
