--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -83,10 +83,6 @@
     wait_for_changes();
 }
 
-bool KindWatcher::is_paused() const {
-    return m_paused;
-}
-
 platform::Kind KindWatcher::kind() const {
     return m_options.kind;
 }
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -70,7 +70,6 @@
     /// 0 begins with the list. `in_trouble` if the store had failed there a while ago.
     void pause();
     void resume(std::int64_t revision, bool in_trouble);
-    bool is_paused() const;
     platform::Kind kind() const;
 
     /// Takes effect with the next call.
