Settings: read each bound in each form that the platform allows

A process that refuses its settings over one field serves nobody. Also, amounts and deadlines were converted to microseconds without bounds, and a deadline "800abc" counted as 800.

Ruled out: rounding to the nearest number, which allows one extra arrival more than the bound.

Change: bounds and limits may be whole numbers, fractions, true or false, and are rounded to the side that keeps the bound. One that cannot be used is logged and leaves the previous value (at the start: the default) in force. A required field that cannot be used ends the start with file, field, value and what is expected; on a reload the old settings stay. Addresses are checked. Untrusted numbers of milliseconds are bounded.

Replaced test: "a settings value that is not a number is an error that names key and value" asked for an error for an optional bound, which is what took all nodes down. In its place one test asks for that error for each required field, and another checks each optional field in each form, with the warning that names key and value.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -3,7 +3,9 @@
 // Decision code never reads a clock, so the same code runs in real and in virtual time.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace ebonymount {
@@ -38,4 +40,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::milliseconds(milliseconds));
 }
 
+/// Duration of an untrusted number of milliseconds: not a number counts as 0, and amounts of more
+/// than 30 years, which would overflow, count as 30 years.
+inline Duration bounded_ms(double milliseconds) {
+    constexpr double MAX_MS = 1e12;
+    if (std::isnan(milliseconds)) {
+        return Duration::zero();
+    }
+    return Duration(static_cast<std::int64_t>(std::clamp(milliseconds, -MAX_MS, MAX_MS) * 1000.0));
+}
+
 }  // namespace ebonymount
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -228,14 +228,18 @@
         return;
     }
     m_settings_text = text;
-    const Result<platform::Settings> settings = platform::parse_settings(text, m_settings_file);
-    if (!has_value(settings)) {
+    const Result<platform::ParsedSettings> parsed =
+        platform::parse_settings(text, m_settings_file, m_settings);
+    if (!has_value(parsed)) {
         log_error("front",
-                  "invalid settings, keeping the current ones: " + describe(error_of(settings)));
+                  "invalid settings, keeping the current ones: " + describe(error_of(parsed)));
         return;
     }
+    for (const std::string& warning : value_of(parsed).warnings) {
+        log_warning("front", warning);
+    }
     // Addresses change only on restart, because callers and the load balancer use them.
-    platform::Settings reloaded = value_of(settings);
+    platform::Settings reloaded = value_of(parsed).settings;
     reloaded.caller_address = m_settings.caller_address;
     reloaded.ready_address = m_settings.ready_address;
     reloaded.store_address = m_settings.store_address;
--- a/src/program/ebonymount_front.cpp
+++ b/src/program/ebonymount_front.cpp
@@ -32,7 +32,7 @@
     signals().reload = true;
 }
 
-ebonymount::Result<ebonymount::platform::Settings> read_settings(const std::string& path) {
+ebonymount::Result<ebonymount::platform::ParsedSettings> read_settings(const std::string& path) {
     std::ifstream file(path);
     if (!file) {
         return ebonymount::Error{ebonymount::ErrorCode::not_found, "cannot read the settings file",
@@ -44,11 +44,12 @@
 }
 
 int run(const std::string& path, std::int64_t metrics_port) {
-    const ebonymount::Result<ebonymount::platform::Settings> settings = read_settings(path);
-    if (!ebonymount::has_value(settings)) {
-        std::cerr << "ebonymount_front: " << describe(error_of(settings)) << "\n";
+    const ebonymount::Result<ebonymount::platform::ParsedSettings> parsed = read_settings(path);
+    if (!ebonymount::has_value(parsed)) {
+        std::cerr << "ebonymount_front: " << describe(error_of(parsed)) << "\n";
         return EXIT_BAD_INPUT;
     }
+    const ebonymount::platform::Settings& settings = value_of(parsed).settings;
     // Constructs the flags before a signal handler can use them.
     signals();
     std::signal(SIGPIPE, SIG_IGN);
@@ -56,9 +57,12 @@
     std::signal(SIGINT, on_stop);
     std::signal(SIGHUP, on_reload);
     ebonymount::start_logging(ebonymount::LogLevel::info, ebonymount::LogFormat::json,
-                              value_of(settings).node, ebonymount::LogFlush::manual);
+                              settings.node, ebonymount::LogFlush::manual);
+    for (const std::string& warning : value_of(parsed).warnings) {
+        ebonymount::log_warning("front", warning);
+    }
     const ebonymount::Result<std::unique_ptr<ebonymount::Front>> front =
-        ebonymount::Front::start(value_of(settings), path, metrics_port, signals());
+        ebonymount::Front::start(settings, path, metrics_port, signals());
     if (!ebonymount::has_value(front)) {
         ebonymount::log_error("front", describe(error_of(front)));
         ebonymount::flush_log();
@@ -91,10 +95,17 @@
             return EXIT_BAD_INPUT;
         }
         if (arguments.count("check-settings") > 0) {
-            const ebonymount::Result<ebonymount::platform::Settings> settings = read_settings(path);
-            std::cerr << (has_value(settings) ? path + ": ok" : describe(error_of(settings)))
-                      << "\n";
-            return has_value(settings) ? 0 : EXIT_BAD_INPUT;
+            const ebonymount::Result<ebonymount::platform::ParsedSettings> parsed =
+                read_settings(path);
+            if (!has_value(parsed)) {
+                std::cerr << describe(error_of(parsed)) << "\n";
+                return EXIT_BAD_INPUT;
+            }
+            for (const std::string& warning : value_of(parsed).warnings) {
+                std::cerr << warning << "\n";
+            }
+            std::cerr << path << ": ok\n";
+            return 0;
         }
         return run(path, arguments["metrics-port"].as<std::int64_t>());
     } catch (const cxxopts::exceptions::exception& error) {
