--- a/src/policy/gather.cpp
+++ b/src/policy/gather.cpp
@@ -1,6 +1,7 @@
 #include "policy/gather.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/check.h"
 
@@ -56,18 +57,24 @@
     return std::any_of(replicas.begin(), replicas.end(), usable);
 }
 
-/// The untried usable replica with the shortest expected time, or null.
+/// The untried usable replica with the shortest expected time, or null. A replica known to lack the
+/// pinned snapshot comes after all others.
 const Target* choose_replica(Step& s, std::size_t shard) {
     const Target* best = nullptr;
+    bool best_lacks_snapshot = false;
     double best_us = 0.0;
     for (const std::string& id : s.state.pinned->shards.at(shard).replicas) {
         if (s.state.shards.at(shard).tried.count(id) > 0 || !is_usable(s, id)) {
             continue;
         }
         const Target* target = find_target(*placement_of(s), id);
+        const bool lacks =
+            lacks_snapshot(s.context.latency_estimates, id, s.state.pinned->id, s.now);
         const double candidate_us = noisy_expected_us(s, *target);
-        if (best == nullptr || candidate_us < best_us) {
+        if (best == nullptr ||
+            std::pair(lacks, candidate_us) < std::pair(best_lacks_snapshot, best_us)) {
             best = target;
+            best_lacks_snapshot = lacks;
             best_us = candidate_us;
         }
     }
@@ -303,8 +310,9 @@
     }
 }
 
-void handle_missing_snapshot(Step& s, std::size_t shard) {
-    s.state.shards.at(shard).snapshot_missing = true;
+void handle_missing_snapshot(Step& s, const GatherAttempt& attempt) {
+    const std::size_t shard = attempt.shard;
+    on_snapshot_missing(s.context.latency_estimates, attempt.target, s.state.pinned->id, s.now);
     if (choose_replica(s, shard) == nullptr && !has_live_attempt(s.state, shard)) {
         try_restart(s);
     }
@@ -338,7 +346,7 @@
         return;
     }
     if (outcome.status == AttemptStatus::snapshot_missing) {
-        handle_missing_snapshot(s, attempt.shard);
+        handle_missing_snapshot(s, attempt);
     }
 }
 
--- a/src/policy/gather.h
+++ b/src/policy/gather.h
@@ -78,8 +78,6 @@
     /// Attempts that reached a target, and attempts that ended before that.
     int attempts = 0;
     int refusals = 0;
-    /// True once a replica lacked the pinned snapshot.
-    bool snapshot_missing = false;
     std::optional<Time> retry_at;
     std::set<std::string> tried;
     std::string result;
--- a/src/policy/latency_estimate.cpp
+++ b/src/policy/latency_estimate.cpp
@@ -18,6 +18,10 @@
 /// Added to the expected time, in microseconds, while a failure counts.
 constexpr double FAILURE_PENALTY_US = 1'000'000.0;
 
+/// Time for which a target that lacked a snapshot is assumed to lack it still. It exceeds the time
+/// limit of a request, so that the next request does not repeat the choices of one that waited.
+constexpr Duration MISSING_SNAPSHOT_TIME = from_ms(20000);
+
 void count_end(LatencyEstimate& estimate) {
     estimate.outstanding = std::max(0, estimate.outstanding - 1);
 }
@@ -65,6 +69,20 @@
     estimate.last_failure = now;
 }
 
+void on_snapshot_missing(LatencyEstimates& estimates, const std::string& target,
+                         const std::string& snapshot, Time now) {
+    LatencyEstimate& estimate = estimates[target];
+    estimate.missing_snapshot = snapshot;
+    estimate.snapshot_missed_at = now;
+}
+
+bool lacks_snapshot(const LatencyEstimates& estimates, const std::string& target,
+                    const std::string& snapshot, Time now) {
+    const LatencyEstimates::const_iterator found = estimates.find(target);
+    return found != estimates.end() && found->second.missing_snapshot == snapshot &&
+           now - found->second.snapshot_missed_at < MISSING_SNAPSHOT_TIME;
+}
+
 void on_cancelled(LatencyEstimates& estimates, const std::string& target, Duration elapsed,
                   Time now) {
     LatencyEstimate& estimate = estimates[target];
--- a/src/policy/latency_estimate.h
+++ b/src/policy/latency_estimate.h
@@ -20,6 +20,9 @@
     Time last_response{};
     Time last_failure{};
     bool failed = false;
+    /// The snapshot that the target last turned out to lack; empty if none.
+    std::string missing_snapshot;
+    Time snapshot_missed_at{};
 };
 
 using LatencyEstimates = std::map<std::string, LatencyEstimate>;
@@ -39,6 +42,15 @@
 /// Records a failure, which raises the expected time for a short while.
 void on_failure(LatencyEstimates& estimates, const std::string& target, Time now);
 
+/// Records that the target does not have a snapshot.
+void on_snapshot_missing(LatencyEstimates& estimates, const std::string& target,
+                         const std::string& snapshot, Time now);
+
+/// True for some seconds after the target turned out to lack the snapshot. It may obtain it later,
+/// so it is tried again after that.
+bool lacks_snapshot(const LatencyEstimates& estimates, const std::string& target,
+                    const std::string& snapshot, Time now);
+
 /// Records that a request was cancelled after `elapsed`. As this is a lower bound of its response
 /// time, it can only raise the expected time.
 void on_cancelled(LatencyEstimates& estimates, const std::string& target, Duration elapsed,
