Store: followers probe before they read, staggered by rank

A follower cannot tell a reader that has failed from a store that has: both look like old updates. At half of the time in which a change must be in force each follower began to read the store itself, five calls at once and again after 0.1 s, and again all lists when the store was back: a thundering herd.

Ruled out: longer waits alone (followers of readers that are cut off must still get a change in time).

Change: policy/store_source, a step function, decides whom a node follows and when it reads. A node with old updates makes one cheap call first (half-open circuit breaker); the nodes of a data centre go in groups, each twice as large as the one before, and beyond the eighth at random times, one a second for each data centre, while a connected reader reports that it cannot reach the store. After an answered probe a node waits for a reader to recover before it reads. A connected reader with old updates is kept, and its heartbeat says at once when it has recent ones. A reader that cannot reach the store follows others meanwhile. A new follower sends the revisions that it has, and gets only the lists that are newer, encoded once for all. Other watchers make no calls while the probing one fails; pauses between probes grow and are jittered.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/store_call.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 
@@ -268,31 +269,9 @@
 
 void FleetWatcher::call_store(const std::string& method, const std::string& path,
                               const std::string& body, CallHandler on_end) {
-    const std::shared_ptr<HttpChannel> channel =
-        HttpChannel::open(m_loop, m_options.feed.store_address, [](HttpChannel&) {});
-    if (channel == nullptr) {
-        on_end(CallStatus::not_sent, HttpResponseMessage{});
-        return;
-    }
-    const std::weak_ptr<HttpChannel> weak = channel;
-    m_loop.run_at(monotonic_now() + STORE_TIMEOUT, [weak] {
-        const std::shared_ptr<HttpChannel> open = weak.lock();
-        if (open != nullptr) {
-            open->close();
-        }
-    });
-    ChannelCall call;
-    call.make_request = [method, path, body, address = m_options.feed.store_address] {
-        const HttpHeaders headers = {{"Host", address}, {"Content-Type", "application/json"}};
-        return encode(HttpRequestMessage{method, path, headers, body, false});
-    };
-    call.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
-    call.on_sent = [] {
-    };
-    call.on_end = std::move(on_end);
-    channel->start(std::move(call));
+    ebonymount::call_store(m_loop,
+                           {m_options.feed.store_address, method, path, body, STORE_TIMEOUT},
+                           std::move(on_end));
 }
 
 void FleetWatcher::register_node() {
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -8,11 +8,14 @@
 namespace ebonymount {
 namespace {
 
-/// Pause after a failed call: after the first failure, and after further failures. The watcher that
-/// probes an unavailable store uses `WatcherTiming::probe_pause` after further failures; the others
-/// wait for longer, as they are woken when the probe succeeds.
+/// Pause after the first failed call; it doubles with each further failure, up to a maximum. The
+/// watcher that probes an unavailable store has `WatcherTiming::probe_pause` as its maximum; the
+/// others wait for longer, as they are woken when the probe succeeds. A list that is polled is what
+/// a node waits for when it starts.
 constexpr Duration FIRST_RETRY_PAUSE = from_ms(100);
 constexpr Duration NON_PROBE_PAUSE = from_ms(3000);
+constexpr Duration POLLED_LIST_PAUSE = from_ms(1000);
+constexpr std::int64_t MAX_PAUSE_DOUBLINGS = 5;
 
 /// Pause before the second read of a polled list: when all nodes start at once, the first read
 /// misses most of them.
@@ -266,14 +269,28 @@
         log_warning("store", std::string(platform::name_of(m_options.kind)) + ": lost, " + reason);
     }
     ++m_consecutive_failures;
-    run_later(pause_after_failure(), &KindWatcher::read_list);
+    run_later(pause_after_failure(), &KindWatcher::retry_list);
 }
 
-Duration KindWatcher::pause_after_failure() const {
-    if (m_consecutive_failures < 2) {
-        return FIRST_RETRY_PAUSE;
+void KindWatcher::retry_list() {
+    if (m_handlers.is_store_failing && m_handlers.is_store_failing()) {
+        run_later(NON_PROBE_PAUSE, &KindWatcher::retry_list);
+        return;
     }
-    return m_options.is_probe ? m_options.timing.probe_pause : NON_PROBE_PAUSE;
+    read_list();
+}
+
+Duration KindWatcher::pause_after_failure() const {
+    const Duration maximum = m_options.is_probe ? m_options.timing.probe_pause
+                             : m_options.poll_interval > Duration::zero() ? POLLED_LIST_PAUSE
+                                                                          : NON_PROBE_PAUSE;
+    const std::int64_t doublings = std::min(m_consecutive_failures - 1, MAX_PAUSE_DOUBLINGS);
+    const Duration pause = std::min(maximum, FIRST_RETRY_PAUSE * (std::int64_t{1} << doublings));
+    return scaled(pause, 1.0 + m_options.pause_jitter);
+}
+
+bool KindWatcher::is_failing() const {
+    return !m_paused && m_consecutive_failures > 0;
 }
 
 void KindWatcher::retry_now() {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -29,7 +29,8 @@
     /// Pause after a watch that returned changes. Changes come in bursts; all those of one pause
     /// are read with one call.
     Duration pause_after_changes{};
-    /// Pause between the probing watcher's calls to an unavailable store.
+    /// Maximum pause between the probing watcher's calls to an unavailable store; the pauses grow
+    /// up to it.
     Duration probe_pause = from_ms(200);
 
     friend bool operator==(const WatcherTiming&, const WatcherTiming&) = default;
@@ -47,6 +48,9 @@
     bool is_probe = false;
     /// Starts paused: makes no call before `resume`.
     bool is_paused = false;
+    /// Added to the pauses after failures, as a fraction of them, so that nodes that fail together
+    /// do not call again together.
+    double pause_jitter = 0.0;
 };
 
 /// Callbacks, called on the event loop's thread.
@@ -55,6 +59,9 @@
     std::function<void(KindUpdate)> on_update;
     /// Called when the store responds again after failures.
     std::function<void()> on_recovered;
+    /// For a watcher that is not the probe: true while the probe fails, when this watcher makes no
+    /// calls. May be empty.
+    std::function<bool()> is_store_failing;
 };
 
 class KindWatcher : public std::enable_shared_from_this<KindWatcher> {
@@ -84,6 +91,9 @@
     /// When the store last responded to this watcher.
     Time last_contact() const;
 
+    /// True if the watcher is not paused and its last call failed.
+    bool is_failing() const;
+
     /// True for a while after a failure, when only current data is read.
     bool has_recent_store_failure() const;
 
@@ -101,6 +111,7 @@
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
+    void retry_list();
     void run_later(Duration delay, void (KindWatcher::*next)());
 
     EventLoop& m_loop;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "front/store_call.h"
+#include "io/http_status.h"
 #include "io/log_event.h"
 
 namespace ebonymount {
@@ -13,27 +15,22 @@
 /// How often the list of nodes is read; it only changes when nodes are added.
 constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
 
-/// How long a node waits for a reader's first recent updates. The reader may have started at the
-/// same moment and needs about 50 ms to read its own lists.
-constexpr Duration READER_WAIT = from_ms(500);
-
 /// How long a node waits for the list of nodes before it reads the whole store itself, and how long
 /// it delays that list on the first start of the deployment: nodes register within 0.3 s of each
 /// other.
 constexpr Duration NODE_LIST_WAIT = from_ms(700);
 constexpr Duration FIRST_START_PAUSE = from_ms(900);
 
-/// How long a reader that failed is not followed: a process that ended is restarted within a second
-/// or two.
-constexpr Duration AVOID_TIME = from_ms(3000);
+/// Maximum pause between a reader's calls to an unavailable store, as a fraction of the time within
+/// which a change must be in force.
+constexpr double PROBE_PAUSE_SHARE = 0.1;
 
-/// Pause between attempts to follow a reader, for a node that reads the store itself.
-constexpr Duration CANDIDATE_PAUSE = from_ms(1000);
+/// Maximum jitter of the pauses after failed calls, as a fraction of them.
+constexpr double MAX_PAUSE_JITTER = 0.5;
 
-/// Pause between calls to an unavailable store, and the longer pause of a node that can follow
-/// readers, whose updates show when the store is available again.
-constexpr Duration PROBE_PAUSE = from_ms(200);
-constexpr Duration FOLLOWER_PROBE_PAUSE = from_ms(1000);
+/// Age that lists are sent with. The heartbeat after them has the age of the sender's data, which
+/// would be wrong in a list that is encoded once for several followers.
+constexpr Duration LIST_AGE = from_ms(86400000);
 
 }  // namespace
 
@@ -46,17 +43,19 @@
       m_on_update(std::move(on_update)),
       m_updates_relayed(metrics.counter("ebonymount_store_news_relayed_total")),
       m_updates_received(metrics.counter("ebonymount_store_news_followed_total")),
+      m_probes(metrics.counter("ebonymount_store_probes_total")),
       m_traffic{metrics.counter("ebonymount_peer_bytes_in_total"),
                 metrics.counter("ebonymount_peer_bytes_out_total")},
       m_peers(loop, m_traffic) {
     const Time now = monotonic_now();
-    m_start_watching_at = now + NODE_LIST_WAIT;
+    m_source.waits_until = now + NODE_LIST_WAIT;
     if (!m_options.self.address.empty()) {
         const std::weak_ptr<bool> alive = m_alive;
         const StreamHandler handler = [this, alive](const std::shared_ptr<ServerStream>& stream,
-                                                    const std::string& path, const std::string&) {
+                                                    const std::string& path,
+                                                    const std::string& body) {
             if (path == FEED_PATH && !alive.expired()) {
-                add_follower(stream);
+                add_follower(stream, body);
             } else {
                 stream->finish();
             }
@@ -73,7 +72,7 @@
     create_watchers();
     const std::shared_ptr<KindWatcher>& nodes = m_watchers.back();
     if (m_options.first_start) {
-        m_start_watching_at += FIRST_START_PAUSE;
+        m_source.waits_until += FIRST_START_PAUSE;
         const std::weak_ptr<KindWatcher> weak = nodes;
         loop.run_at(now + FIRST_START_PAUSE, [weak] {
             const std::shared_ptr<KindWatcher> watcher = weak.lock();
@@ -90,8 +89,8 @@
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->stop();
     }
-    for (const std::shared_ptr<ServerStream>& follower : m_followers) {
-        follower->finish();
+    for (const Follower& follower : m_followers) {
+        follower.stream->finish();
     }
     if (m_server != nullptr) {
         m_server->close();
@@ -115,11 +114,16 @@
             kind == platform::Kind::nodes ? NODE_LIST_INTERVAL : Duration::zero();
         options.is_probe = is_probe;
         options.is_paused = true;
+        options.pause_jitter = MAX_PAUSE_JITTER * uniform(m_random);
         KindWatcherHandlers handlers;
         handlers.on_update = [this](KindUpdate update) {
             apply_update(std::move(update));
         };
-        if (is_probe) {
+        if (!is_probe) {
+            handlers.is_store_failing = [this] {
+                return m_watchers.front()->is_failing();
+            };
+        } else {
             handlers.on_recovered = [this] {
                 for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
                     watcher->retry_now();
@@ -133,11 +137,10 @@
 
 void StoreFeed::update_watcher_timing() {
     const bool is_reader = has_followers(m_options.self, m_members);
-    const bool can_follow = !readers_for(m_options.self, m_members, {}, monotonic_now()).empty();
     WatcherTiming timing;
     timing.watch_wait = m_timing.watch_wait;
     timing.pause_after_changes = is_reader ? m_timing.reader_pause : m_timing.change_pause;
-    timing.probe_pause = can_follow ? FOLLOWER_PROBE_PAUSE : PROBE_PAUSE;
+    timing.probe_pause = scaled(m_options.config_apply, PROBE_PAUSE_SHARE);
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->set_timing(timing);
     }
@@ -147,15 +150,19 @@
     }
 }
 
-void StoreFeed::start_watching(Time now) {
-    m_watching = true;
-    m_may_follow_at = now + m_timing.min_reading_time;
+void StoreFeed::start_watching() {
     const bool store_failed_recently = has_recent_store_failure();
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->resume(revision_of(m_mirror, watcher->kind()), store_failed_recently);
     }
 }
 
+void StoreFeed::stop_watching() {
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        watcher->pause();
+    }
+}
+
 void StoreFeed::apply_update(KindUpdate update) {
     const Time now = monotonic_now();
     const std::optional<KindUpdate> fresh = merge_update(m_mirror, std::move(update), now);
@@ -165,7 +172,7 @@
     if (fresh->kind == platform::Kind::nodes) {
         apply_members(*fresh);
     }
-    send_to_followers({fresh, now - last_store_contact(), has_recent_store_failure()});
+    send_to_followers({fresh, age(now), has_recent_store_failure()});
     m_on_update(*fresh);
 }
 
@@ -175,29 +182,23 @@
         m_members.push_back(platform::decode_registration(object));
     }
     update_watcher_timing();
-    if (!m_watching && m_upstream == nullptr) {
-        // With the list of nodes known, the node starts to watch the store now, or after
-        // `READER_WAIT` if there is a reader that it may follow instead.
-        const Time now = monotonic_now();
-        const bool has_reader = !readers_for(m_options.self, m_members, m_avoided, now).empty();
-        m_start_watching_at = has_reader ? now + READER_WAIT : now;
-        sweep(now);
-    }
+    set_members(m_source, m_options.self, m_members, monotonic_now());
 }
 
-Time StoreFeed::last_store_contact() const {
+Time StoreFeed::own_contact() const {
     Time latest{};
-    if (m_watching) {
+    if (m_source.reading) {
         for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
             latest = std::max(latest, watcher->last_contact());
         }
     }
-    if (m_upstream != nullptr) {
-        latest = std::max(latest, m_upstream->as_of.value_or(Time{}));
-    }
     return latest;
 }
 
+Duration StoreFeed::age(Time now) const {
+    return now - std::max(m_source.last_contact, own_contact());
+}
+
 bool StoreFeed::has_recent_store_failure() const {
     const auto store_failed_recently = [](const std::shared_ptr<KindWatcher>& watcher) {
         return watcher->has_recent_store_failure();
@@ -206,76 +207,65 @@
            (m_upstream != nullptr && m_upstream->store_failed_recently);
 }
 
+SourceInputs StoreFeed::source_inputs(Time now) const {
+    return {m_options.self,
+            m_options.initial_peers,
+            m_timing,
+            m_upstream == nullptr ? nullptr : &m_upstream->link,
+            m_candidate == nullptr ? nullptr : &m_candidate->link,
+            own_contact(),
+            m_source.reading && m_watchers.front()->is_failing(),
+            is_complete(m_mirror),
+            now};
+}
+
 void StoreFeed::sweep(Time now) {
-    if (m_upstream == nullptr || m_upstream->ended ||
-        now - last_store_contact() > m_timing.stale_age) {
-        check_candidate(now);
-    }
-    if (m_upstream != nullptr && now - last_store_contact() > m_timing.max_age) {
-        stop_following(now);
-    }
-    if (m_upstream == nullptr && !m_watching && now >= m_start_watching_at) {
-        start_watching(now);
-    }
-    if (now >= m_next_heartbeat) {
+    const bool was_recent = age(now) <= m_timing.stale_age;
+    for (const SourceAction& action : decide(m_source, source_inputs(now), m_random)) {
+        execute(action, now);
+    }
+    send_due_lists(now);
+    // Followers learn at once that this node's data is recent again.
+    const bool is_recent_again = !was_recent && age(now) <= m_timing.stale_age;
+    if (now >= m_next_heartbeat || is_recent_again) {
         m_next_heartbeat = now + m_timing.heartbeat;
-        send_to_followers({std::nullopt, now - last_store_contact(), has_recent_store_failure()});
+        send_to_followers({std::nullopt, age(now), has_recent_store_failure()});
     }
 }
 
 bool StoreFeed::is_following() const {
-    return m_upstream != nullptr;
+    return ebonymount::is_following(m_source, source_inputs(monotonic_now()));
 }
 
-void StoreFeed::check_candidate(Time now) {
-    if (m_candidate == nullptr) {
-        // A node that reads the store itself needs a reader less urgently.
-        if (!m_watching || now >= m_next_candidate_at) {
-            m_next_candidate_at = now + CANDIDATE_PAUSE;
-            open_candidate(now);
-        }
-        return;
-    }
-    const bool is_fresh =
-        m_candidate->as_of.has_value() && now - *m_candidate->as_of < m_timing.stale_age;
-    if (is_fresh && !m_candidate->ended && is_complete(m_mirror)) {
-        if (now >= m_may_follow_at) {
-            follow_candidate(now);
-        }
-    } else if (m_candidate->ended || now > m_candidate->opened + READER_WAIT) {
-        close_and_avoid(m_candidate, "no recent updates", now);
-    }
-}
-
-std::vector<Member> StoreFeed::candidates(Time now) const {
-    AvoidedReaders avoided = m_avoided;
-    if (m_upstream != nullptr) {
-        avoided[m_upstream->reader.node] = Time::max();
-    }
-    if (!m_members.empty()) {
-        return readers_for(m_options.self, m_members, avoided, now);
-    }
-    // The store has not responded yet. State that another node read earlier is better than none.
-    // Only the peers' addresses are known, so an address also serves as the node's name.
-    std::vector<Member> peers;
-    for (const std::string& address : m_options.initial_peers) {
-        const auto found = avoided.find(address);
-        const bool is_avoided = found != avoided.end() && now < found->second;
-        if (m_watching && !is_avoided && address != m_options.self.address) {
-            peers.push_back({address, m_options.self.data_centre, address});
-        }
+void StoreFeed::execute(const SourceAction& action, Time now) {
+    if (const OpenCandidate* open = std::get_if<OpenCandidate>(&action)) {
+        open_candidate(open->reader, now);
+    } else if (const DropCandidate* drop = std::get_if<DropCandidate>(&action)) {
+        close_upstream(m_candidate, drop->reason);
+    } else if (const DropUpstream* drop_upstream = std::get_if<DropUpstream>(&action)) {
+        close_upstream(m_upstream, drop_upstream->reason);
+    } else if (std::holds_alternative<FollowCandidate>(action)) {
+        follow_candidate(now);
+    } else if (std::holds_alternative<ProbeStore>(action)) {
+        probe_store();
+    } else if (std::holds_alternative<StartReading>(action)) {
+        LogEvent(LogLevel::info, "store", "reads_itself")
+            .add("reader", m_upstream == nullptr ? "" : m_upstream->link.reader.node)
+            .add_ms("age_ms", age(now))
+            .write();
+        start_watching();
+    } else {
+        LogEvent(LogLevel::info, "store", "follows_again")
+            .add("reader", m_upstream->link.reader.node)
+            .write();
+        stop_watching();
     }
-    return peers;
 }
 
-void StoreFeed::open_candidate(Time now) {
-    const std::vector<Member> readers = candidates(now);
-    if (readers.empty()) {
-        return;
-    }
+void StoreFeed::open_candidate(const Member& reader, Time now) {
     const std::shared_ptr<Upstream> upstream = std::make_shared<Upstream>();
-    upstream->reader = readers.front();
-    upstream->opened = now;
+    upstream->link.reader = reader;
+    upstream->link.opened = now;
     m_candidate = upstream;
     StreamCallbacks events;
     events.on_data = [this, upstream,
@@ -285,9 +275,10 @@
         }
     };
     events.on_end = [upstream](StreamStatus /*status*/) {
-        upstream->ended = true;
+        upstream->link.ended = true;
     };
-    upstream->call = m_peers.call(upstream->reader.address, FEED_PATH, "", std::move(events));
+    upstream->call =
+        m_peers.call(reader.address, FEED_PATH, encode(revisions_of(m_mirror)), std::move(events));
 }
 
 void StoreFeed::on_upstream_data(const std::shared_ptr<Upstream>& upstream,
@@ -304,11 +295,13 @@
         begin = end + 1;
         if (!has_value(update)) {
             log_warning("store", describe(error_of(update)));
-            upstream->ended = true;
+            upstream->link.ended = true;
             return;
         }
-        const Time as_of = monotonic_now() - value_of(update).age;
-        upstream->as_of = std::max(upstream->as_of.value_or(as_of), as_of);
+        const Time now = monotonic_now();
+        const Time as_of = now - value_of(update).age;
+        upstream->link.last_message = now;
+        upstream->link.as_of = std::max(upstream->link.as_of.value_or(as_of), as_of);
         upstream->store_failed_recently = value_of(update).store_failed_recently;
         if (value_of(update).change.has_value()) {
             ++m_updates_received;
@@ -318,62 +311,107 @@
     upstream->input.erase(0, begin);
 }
 
-void StoreFeed::close_and_avoid(std::shared_ptr<Upstream>& upstream, const char* reason, Time now) {
-    m_avoided[upstream->reader.node] = now + AVOID_TIME;
+void StoreFeed::close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason) {
     LogEvent(LogLevel::info, "store", "reader_avoided")
-        .add("reader", upstream->reader.node)
-        .add("reason", upstream->ended ? "the stream ended" : reason)
+        .add("reader", upstream->link.reader.node)
+        .add("reason", reason)
         .write();
     // A session that hangs would also block the next call to the same reader.
-    m_peers.close(upstream->reader.address);
+    m_peers.close(upstream->link.reader.address);
     upstream.reset();
 }
 
 void StoreFeed::follow_candidate(Time now) {
     if (m_upstream != nullptr) {
-        close_and_avoid(m_upstream, "a reader with newer updates was found", now);
+        close_upstream(m_upstream, "a reader with newer updates was found");
     }
     m_upstream = std::move(m_candidate);
     m_candidate.reset();
-    m_watching = false;
-    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-        watcher->pause();
+    if (!m_source.reading) {
+        stop_watching();
     }
     LogEvent(LogLevel::info, "store", "follows")
-        .add("reader", m_upstream->reader.node)
-        .add_ms("age_ms", now - *m_upstream->as_of)
+        .add("reader", m_upstream->link.reader.node)
+        .add_ms("age_ms", now - *m_upstream->link.as_of)
         .write();
 }
 
-void StoreFeed::stop_following(Time now) {
-    LogEvent(LogLevel::info, "store", "reads_itself")
-        .add("reader", m_upstream->reader.node)
-        .add_ms("age_ms", now - *m_upstream->as_of)
-        .write();
-    start_watching(now);
-    close_and_avoid(m_upstream, "its updates are too old", now);
+void StoreFeed::probe_store() {
+    ++m_probes;
+    // The list is short, and possibly old data costs a tenth.
+    const StoreCall call = {
+        m_options.store_address, "GET",
+        platform::list_path(platform::Kind::evacuations, "", platform::Freshness::recent), "",
+        STORE_CALL_TIMEOUT};
+    call_store(m_loop, call,
+               [this, alive = std::weak_ptr<bool>(m_alive)](CallStatus status,
+                                                            const HttpResponseMessage& response) {
+                   if (alive.expired()) {
+                       return;
+                   }
+                   const bool answered =
+                       status == CallStatus::answered && response.status == http::OK;
+                   LogEvent(LogLevel::info, "store", "probe")
+                       .add("answered", answered ? "yes" : "no")
+                       .add("outcome", name_of(status))
+                       .add("status", response.status)
+                       .write();
+                   on_probe_result(m_source, answered, monotonic_now());
+               });
 }
 
-void StoreFeed::add_follower(const std::shared_ptr<ServerStream>& stream) {
+void StoreFeed::add_follower(const std::shared_ptr<ServerStream>& stream,
+                             const std::string& known) {
     const Time now = monotonic_now();
-    for (KindUpdate& list : lists_of(m_mirror, now)) {
-        stream->write(
-            encode({std::move(list), now - last_store_contact(), has_recent_store_failure()}));
+    m_followers.push_back({stream, decode_revisions(known), false});
+    Follower& follower = m_followers.back();
+    // Old state is better than none.
+    const bool lacks_state = follower.known.size() < static_cast<std::size_t>(platform::KIND_COUNT);
+    if (lacks_state || age(now) <= m_timing.stale_age) {
+        send_lists(follower, now);
+    }
+    stream->write(encode(StoreUpdate{std::nullopt, age(now), has_recent_store_failure()}));
+}
+
+const std::string& StoreFeed::encoded_list(const KindUpdate& list) {
+    EncodedList& cached = m_encoded_lists[list.kind];
+    if (cached.revision != list.revision || cached.after_outage != list.after_outage) {
+        cached = {list.revision, list.after_outage,
+                  encode(StoreUpdate{list, LIST_AGE, has_recent_store_failure()})};
+    }
+    return cached.line;
+}
+
+void StoreFeed::send_lists(Follower& follower, Time now) {
+    for (const KindUpdate& list : lists_of(m_mirror, follower.known, now)) {
+        follower.stream->write(encoded_list(list));
+    }
+    follower.has_lists = true;
+}
+
+void StoreFeed::send_due_lists(Time now) {
+    if (age(now) > m_timing.stale_age) {
+        return;
+    }
+    for (Follower& follower : m_followers) {
+        if (!follower.has_lists) {
+            send_lists(follower, now);
+        }
     }
-    m_followers.push_back(stream);
 }
 
 void StoreFeed::send_to_followers(const StoreUpdate& update) {
-    std::erase_if(m_followers, [](const std::shared_ptr<ServerStream>& follower) {
-        return follower->is_cancelled();
-    });
+    std::erase_if(m_followers,
+                  [](const Follower& follower) { return follower.stream->is_cancelled(); });
     if (m_followers.empty()) {
         return;
     }
     const std::string line = encode(update);
-    for (const std::shared_ptr<ServerStream>& follower : m_followers) {
-        ++m_updates_relayed;
-        follower->write(line);
+    for (const Follower& follower : m_followers) {
+        if (follower.has_lists || !update.change.has_value()) {
+            ++m_updates_relayed;
+            follower.stream->write(line);
+        }
     }
 }
 
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -2,11 +2,12 @@
 //
 // A node chosen as a reader watches the store and relays its updates. Any other node follows a
 // reader of its data centre over one stream, which carries changes at once and, in between,
-// heartbeats with the age of the reader's data. A follower whose data becomes too old reads the
-// store itself, continuing from the revision that it has reached, until it can follow again.
+// heartbeats with the age of the reader's data. `policy/store_source` decides whom a node follows
+// and when it goes to the store itself; it then continues from the revision that it has reached.
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,7 +17,7 @@
 #include "front/kind_watcher.h"
 #include "front/store_mirror.h"
 #include "io/peer_sessions.h"
-#include "policy/store_readers.h"
+#include "policy/store_source.h"
 
 namespace ebonymount {
 
@@ -56,35 +57,48 @@
 private:
     /// A stream of updates from a reader that this node follows or may follow next.
     struct Upstream {
-        Member reader;
+        ReaderLink link;
         std::shared_ptr<PeerCall> call;
         /// Received bytes that do not form a whole line yet.
         std::string input;
-        Time opened{};
-        /// When the reader last received a response from the store, by this node's clock; empty
-        /// until its first message.
-        std::optional<Time> as_of;
         bool store_failed_recently = false;
-        bool ended = false;
+    };
+    /// A stream to a node that follows this one.
+    struct Follower {
+        std::shared_ptr<ServerStream> stream;
+        /// What the node knew when it began to follow.
+        KindRevisions known;
+        /// Lists are sent once this node's own data is recent; before that, changes are not.
+        bool has_lists = false;
+    };
+    struct EncodedList {
+        std::int64_t revision = 0;
+        bool after_outage = false;
+        std::string line;
     };
 
     void create_watchers();
-    void start_watching(Time now);
+    void start_watching();
+    void stop_watching();
     void apply_update(KindUpdate update);
     void apply_members(const KindUpdate& update);
     void update_watcher_timing();
-    Time last_store_contact() const;
+    Time own_contact() const;
+    Duration age(Time now) const;
 
-    void check_candidate(Time now);
-    std::vector<Member> candidates(Time now) const;
-    void open_candidate(Time now);
+    SourceInputs source_inputs(Time now) const;
+    void execute(const SourceAction& action, Time now);
+    void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
-    void close_and_avoid(std::shared_ptr<Upstream>& upstream, const char* reason, Time now);
+    void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
-    void stop_following(Time now);
+    void probe_store();
     bool has_recent_store_failure() const;
 
-    void add_follower(const std::shared_ptr<ServerStream>& stream);
+    void add_follower(const std::shared_ptr<ServerStream>& stream, const std::string& known);
+    void send_lists(Follower& follower, Time now);
+    void send_due_lists(Time now);
+    const std::string& encoded_list(const KindUpdate& list);
     void send_to_followers(const StoreUpdate& update);
 
     EventLoop& m_loop;
@@ -97,25 +111,22 @@
     std::function<void(const KindUpdate&)> m_on_update;
     Counter& m_updates_relayed;
     Counter& m_updates_received;
+    Counter& m_probes;
     TrafficCounters m_traffic;
     PeerPool m_peers;
     std::shared_ptr<PeerServer> m_server;
-    std::vector<std::shared_ptr<ServerStream>> m_followers;
+    std::vector<Follower> m_followers;
     StoreMirror m_mirror;
     std::vector<Member> m_members;
-    AvoidedReaders m_avoided;
+    StoreSource m_source;
+    Random m_random{process_seed()};
     /// One watcher for each kind: the first probes an unavailable store, the last reads the list of
     /// nodes.
     std::vector<std::shared_ptr<KindWatcher>> m_watchers;
     /// The node that is followed, and a candidate to be followed next.
     std::shared_ptr<Upstream> m_upstream;
     std::shared_ptr<Upstream> m_candidate;
-    bool m_watching = false;
-    /// When the node starts to read the store itself, unless it follows a reader by then.
-    Time m_start_watching_at{};
-    /// A node that reads the store itself does not follow a reader before this time.
-    Time m_may_follow_at{};
-    Time m_next_candidate_at{};
+    std::map<platform::Kind, EncodedList> m_encoded_lists;
     Time m_next_heartbeat{};
 };
 
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -142,10 +142,46 @@
     return true;
 }
 
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, Time now) {
+KindRevisions revisions_of(const StoreMirror& mirror) {
+    KindRevisions revisions;
+    for (const auto& [kind, mirrored] : mirror) {
+        if (mirrored.revision > 0) {
+            revisions[kind] = mirrored.revision;
+        }
+    }
+    return revisions;
+}
+
+std::string encode(const KindRevisions& revisions) {
+    Json rows = Json::array();
+    for (const auto& [kind, revision] : revisions) {
+        rows.push_back({static_cast<int>(kind), revision});
+    }
+    return Json{{"revisions", std::move(rows)}}.dump();
+}
+
+KindRevisions decode_revisions(const std::string& text) {
+    KindRevisions revisions;
+    const Json document = Json::parse(text, nullptr, false);
+    if (!document.is_object() || !document.contains("revisions")) {
+        return revisions;
+    }
+    for (const Json& row : document.at("revisions")) {
+        const bool is_valid = row.is_array() && row.size() == 2 && row.at(0).is_number_integer() &&
+                              row.at(1).is_number_integer();
+        const int kind = is_valid ? row.at(0).get<int>() : -1;
+        if (kind >= 0 && kind < platform::KIND_COUNT) {
+            revisions[static_cast<platform::Kind>(kind)] = row.at(1).get<std::int64_t>();
+        }
+    }
+    return revisions;
+}
+
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now) {
     std::vector<KindUpdate> lists;
     for (const auto& [kind, mirrored] : mirror) {
-        if (mirrored.revision == 0) {
+        const auto found = known.find(kind);
+        if (mirrored.revision <= (found == known.end() ? 0 : found->second)) {
             continue;
         }
         KindUpdate list;
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -67,7 +67,18 @@
 /// True when every kind has been read.
 bool is_complete(const StoreMirror& mirror);
 
-/// Returns a list of each kind that has been read, to be sent to a new follower.
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, Time now);
+/// Store revision of each kind that a node has a copy of; other kinds are left out.
+using KindRevisions = std::map<platform::Kind, std::int64_t>;
+
+KindRevisions revisions_of(const StoreMirror& mirror);
+
+/// Encodes revisions for the call that starts to follow a reader. Anything that the decoder cannot
+/// read counts as a kind without a copy.
+std::string encode(const KindRevisions& revisions);
+KindRevisions decode_revisions(const std::string& text);
+
+/// Returns a list of each kind of which the mirrored copy is newer than `known`, to be sent to a
+/// new follower that knows those revisions.
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now);
 
 }  // namespace ebonymount
--- a/src/policy/store_readers.cpp
+++ b/src/policy/store_readers.cpp
@@ -18,6 +18,10 @@
 constexpr double STALE_AGE_SHARE = 0.38;
 constexpr double MAX_AGE_SHARE = 0.5;
 constexpr double MIN_READING_TIME_SHARE = 0.6;
+// The steps of 77 nodes, the wait for a reader and one read fit between the maximum age and the end
+// of that time.
+constexpr double TAKEOVER_STEP_SHARE = 0.07;
+constexpr double RECOVERY_WAIT_SHARE = 0.08;
 constexpr double READER_PAUSE_SHARE = 0.1;
 // This pause is short because most of the time for a change is taken up by the age of the store's
 // recent data, about a second, and by the grace period of removed targets.
@@ -66,6 +70,8 @@
     timing.stale_age = scaled(config_apply, STALE_AGE_SHARE);
     timing.max_age = scaled(config_apply, MAX_AGE_SHARE);
     timing.min_reading_time = scaled(config_apply, MIN_READING_TIME_SHARE);
+    timing.takeover_step = scaled(config_apply, TAKEOVER_STEP_SHARE);
+    timing.recovery_wait = scaled(config_apply, RECOVERY_WAIT_SHARE);
     timing.reader_pause = scaled(config_apply, READER_PAUSE_SHARE);
     timing.change_pause = scaled(config_apply, CHANGE_PAUSE_SHARE);
     return timing;
@@ -90,6 +96,13 @@
     return preceding;
 }
 
+std::vector<Member> substitutes_for(const Member& self, const std::vector<Member>& members,
+                                    std::size_t count) {
+    std::vector<Member> others = followable_members(self, members);
+    others.resize(std::min(others.size(), count));
+    return others;
+}
+
 bool has_followers(const Member& self, const std::vector<Member>& members) {
     return is_reader(self, members) && has_enough_followers(followable_members(self, members));
 }
--- a/src/policy/store_readers.h
+++ b/src/policy/store_readers.h
@@ -55,6 +55,10 @@
     Duration max_age{};
     /// Minimum time for which a node reads the store itself once it has started to.
     Duration min_reading_time{};
+    /// Delay between the groups of nodes that probe the store when their updates are too old, and
+    /// the time that a node then waits for a reader to recover.
+    Duration takeover_step{};
+    Duration recovery_wait{};
     /// Pause after a change, so that a burst of changes costs one call: that of a reader, which is
     /// shorter to keep its updates recent, and that of any other node.
     Duration reader_pause{};
@@ -75,6 +79,11 @@
 std::vector<Member> readers_for(const Member& self, const std::vector<Member>& members,
                                 const AvoidedReaders& avoided, Time now);
 
+/// The first `count` other nodes of the data centre in the common order, which a reader may follow
+/// while it cannot reach the store itself.
+std::vector<Member> substitutes_for(const Member& self, const std::vector<Member>& members,
+                                    std::size_t count);
+
 /// True if other nodes of its data centre are expected to follow `self`.
 bool has_followers(const Member& self, const std::vector<Member>& members);
 
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -87,9 +87,9 @@
     KindUpdate after_outage = list(10, {object("a", 4)});
     after_outage.after_outage = true;
     merge_update(mirror, after_outage, NOW);
-    CHECK(lists_of(mirror, NOW + from_ms(1500)).front().after_outage);
-    CHECK_FALSE(lists_of(mirror, NOW + from_ms(2500)).front().after_outage);
-    CHECK(lists_of(mirror, NOW).front().objects == after_outage.objects);
+    CHECK(lists_of(mirror, {}, NOW + from_ms(1500)).front().after_outage);
+    CHECK_FALSE(lists_of(mirror, {}, NOW + from_ms(2500)).front().after_outage);
+    CHECK(lists_of(mirror, {}, NOW).front().objects == after_outage.objects);
 }
 
 TEST_CASE("messages between nodes are decoded as they were encoded") {
@@ -117,4 +117,21 @@
     }
 }
 
+TEST_CASE("a new follower gets the lists of which it has no or an older copy") {
+    StoreMirror mirror;
+    merge_update(mirror, {Kind::targets, true, false, 7, {}}, NOW);
+    merge_update(mirror, {Kind::config, true, false, 9, {}}, NOW);
+    const KindRevisions known = decode_revisions(encode(revisions_of(mirror)));
+    CHECK(known == revisions_of(mirror));
+    CHECK(lists_of(mirror, known, NOW).empty());
+    merge_update(mirror, {Kind::config, true, false, 10, {}}, NOW);
+    REQUIRE(lists_of(mirror, known, NOW).size() == 1);
+    CHECK(lists_of(mirror, known, NOW).front().kind == Kind::config);
+    // Whatever cannot be read counts as no copy, so everything is sent.
+    for (const char* text : {"", "null", "[]", "{\"revisions\":[[99,1],[\"a\",2],7,[1]]}",
+                             "{\"revisions\":7}", "\xff"}) {
+        CHECK(lists_of(mirror, decode_revisions(text), NOW).size() == 2);
+    }
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -40,9 +40,7 @@
                                                    changes.push_back(std::move(update.objects));
                                                }
                                            },
-                                           [this] {
-                                               ++recoveries;
-                                           }};
+                                           [this] { ++recoveries; }, nullptr};
         m_watcher = KindWatcher::start(m_loop, options, handlers, m_metrics);
         m_loop.run();
         m_watcher->stop();
