Store: compressed lists, and shorter waits of nodes without any state

Followers of a reader that was not up yet waited 0.5 s for it.

Ruled out: the store (readers had all lists 0.25 s after their start), and processor time for encoding (encoded once now).

Change: lists go deflated to followers that ask for it; a message is inflated to at most 16 MB. A node without any state waits 150 ms for a silent reader and tries the next, comes back to it after 0.6 s, and probes in groups of 100 ms. A reader does not look for another reader while its first reads are on their way.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -278,7 +278,8 @@
         upstream->link.ended = true;
     };
     upstream->call =
-        m_peers.call(reader.address, FEED_PATH, encode(revisions_of(m_mirror)), std::move(events));
+        m_peers.call(reader.address, FEED_PATH, encode(FollowRequest{revisions_of(m_mirror), true}),
+                     std::move(events));
 }
 
 void StoreFeed::on_upstream_data(const std::shared_ptr<Upstream>& upstream,
@@ -361,30 +362,35 @@
 }
 
 void StoreFeed::add_follower(const std::shared_ptr<ServerStream>& stream,
-                             const std::string& known) {
+                             const std::string& request) {
     const Time now = monotonic_now();
-    m_followers.push_back({stream, decode_revisions(known), false});
+    m_followers.push_back({stream, decode_follow_request(request), false});
     Follower& follower = m_followers.back();
     // Old state is better than none.
-    const bool lacks_state = follower.known.size() < static_cast<std::size_t>(platform::KIND_COUNT);
+    const bool lacks_state =
+        follower.request.known.size() < static_cast<std::size_t>(platform::KIND_COUNT);
     if (lacks_state || age(now) <= m_timing.stale_age) {
         send_lists(follower, now);
     }
     stream->write(encode(StoreUpdate{std::nullopt, age(now), has_recent_store_failure()}));
 }
 
-const std::string& StoreFeed::encoded_list(const KindUpdate& list) {
+const std::string& StoreFeed::encoded_list(const KindUpdate& list, bool compressed) {
     EncodedList& cached = m_encoded_lists[list.kind];
     if (cached.revision != list.revision || cached.after_outage != list.after_outage) {
-        cached = {list.revision, list.after_outage,
-                  encode(StoreUpdate{list, LIST_AGE, has_recent_store_failure()})};
+        cached = {list.revision, list.after_outage, "", ""};
     }
-    return cached.line;
+    std::string& line = compressed ? cached.compressed_line : cached.line;
+    if (line.empty()) {
+        const StoreUpdate update = {list, LIST_AGE, has_recent_store_failure()};
+        line = compressed ? encode_compressed(update) : encode(update);
+    }
+    return line;
 }
 
 void StoreFeed::send_lists(Follower& follower, Time now) {
-    for (const KindUpdate& list : lists_of(m_mirror, follower.known, now)) {
-        follower.stream->write(encoded_list(list));
+    for (const KindUpdate& list : lists_of(m_mirror, follower.request.known, now)) {
+        follower.stream->write(encoded_list(list, follower.request.accepts_compressed));
     }
     follower.has_lists = true;
 }
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -66,15 +66,17 @@
     /// A stream to a node that follows this one.
     struct Follower {
         std::shared_ptr<ServerStream> stream;
-        /// What the node knew when it began to follow.
-        KindRevisions known;
+        FollowRequest request;
         /// Lists are sent once this node's own data is recent; before that, changes are not.
         bool has_lists = false;
     };
+    /// A list of one kind, encoded once for all followers that need it; empty lines are not encoded
+    /// yet.
     struct EncodedList {
         std::int64_t revision = 0;
         bool after_outage = false;
         std::string line;
+        std::string compressed_line;
     };
 
     void create_watchers();
@@ -95,10 +97,10 @@
     void probe_store();
     bool has_recent_store_failure() const;
 
-    void add_follower(const std::shared_ptr<ServerStream>& stream, const std::string& known);
+    void add_follower(const std::shared_ptr<ServerStream>& stream, const std::string& request);
     void send_lists(Follower& follower, Time now);
     void send_due_lists(Time now);
-    const std::string& encoded_list(const KindUpdate& list);
+    const std::string& encoded_list(const KindUpdate& list, bool compressed);
     void send_to_followers(const StoreUpdate& update);
 
     EventLoop& m_loop;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -1,13 +1,27 @@
 #include "front/store_mirror.h"
 
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "policy/target_registry.h"
 
 namespace ebonymount {
 namespace {
 
+/// Favours speed: entries of one kind are much alike.
+constexpr int COMPRESSION_LEVEL = 1;
+
+/// A message that is longer when inflated is malformed; 4,200 targets take about a megabyte.
+constexpr std::size_t MAX_INFLATED_BYTES = 16000000;
+
 using Json = nlohmann::json;
 using platform::StoredObject;
 
@@ -47,6 +61,20 @@
            std::all_of(update.objects.begin(), update.objects.end(), is_mirrored);
 }
 
+/// Inflates text; at most `MAX_INFLATED_BYTES` of it are returned.
+std::string inflate(const std::string& text) {
+    std::istringstream encoded(text);
+    Poco::Base64Decoder decoder(encoded, Poco::BASE64_URL_ENCODING);
+    Poco::InflatingInputStream inflating(decoder, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string inflated;
+    std::array<char, 16384> chunk{};
+    while (inflated.size() < MAX_INFLATED_BYTES && inflating.good()) {
+        inflating.read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+        inflated.append(chunk.data(), static_cast<std::size_t>(inflating.gcount()));
+    }
+    return inflated;
+}
+
 }  // namespace
 
 std::string encode(const StoreUpdate& update) {
@@ -65,9 +93,24 @@
     return message.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
+std::string encode_compressed(const StoreUpdate& update) {
+    std::ostringstream deflated;
+    Poco::Base64Encoder encoder(deflated, Poco::BASE64_URL_ENCODING);
+    Poco::DeflatingOutputStream compressor(encoder, Poco::DeflatingStreamBuf::STREAM_ZLIB,
+                                           COMPRESSION_LEVEL);
+    compressor << encode(update);
+    compressor.close();
+    encoder.close();
+    return Json{{"deflated", deflated.str()}}.dump() + "\n";
+}
+
 Result<StoreUpdate> decode_store_update(std::string_view line) {
-    const Json message = Json::parse(line, nullptr, false);
+    Json message = Json::parse(line, nullptr, false);
     try {
+        if (message.contains("deflated")) {
+            const std::string inflated = inflate(message.at("deflated").get<std::string>());
+            message = Json::parse(inflated, nullptr, false);
+        }
         StoreUpdate update;
         update.age = Duration(message.at("age_us").get<std::int64_t>());
         update.store_failed_recently = message.at("trouble").get<bool>();
@@ -90,6 +133,8 @@
         return update;
     } catch (const Json::exception& error) {
         return Error{ErrorCode::protocol, "malformed update from another node", error.what()};
+    } catch (const Poco::Exception& error) {
+        return Error{ErrorCode::protocol, "malformed compressed update", error.displayText()};
     }
 }
 
@@ -152,29 +197,33 @@
     return revisions;
 }
 
-std::string encode(const KindRevisions& revisions) {
+std::string encode(const FollowRequest& request) {
     Json rows = Json::array();
-    for (const auto& [kind, revision] : revisions) {
+    for (const auto& [kind, revision] : request.known) {
         rows.push_back({static_cast<int>(kind), revision});
     }
-    return Json{{"revisions", std::move(rows)}}.dump();
+    return Json{{"revisions", std::move(rows)}, {"compressed", request.accepts_compressed}}.dump();
 }
 
-KindRevisions decode_revisions(const std::string& text) {
-    KindRevisions revisions;
+FollowRequest decode_follow_request(const std::string& text) {
+    FollowRequest request;
     const Json document = Json::parse(text, nullptr, false);
-    if (!document.is_object() || !document.contains("revisions")) {
-        return revisions;
+    if (!document.is_object()) {
+        return request;
     }
-    for (const Json& row : document.at("revisions")) {
+    const auto compressed = document.find("compressed");
+    request.accepts_compressed =
+        compressed != document.end() && compressed->is_boolean() && compressed->get<bool>();
+    const auto revisions = document.find("revisions");
+    for (const Json& row : revisions == document.end() ? Json::array() : *revisions) {
         const bool is_valid = row.is_array() && row.size() == 2 && row.at(0).is_number_integer() &&
                               row.at(1).is_number_integer();
         const int kind = is_valid ? row.at(0).get<int>() : -1;
         if (kind >= 0 && kind < platform::KIND_COUNT) {
-            revisions[static_cast<platform::Kind>(kind)] = row.at(1).get<std::int64_t>();
+            request.known[static_cast<platform::Kind>(kind)] = row.at(1).get<std::int64_t>();
         }
     }
-    return revisions;
+    return request;
 }
 
 std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now) {
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -46,6 +46,10 @@
 std::string encode(const StoreUpdate& update);
 Result<StoreUpdate> decode_store_update(std::string_view line);
 
+/// Encodes a message in compressed form, for lists: when all nodes start at once, the readers'
+/// links limit how soon they have their state. The decoder accepts both forms.
+std::string encode_compressed(const StoreUpdate& update);
+
 /// Objects of one kind as of a revision.
 struct MirroredKind {
     std::map<std::string, platform::StoredObject> objects;
@@ -72,10 +76,18 @@
 
 KindRevisions revisions_of(const StoreMirror& mirror);
 
-/// Encodes revisions for the call that starts to follow a reader. Anything that the decoder cannot
-/// read counts as a kind without a copy.
-std::string encode(const KindRevisions& revisions);
-KindRevisions decode_revisions(const std::string& text);
+/// What a node tells a reader when it begins to follow it.
+struct FollowRequest {
+    KindRevisions known;
+    /// The node can decode compressed messages.
+    bool accepts_compressed = false;
+
+    friend bool operator==(const FollowRequest&, const FollowRequest&) = default;
+};
+
+/// Anything that the decoder cannot read counts as a kind without a copy.
+std::string encode(const FollowRequest& request);
+FollowRequest decode_follow_request(const std::string& text);
 
 /// Returns a list of each kind of which the mirrored copy is newer than `known`, to be sent to a
 /// new follower that knows those revisions.
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -14,6 +14,14 @@
 /// or two.
 constexpr Duration AVOID_TIME = from_ms(3000);
 
+/// The same for a node without any state, which cannot serve: when all nodes start at once, the
+/// next one may have its state earlier, and the one that failed may be up soon.
+constexpr Duration FIRST_READER_WAIT = from_ms(150);
+constexpr Duration FIRST_AVOID_TIME = from_ms(600);
+
+/// Delay between the groups of nodes without any state that probe the store.
+constexpr Duration FIRST_TAKEOVER_STEP = from_ms(100);
+
 /// Pause between attempts to follow a reader, for a node that reads the store itself, and for one
 /// that has met `TAKEOVER_NODES` readers without recent updates in a row.
 constexpr Duration CANDIDATE_PAUSE = from_ms(1000);
@@ -101,12 +109,14 @@
     const Time now = inputs.now;
     const ReaderLink& candidate = *inputs.candidate;
     const bool may_follow = !source.reading || source.is_reader || now >= source.may_follow_at;
-    const bool has_timed_out = candidate.ended || now > candidate.opened + READER_WAIT;
+    const bool is_sending = is_connected(&candidate, inputs);
+    const Duration wait = inputs.has_state || is_sending ? READER_WAIT : FIRST_READER_WAIT;
+    const bool has_timed_out = candidate.ended || now > candidate.opened + wait;
     const bool is_usable = is_recent(&candidate, inputs) && inputs.has_state;
     // A connected reader without recent updates is better than none: it shows when the store is
     // back.
-    const bool is_best = !source.reading && inputs.upstream == nullptr && has_timed_out &&
-                         is_connected(&candidate, inputs);
+    const bool is_best =
+        !source.reading && inputs.upstream == nullptr && has_timed_out && is_sending;
     if (is_usable ? may_follow : is_best) {
         if (inputs.upstream != nullptr) {
             source.avoided[inputs.upstream->reader.node] = now + AVOID_TIME;
@@ -116,7 +126,8 @@
         actions.emplace_back(FollowCandidate{});
     } else if (!is_usable && has_timed_out) {
         ++source.stale_candidates;
-        source.avoided[candidate.reader.node] = now + AVOID_TIME;
+        source.avoided[candidate.reader.node] =
+            now + (inputs.has_state ? AVOID_TIME : FIRST_AVOID_TIME);
         actions.emplace_back(
             DropCandidate{candidate.ended ? "the stream ended" : "no recent updates"});
     }
@@ -127,7 +138,8 @@
     // A quiet watch shows no contact for the whole of its wait.
     const Duration limit = inputs.own_reads_fail ? inputs.timing.stale_age
                                                  : inputs.timing.watch_wait + STORE_CALL_TIMEOUT;
-    return source.is_reader && inputs.now - source.last_contact > limit;
+    return source.is_reader &&
+           inputs.now - std::max(source.last_contact, source.reading_since) > limit;
 }
 
 /// Drops the reader if its stream has ended or is silent, or if the node now reads the store
@@ -154,6 +166,7 @@
 void start_reading(StoreSource& source, const SourceInputs& inputs,
                    std::vector<SourceAction>& actions) {
     source.reading = true;
+    source.reading_since = inputs.now;
     source.may_follow_at = inputs.now + inputs.timing.min_reading_time;
     source.probe_at.reset();
     source.probe_answered_at.reset();
@@ -165,7 +178,8 @@
 /// group has twice as many.
 Duration group_delay(const StoreSource& source, const SourceInputs& inputs) {
     const std::size_t group = std::max<std::size_t>(1, source.rank / READERS_PER_DATA_CENTRE);
-    return inputs.timing.takeover_step * (std::bit_width(group) - 1);
+    const Duration step = inputs.has_state ? inputs.timing.takeover_step : FIRST_TAKEOVER_STEP;
+    return step * (std::bit_width(group) - 1);
 }
 
 Time next_probe_time(const StoreSource& source, const SourceInputs& inputs, Time needed_from,
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -46,6 +46,7 @@
     std::size_t rank = 0;
     /// The node reads the store itself.
     bool reading = false;
+    Time reading_since{};
     /// While it reads the store itself, it follows no reader before this time.
     Time may_follow_at{};
     /// Time of the latest response of the store that this node's state reflects.
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -121,8 +121,9 @@
     StoreMirror mirror;
     merge_update(mirror, {Kind::targets, true, false, 7, {}}, NOW);
     merge_update(mirror, {Kind::config, true, false, 9, {}}, NOW);
-    const KindRevisions known = decode_revisions(encode(revisions_of(mirror)));
-    CHECK(known == revisions_of(mirror));
+    const FollowRequest request = {revisions_of(mirror), true};
+    CHECK(decode_follow_request(encode(request)) == request);
+    const KindRevisions& known = request.known;
     CHECK(lists_of(mirror, known, NOW).empty());
     merge_update(mirror, {Kind::config, true, false, 10, {}}, NOW);
     REQUIRE(lists_of(mirror, known, NOW).size() == 1);
@@ -130,7 +131,32 @@
     // Whatever cannot be read counts as no copy, so everything is sent.
     for (const char* text : {"", "null", "[]", "{\"revisions\":[[99,1],[\"a\",2],7,[1]]}",
                              "{\"revisions\":7}", "\xff"}) {
-        CHECK(lists_of(mirror, decode_revisions(text), NOW).size() == 2);
+        CHECK(lists_of(mirror, decode_follow_request(text).known, NOW).size() == 2);
+    }
+}
+
+TEST_CASE("a compressed message is smaller and decoded as it was encoded") {
+    KindUpdate list = {Kind::targets, true, false, 7, {}};
+    for (int i = 0; i < 600; ++i) {
+        platform::StoredObject object;
+        object.name = "i-" + std::to_string(i);
+        object.revision = i + 1;
+        object.spec = R"({"service":"s","address":"10.0.0.1:80","state":"ready"})";
+        list.objects.push_back(object);
+    }
+    const StoreUpdate update = {list, from_ms(5), true};
+    const std::string line = encode_compressed(update);
+    CHECK(line.find('\n') == line.size() - 1);
+    CHECK(line.size() < encode(update).size() / 4);
+    const Result<StoreUpdate> decoded = decode_store_update(line.substr(0, line.size() - 1));
+    REQUIRE(has_value(decoded));
+    CHECK(value_of(decoded) == update);
+    // Any change of the text gives an error or another message, but never ends the process.
+    for (std::size_t at = 12; at < line.size() - 4; at += 7) {
+        std::string damaged = line.substr(0, line.size() - 1);
+        damaged[at] = damaged[at] == 'A' ? 'B' : 'A';
+        decode_store_update(damaged);
+        decode_store_update(damaged.substr(0, at) + "\"}");
     }
 }
 
