HTTP: end messages that never end; do not send to a target that was withdrawn meanwhile

Bytes that are no message may come without end, in a head or a body, until this side closes. Change: unparsed bytes are limited like a header, 16 interim and 16 foreign responses are skipped, and the parts of one request share the limit of a response (90 parts of 16 MB each exceeded the memory of a node). A line from another node is limited to 16 MB.

Ruled out: an idle connection (sent at once), a full socket (one call at a time on a connection), hedges and retries (they look at the live state). Change: whether the target still takes work is checked again when the connect has completed; if not, the attempt moves to another replica as not sent.

List updates, not only first lists, go compressed to followers.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -225,6 +225,11 @@
     call.deadline = action.deadline + CALL_SLACK;
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
     call.call.is_head = m_request.method == "HEAD";
+    call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
+    // The target may be withdrawn while a connection to it is opened.
+    call.call.may_send = [self, index = action.target] {
+        return self->m_front.targets.states[index].accepts_work;
+    };
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
     };
@@ -340,6 +345,11 @@
             on_refusal(target, now);
             return;
         case FanOutAttemptStatus::not_connected:
+            if (!target.accepts_work) {
+                // Withdrawn while the connection was opened, which says nothing about the target.
+                on_abandoned(target, Duration::zero(), 0, now);
+                return;
+            }
             on_failure(target, false, cold_start, now);
             for (const std::uint64_t request :
                  confirm_crash(m_front.quarantine, attempt.target, now)) {
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -28,6 +28,10 @@
 /// Maximum jitter of the pauses after failed calls, as a fraction of them.
 constexpr double MAX_PAUSE_JITTER = 0.5;
 
+/// A message from another node that is longer has no end. The list of 4,200 targets takes about a
+/// megabyte.
+constexpr std::size_t MAX_LINE_BYTES = 16000000;
+
 /// Age that lists are sent with. The heartbeat after them has the age of the sender's data, which
 /// would be wrong in a list that is encoded once for several followers.
 constexpr Duration LIST_AGE = from_ms(86400000);
@@ -310,6 +314,11 @@
         }
     }
     upstream->input.erase(0, begin);
+    if (upstream->input.size() > MAX_LINE_BYTES) {
+        log_warning("store", "a message from another node is too long");
+        upstream->input.clear();
+        upstream->link.ended = true;
+    }
 }
 
 void StoreFeed::close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason) {
@@ -412,12 +421,15 @@
     if (m_followers.empty()) {
         return;
     }
-    const std::string line = encode(update);
+    const bool is_list = update.change.has_value() && update.change->is_list;
+    const std::string line = is_list ? std::string() : encode(update);
     for (const Follower& follower : m_followers) {
-        if (follower.has_lists || !update.change.has_value()) {
-            ++m_updates_relayed;
-            follower.stream->write(line);
+        if (!follower.has_lists && update.change.has_value()) {
+            continue;
         }
+        ++m_updates_relayed;
+        follower.stream->write(
+            is_list ? encoded_list(*update.change, follower.request.accepts_compressed) : line);
     }
 }
 
--- a/src/io/documents.cpp
+++ b/src/io/documents.cpp
@@ -188,7 +188,7 @@
 IdempotencyRecord read_idempotency_record(const Json& document, const std::string& key) {
     JsonReader reader(document, key);
     IdempotencyRecord record;
-    record.fingerprint = std::stoull(reader.text("fingerprint"));
+    record.fingerprint = reader.hash("fingerprint");
     record.claimant = reader.text("claimant");
     record.state = read_idempotency_state(reader.text("state"));
     record.claimed_at_s = reader.integer("claimed_at_s", 0, MAX_INTEGER);
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -7,6 +7,9 @@
 namespace ebonymount {
 namespace {
 
+/// Responses to other calls that are skipped during one call; a target that sends more never ends.
+constexpr int MAX_SKIPPED_RESPONSES = 16;
+
 /// Idle time after which a connection is not reused if the peer states no limit.
 constexpr Duration DEFAULT_IDLE_LIMIT = from_ms(30000);
 
@@ -168,7 +171,17 @@
 }
 
 void HttpChannel::send_call() {
+    if (m_call.may_send && !m_call.may_send()) {
+        const ChannelCall call = std::move(m_call);
+        m_call = ChannelCall{};
+        m_has_call = false;
+        m_on_change(*this);
+        call.on_end(CallStatus::not_sent, HttpResponseMessage{});
+        return;
+    }
     m_phase = Phase::awaiting_response;
+    m_skipped_responses = 0;
+    m_reader.set_max_body_bytes(m_call.max_body_bytes);
     if (m_call.is_head) {
         m_reader.expect_no_body();
     }
@@ -206,6 +219,8 @@
                 complete(std::move(response));
             } else if (stream_state != StreamState::open) {
                 fail(CallStatus::broken);
+            } else if (++m_skipped_responses > MAX_SKIPPED_RESPONSES) {
+                fail(CallStatus::malformed);
             }
             continue;
         }
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -39,7 +39,12 @@
     std::function<void()> on_sent;
     /// Called once. The response is only set for `CallStatus::answered`.
     std::function<void(CallStatus status, HttpResponseMessage response)> on_end;
+    /// Checked at the moment of sending, which may be later than `start`; if it is false, the call
+    /// ends as `not_sent`. May be empty.
+    std::function<bool()> may_send;
     bool is_head = false;
+    /// A response with a longer body is malformed.
+    std::size_t max_body_bytes = HttpLimits{}.max_body_bytes;
 };
 
 class HttpChannel : public SocketOwner, public std::enable_shared_from_this<HttpChannel> {
@@ -98,6 +103,8 @@
     Phase m_phase = Phase::connecting;
     bool m_has_call = false;
     bool m_has_responded = false;
+    /// Responses to other calls that were skipped during the present one.
+    int m_skipped_responses = 0;
     ChannelCall m_call;
     std::string m_input;
     HttpResponseReader m_reader;
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -14,6 +14,9 @@
 namespace ebonymount {
 namespace {
 
+/// Interim responses before a final one; a peer that sends more never ends.
+constexpr std::int64_t MAX_INTERIM_RESPONSES = 16;
+
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
@@ -39,6 +42,7 @@
         this->header_limit(
             static_cast<std::uint32_t>(std::min(limits.max_header_bytes, max_limit)));
         this->body_limit(limits.max_body_bytes);
+        m_max_unparsed_bytes = limits.max_header_bytes;
     }
 
     ReadState consume(std::string& buffer) {
@@ -52,7 +56,11 @@
             }
         }
         buffer.erase(0, used);
-        return state_after(error);
+        const ReadState state = state_after(error);
+        // Beast bounds the header and the body, but waits for the end of a chunk header or trailer
+        // of any length.
+        const bool is_open = state == ReadState::body || state == ReadState::header;
+        return is_open && buffer.size() > m_max_unparsed_bytes ? ReadState::malformed : state;
     }
 
     ReadState finish() {
@@ -71,6 +79,8 @@
     Message message;
 
 private:
+    std::size_t m_max_unparsed_bytes = 0;
+
     ReadState state_after(const beast::error_code& error) const {
         if (!error || error == beast_http::error::need_more) {
             if (this->is_done()) {
@@ -272,6 +282,13 @@
     m_parser->skip(m_no_body);
 }
 
+void HttpResponseReader::set_max_body_bytes(std::size_t bytes) {
+    if (m_limits.max_body_bytes != bytes) {
+        m_limits.max_body_bytes = bytes;
+        restart();
+    }
+}
+
 void HttpResponseReader::expect_no_body() {
     m_no_body = true;
     restart();
@@ -281,6 +298,9 @@
     ReadState state = m_parser->consume(buffer);
     // Interim (1xx) responses are skipped; the final response follows.
     while (state == ReadState::complete && m_parser->message.status < http::OK) {
+        if (++m_interim_responses > MAX_INTERIM_RESPONSES) {
+            return ReadState::malformed;
+        }
         restart();
         state = m_parser->consume(buffer);
     }
@@ -294,6 +314,7 @@
 HttpResponseMessage HttpResponseReader::take() {
     HttpResponseMessage message = m_parser->take();
     m_no_body = false;
+    m_interim_responses = 0;
     restart();
     return message;
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -110,6 +110,9 @@
     HttpResponseReader(HttpResponseReader&&) = delete;
     HttpResponseReader& operator=(HttpResponseReader&&) = delete;
 
+    /// Limits the body of the next response, which must not have begun.
+    void set_max_body_bytes(std::size_t bytes);
+
     /// Declares that the next response is to a HEAD request and has no body.
     void expect_no_body();
 
@@ -127,6 +130,7 @@
 
     HttpLimits m_limits;
     bool m_no_body = false;
+    std::int64_t m_interim_responses = 0;
     std::unique_ptr<Parser> m_parser;
 };
 
--- a/src/io/json_reader.h
+++ b/src/io/json_reader.h
@@ -4,6 +4,7 @@
 // them to `Result` in their public functions. `finish` rejects keys that were not read.
 #pragma once
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -44,6 +45,17 @@
         return find(name) == nullptr ? default_value : text(name);
     }
 
+    /// A 64-bit hash, which is text because JSON numbers do not hold it exactly.
+    std::uint64_t hash(const std::string& name) {
+        const std::string value = text(name);
+        std::uint64_t number = 0;
+        const std::from_chars_result end =
+            std::from_chars(value.data(), value.data() + value.size(), number);
+        user_check(end.ec == std::errc() && end.ptr == value.data() + value.size())
+            << path_of(name) << " is not a 64-bit hash: " << value;
+        return number;
+    }
+
     std::int64_t integer(const std::string& name, std::int64_t minimum, std::int64_t maximum) {
         const nlohmann::json& value = member(name);
         user_check(value.is_number_integer())
--- a/src/io/peer_documents.cpp
+++ b/src/io/peer_documents.cpp
@@ -111,7 +111,7 @@
 QuarantineNotice read_quarantine_notice(const Json& document) {
     JsonReader reader(document, "suspicions[]");
     QuarantineNotice notice;
-    notice.fingerprint = std::stoull(reader.text("fingerprint"));
+    notice.fingerprint = reader.hash("fingerprint");
     notice.quarantine_state = static_cast<QuarantineState>(reader.integer("standing", 0, 2));
     notice.remaining = Duration(reader.integer("remaining_us", 0, MAX_INTEGER));
     return notice;
--- a/src/node/idempotency_store.cpp
+++ b/src/node/idempotency_store.cpp
@@ -1,5 +1,6 @@
 #include "node/idempotency_store.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "io/documents.h"
@@ -85,7 +86,9 @@
     Time deadline = monotonic_now() + BATCH_TIMEOUT;
     for (const std::shared_ptr<PendingClaim>& pending_claim : pending_claims) {
         batch.claims.push_back(pending_claim->key_claim);
-        batch.retention_s = pending_claim->retention.count() / 1'000'000;
+        // The table may change between two claims; a record that is kept for too long does no harm.
+        batch.retention_s = std::max(batch.retention_s.value_or(0),
+                                     pending_claim->retention.count() / 1'000'000);
         deadline = std::min(deadline, pending_claim->deadline);
     }
     lock.unlock();
--- a/src/policy/idempotency.cpp
+++ b/src/policy/idempotency.cpp
@@ -65,7 +65,9 @@
                                    std::int64_t now_s) {
     IdempotencyBatchResult result;
     result.bucket = bucket;
-    drop_expired(result, batch.retention_s, now_s);
+    if (batch.retention_s.has_value()) {
+        drop_expired(result, *batch.retention_s, now_s);
+    }
     for (const IdempotencyUpdate& update : batch.updates) {
         apply_update(result, update);
     }
--- a/src/policy/idempotency.h
+++ b/src/policy/idempotency.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,7 +54,9 @@
 struct IdempotencyBatch {
     std::vector<KeyClaim> claims;
     std::vector<IdempotencyUpdate> updates;
-    std::int64_t retention_s = 86400;
+    /// Age at which records are dropped, from the service's row of the table; empty for a batch
+    /// without claims, which drops none.
+    std::optional<std::int64_t> retention_s;
 };
 
 /// Outcome of a claim.
--- a/test/correctness/test_idempotency.cpp
+++ b/test/correctness/test_idempotency.cpp
@@ -82,6 +82,14 @@
     CHECK(apply_batch(claimed, batch, 151).bucket.empty());
 }
 
+TEST_CASE("a batch of outcomes drops no record, however old, as it knows no retention") {
+    // A booking whose key is kept for 30 days could otherwise run again after one day.
+    const IdempotencyBucket claimed = apply_batch({}, claim_batch("k", "a"), 100).bucket;
+    constexpr std::int64_t TEN_DAYS_S = 864000;
+    const IdempotencyBatch outcome = update_batch("other", "b", IdempotencyState::ran, "{}");
+    CHECK(apply_batch(claimed, outcome, 100 + TEN_DAYS_S).bucket.size() == 1);
+}
+
 TEST_CASE("a bucket is unchanged after encoding and decoding") {
     IdempotencyBucket bucket = apply_batch({}, claim_batch("k \"1\"", "a"), 100).bucket;
     bucket["k2"] = {9, "b", IdempotencyState::ran, 5, "{\"x\":1}"};
--- a/test/error/test_bad_input.cpp
+++ b/test/error/test_bad_input.cpp
@@ -126,6 +126,28 @@
     CHECK_FALSE(has_value(decode_gossip("\x01")));
 }
 
+TEST_CASE("a hash that is not a number in a gossip message or a stored record is an error") {
+    GossipMessage message;
+    message.from.host = "h1";
+    message.quarantine_notices.push_back({7, QuarantineState::suspect, from_ms(1000)});
+    const std::string bytes = encode(message);
+    REQUIRE(has_value(decode_gossip(bytes)));
+    for (const char* hash : {"", "x", "-1", "7x", "99999999999999999999999"}) {
+        Json document = Json::from_msgpack(bytes.begin(), bytes.end());
+        document["suspicions"][0]["fingerprint"] = hash;
+        std::string damaged;
+        Json::to_msgpack(document, damaged);
+        CHECK_FALSE(has_value(decode_gossip(damaged)));
+        IdempotencyBucket bucket;
+        bucket["k"] = {7, "a", IdempotencyState::ran, 5, "{}"};
+        Json stored = to_document(bucket);
+        for (Json& record : stored.contains("claims") ? stored["claims"] : stored) {
+            record["fingerprint"] = hash;
+        }
+        CHECK_FALSE(has_value(idempotency_bucket_from(stored)));
+    }
+}
+
 TEST_CASE("the command line rejects invalid arguments before it sends anything") {
     std::ostringstream output;
     std::ostringstream errors;
