--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -36,13 +36,13 @@
 public:
     using Base = beast_http::basic_parser<is_request>;
 
-    explicit MessageParser(const HttpLimits& limits) {
+    explicit MessageParser(const HttpLimits& limits)
+        : m_max_unparsed_bytes(limits.max_header_bytes) {
         const std::size_t max_limit = std::numeric_limits<std::uint32_t>::max();
         this->eager(true);
         this->header_limit(
             static_cast<std::uint32_t>(std::min(limits.max_header_bytes, max_limit)));
         this->body_limit(limits.max_body_bytes);
-        m_max_unparsed_bytes = limits.max_header_bytes;
     }
 
     ReadState consume(std::string& buffer) {
@@ -79,7 +79,7 @@
     Message message;
 
 private:
-    std::size_t m_max_unparsed_bytes = 0;
+    std::size_t m_max_unparsed_bytes;
 
     ReadState state_after(const beast::error_code& error) const {
         if (!error || error == beast_http::error::need_more) {
