--- a/src/node/idempotency_store.cpp
+++ b/src/node/idempotency_store.cpp
@@ -87,8 +87,8 @@
     for (const std::shared_ptr<PendingClaim>& pending_claim : pending_claims) {
         batch.claims.push_back(pending_claim->key_claim);
         // The table may change between two claims; a record that is kept for too long does no harm.
-        batch.retention_s = std::max(batch.retention_s.value_or(0),
-                                     pending_claim->retention.count() / 1'000'000);
+        batch.retention_s =
+            std::max(batch.retention_s.value_or(0), pending_claim->retention.count() / 1'000'000);
         deadline = std::min(deadline, pending_claim->deadline);
     }
     lock.unlock();
