Quarantine: log lines and counters that tell broken connections, crashes and lost reports apart

A broken connection is logged with the request's fingerprint and its target, the outcome of each report to the store too, and counters show how many broken connections were confirmed as crashes, were not, and how many reports were stored. With the lines of before, hypotheses 1 (no evidence), 3 (report lost) and 4 (innocent requests) looked the same.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -49,7 +49,8 @@
     if (!m_registered && now >= m_next_registration) {
         register_node();
     }
-    drop_expired_suspects(m_state.quarantine, now);
+    m_state.counters.crash_evidence_unconfirmed +=
+        static_cast<std::int64_t>(drop_expired_suspects(m_state.quarantine, now));
     remove_old_reports(now);
 }
 
@@ -226,16 +227,24 @@
     m_counted_reports.emplace(name, now + SUSPECT_TTL);
     add_crashes(m_state.quarantine, request, 1, now);
     LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
-    call_store(
-        "POST", platform::create_path(platform::Kind::quarantine), platform::create_body(name, ""),
-        [name](CallStatus status, const HttpResponseMessage&) {
-            if (status != CallStatus::answered) {
-                // Without the report, other nodes do not count this crash and may first
-                // suspect the request when it crashes another target.
-                log_warning("quarantine",
-                            "report " + name + " may not have been stored: " + name_of(status));
-            }
-        });
+    call_store("POST", platform::create_path(platform::Kind::quarantine),
+               platform::create_body(name, ""),
+               [this, name](CallStatus status, const HttpResponseMessage& response) {
+                   const bool is_stored =
+                       status == CallStatus::answered &&
+                       (response.status == http::OK || response.status == http::CREATED ||
+                        response.status == http::CONFLICT);
+                   ++(is_stored ? m_state.counters.crash_reports_stored
+                                : m_state.counters.crash_reports_failed);
+                   // Without the report, other nodes do not count this crash and may first suspect
+                   // the request when it crashes another target.
+                   LogEvent(is_stored ? LogLevel::info : LogLevel::warning, "quarantine", "report")
+                       .add("report", name)
+                       .add("stored", is_stored ? "yes" : "no")
+                       .add("outcome", name_of(status))
+                       .add("status", response.status)
+                       .write();
+               });
 }
 
 void FleetWatcher::remove_old_reports(Time now) {
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -8,6 +8,16 @@
                            "\"}");
 }
 
+Counter& crash_evidence_counter(Metrics& metrics, const char* state) {
+    return metrics.counter(std::string("ebonymount_front_crash_evidence_total{state=\"") + state +
+                           "\"}");
+}
+
+Counter& crash_report_counter(Metrics& metrics, const char* outcome) {
+    return metrics.counter(std::string("ebonymount_front_crash_reports_total{outcome=\"") +
+                           outcome + "\"}");
+}
+
 }  // namespace
 
 FrontMetrics::FrontMetrics(Metrics& metrics)
@@ -27,6 +37,11 @@
       retries(metrics.counter("ebonymount_front_retries_total")),
       attempts_without_token(metrics.counter("ebonymount_front_without_token_total")),
       parts_missing(metrics.counter("ebonymount_front_parts_missing_total")),
+      crash_evidence_broken(crash_evidence_counter(metrics, "broken")),
+      crash_evidence_confirmed(crash_evidence_counter(metrics, "confirmed")),
+      crash_evidence_unconfirmed(crash_evidence_counter(metrics, "unconfirmed")),
+      crash_reports_stored(crash_report_counter(metrics, "stored")),
+      crash_reports_failed(crash_report_counter(metrics, "failed")),
       request_time(metrics.histogram("ebonymount_front_request_seconds")),
       attempt_time(metrics.histogram("ebonymount_front_try_seconds")) {}
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -39,6 +39,13 @@
     Counter& retries;
     Counter& attempts_without_token;
     Counter& parts_missing;
+    /// Connections that broke while a request ran, by what became of them.
+    Counter& crash_evidence_broken;
+    Counter& crash_evidence_confirmed;
+    Counter& crash_evidence_unconfirmed;
+    /// Crash reports to the store, by outcome.
+    Counter& crash_reports_stored;
+    Counter& crash_reports_failed;
     Histogram& request_time;
     Histogram& attempt_time;
 };
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -353,6 +353,7 @@
             on_failure(target, false, cold_start, now);
             for (const std::uint64_t request :
                  confirm_crash(m_front.quarantine, attempt.target, now)) {
+                ++m_front.counters.crash_evidence_confirmed;
                 m_front.on_crash(request);
             }
             return;
@@ -363,6 +364,13 @@
             }
             if (call_status == CallStatus::broken || call_status == CallStatus::rejected) {
                 record_broken_connection(m_front.quarantine, {attempt.target, m_fingerprint, now});
+                ++m_front.counters.crash_evidence_broken;
+                LogEvent(LogLevel::info, "quarantine", "connection_broken")
+                    .add("request", m_caller_headers.request_id)
+                    .add("fingerprint", std::to_string(m_fingerprint))
+                    .add("target", target.entry.id)
+                    .add("outcome", name_of(call_status))
+                    .write();
             }
             return;
         case FanOutAttemptStatus::timed_out:
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -71,13 +71,14 @@
     return requests;
 }
 
-void drop_expired_suspects(CrashQuarantine& quarantine, Time now) {
-    std::erase_if(quarantine.broken_connections, [now](const BrokenConnection& broken) {
-        return now - broken.at > CRASH_DETECTION_TIME;
-    });
+std::size_t drop_expired_suspects(CrashQuarantine& quarantine, Time now) {
+    const std::size_t dropped = std::erase_if(
+        quarantine.broken_connections,
+        [now](const BrokenConnection& broken) { return now - broken.at > CRASH_DETECTION_TIME; });
     std::erase_if(quarantine.suspects, [now](const auto& entry) {
         return now - entry.second.last_report_at > SUSPECT_TTL;
     });
+    return dropped;
 }
 
 }  // namespace ebonymount
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -86,8 +86,8 @@
 /// True if the request with that fingerprint must not be sent to any target.
 bool is_quarantined(const CrashQuarantine& quarantine, std::uint64_t request);
 
-/// Drops broken connections that were not crashes, and suspected requests whose last crash is older
-/// than `SUSPECT_TTL`.
-void drop_expired_suspects(CrashQuarantine& quarantine, Time now);
+/// Drops broken connections that were not confirmed as crashes, and suspected requests whose last
+/// crash is older than `SUSPECT_TTL`. Returns the number of broken connections dropped.
+std::size_t drop_expired_suspects(CrashQuarantine& quarantine, Time now);
 
 }  // namespace ebonymount
