--- /dev/null
+++ b/test/failure/test_crashing_requests.cpp
@@ -0,0 +1,104 @@
+// Requests that crash each target that runs them, at a fleet on loopback sockets.
+//
+// Callers send such a request again, to any node. Bound of the platform: later than the stable
+// window after the third crash, at most three further requests of the caller may reach targets.
+#include <catch2/catch.hpp>
+
+#include "front_fleet.h"
+
+namespace ebonymount {
+namespace {
+
+constexpr std::size_t CRASHES = 3;
+constexpr std::size_t MAX_REQUESTS_AFTER = 3;
+constexpr std::size_t RETRIES_AFTER = 18;
+const Duration STABLE_WINDOW = platform::Settings{}.stable_window;
+const std::string CRASHING = "/book/crash";
+
+/// Sends a crashing request to one node after the other: until three targets have crashed, and
+/// `RETRIES_AFTER` times more once the store has been sound for the stable window.
+class CrashingCaller {
+public:
+    CrashingCaller(FrontFleet& fleet, std::size_t nodes) : m_fleet(fleet), m_nodes(nodes) {}
+
+    void begin() {
+        send();
+    }
+
+    bool is_done() const {
+        return m_retries == RETRIES_AFTER;
+    }
+
+    /// Requests that reached targets later than the stable window after the third crash.
+    std::size_t requests_after_window() const {
+        return m_fleet.requests_reaching_targets(CRASHING, m_window_end);
+    }
+
+private:
+    void send() {
+        m_fleet.send(m_node++ % m_nodes, CRASHING,
+                     [this](int /*status*/, const std::string& /*retry_after*/) { on_end(); });
+    }
+
+    void on_end() {
+        if (m_window_end != Time::max()) {
+            ++m_retries;
+        } else if (m_fleet.crashed() >= CRASHES) {
+            m_fleet.store().set_faults({});
+            m_window_end = monotonic_now() + STABLE_WINDOW;
+            m_fleet.run_after(STABLE_WINDOW, [this] { send(); });
+            return;
+        }
+        if (!is_done()) {
+            m_fleet.run_after(from_ms(50), [this] { send(); });
+        }
+    }
+
+    FrontFleet& m_fleet;
+    std::size_t m_nodes;
+    std::size_t m_node = 0;
+    std::size_t m_retries = 0;
+    Time m_window_end = Time::max();
+};
+
+/// Requests that reached targets too late, if the store has that outage until the third crash.
+std::size_t requests_after_third_crash(FrontFleet& fleet, std::size_t nodes,
+                                       standin::Outage outage) {
+    standin::TargetBehaviour behaviour;
+    behaviour.crashing_path = CRASHING;
+    fleet.set_behaviour(behaviour);
+    CrashingCaller caller(fleet, nodes);
+    const auto begin = [&] {
+        standin::PlatformFaults faults;
+        faults.outage = outage;
+        fleet.store().set_faults(faults);
+        caller.begin();
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, begin},
+                             {[&] { return caller.is_done(); },
+                              [] {
+                              }}}));
+    return caller.requests_after_window();
+}
+
+}  // namespace
+
+// Guards against the incident "retries of crashing requests": a crash counted only if the same node
+// happened to connect to the same target again within two seconds.
+TEST_CASE("a request that crashed three targets of a service reaches at most three more times") {
+    FrontFleet fleet(3);
+    fleet.add_targets("booking", 45);
+    fleet.start({{"book", {"booking"}}});
+    CHECK(requests_after_third_crash(fleet, 3, standin::Outage::none) <= MAX_REQUESTS_AFTER);
+}
+
+// Guards against the incident "retries of crashing requests": a crash report that the store did not
+// take was not sent again, so each other node learned of the request by crashes of its own.
+TEST_CASE("nodes learn of crashes that were reported while the store was unavailable") {
+    FrontFleet fleet(6);
+    fleet.add_targets("booking", 45);
+    fleet.start({{"book", {"booking"}}});
+    CHECK(requests_after_third_crash(fleet, 6, standin::Outage::busy) <= MAX_REQUESTS_AFTER);
+}
+
+}  // namespace ebonymount
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -105,6 +105,7 @@
     const std::shared_ptr<Work> work = std::make_shared<Work>();
     work->connection = connection;
     work->request_id = request_id;
+    work->path = request.target;
     connection->on_caller_gone([work, on_cancelled = m_observer.on_cancelled] {
         work->cancelled = true;
         if (!work->done) {
@@ -121,6 +122,10 @@
 void PlatformTarget::run(const std::shared_ptr<Work>& work) {
     ++m_running;
     m_observer.on_run(*this, work->request_id);
+    if (!m_behaviour.crashing_path.empty() && work->path == m_behaviour.crashing_path) {
+        crash();
+        return;
+    }
     // 98 % of the requests take 0.6 to 1.4 times the service time, the others five times.
     const double spread = uniform(m_random) < 0.02 ? 5.0 : 0.6 + 0.8 * uniform(m_random);
     const ebonymount::Duration service_time =
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -38,6 +38,8 @@
     double failed_share = 0.0;
     double lost_response_share = 0.0;
     bool draining = false;
+    /// A request with this path crashes the target when it starts to run; empty for none.
+    std::string crashing_path;
 };
 
 class PlatformTarget;
@@ -77,6 +79,7 @@
     struct Work {
         Connection connection;
         std::string request_id;
+        std::string path;
         bool cancelled = false;
         bool done = false;
     };
--- /dev/null
+++ b/test/support/front_fleet.cpp
@@ -0,0 +1,266 @@
+#include "front_fleet.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <set>
+#include <stdexcept>
+
+#include "io/http_channel.h"
+#include "io/http_status.h"
+#include "platform/names.h"
+
+namespace ebonymount {
+namespace {
+
+namespace names = platform::names;
+
+/// Ends a test that hangs.
+constexpr Duration HANG_LIMIT = from_ms(60000);
+constexpr Duration CHECK_INTERVAL = from_ms(10);
+constexpr const char* HOST = "fleet.example";
+constexpr std::array<const char*, 3> DATA_CENTRES = {"east", "west", "north"};
+
+std::string free_address() {
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().toString();
+}
+
+}  // namespace
+
+FrontFleet::FrontFleet(std::size_t nodes)
+    : m_loop(LoopThread::caller),
+      m_store(std::make_unique<standin::PlatformStore>(m_loop, "127.0.0.1:0", 1)) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+        m_nodes.push_back(std::make_unique<Node>());
+        platform::Settings& settings = m_nodes.back()->settings;
+        settings.node = "node-" + std::to_string(i);
+        settings.data_centre = DATA_CENTRES.at(i % DATA_CENTRES.size());
+        settings.region = settings.data_centre;
+        settings.ip = "127.0.0.1";
+        for (const char* data_centre : DATA_CENTRES) {
+            settings.regions[data_centre] = data_centre;
+        }
+        settings.caller_address = free_address();
+        settings.ready_address = free_address();
+        settings.peer_address = free_address();
+        settings.store_address = m_store->address();
+        settings.first_start = true;
+        settings.max_open_files = 4096;
+        settings.retry_ratio = 0.2;
+        settings.retry_slack = 50;
+    }
+    m_loop.run_at(monotonic_now() + HANG_LIMIT, [this] { m_loop.stop(); });
+    check_steps();
+}
+
+FrontFleet::~FrontFleet() {
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        node->signals.stop = true;
+    }
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        if (node->thread.joinable()) {
+            node->thread.join();
+        }
+    }
+}
+
+void FrontFleet::add_targets(const std::string& service, std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t number = m_services[service]++;
+        standin::PlatformTargetParameters parameters;
+        parameters.id = service + "-" + std::to_string(number);
+        parameters.service = service;
+        parameters.data_centre = DATA_CENTRES.at(number % DATA_CENTRES.size());
+        parameters.address = free_address();
+        parameters.service_time = from_ms(2);
+        standin::PlatformTargetObserver observer;
+        observer.on_arrival = [this](const standin::PlatformTarget& target,
+                                     const HttpRequestMessage& request) {
+            m_arrivals.push_back({target.parameters().id, request.target,
+                                  std::string(find_header(request.headers, names::REQUEST_ID)),
+                                  monotonic_now()});
+        };
+        observer.on_run = [](const standin::PlatformTarget&, const std::string&) {
+        };
+        observer.on_response = [](const standin::PlatformTarget&, const std::string&,
+                                  const std::string&, const std::string&, bool) {
+        };
+        observer.on_cancelled = [](const std::string&) {
+        };
+        m_targets.push_back(standin::PlatformTarget::open(m_loop, parameters, observer));
+        m_store->put(names::TARGETS_KIND, parameters.id,
+                     {{"service", service},
+                      {"address", parameters.address},
+                      {"zone", parameters.data_centre},
+                      {"version", "v1"},
+                      {"max_concurrency", parameters.slots},
+                      {"state", "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"sequence", 1}});
+    }
+}
+
+void FrontFleet::set_behaviour(const standin::TargetBehaviour& behaviour) {
+    for (const std::shared_ptr<standin::PlatformTarget>& target : m_targets) {
+        target->set_behaviour(behaviour);
+    }
+}
+
+void FrontFleet::publish_config(const std::vector<FleetRoute>& routes) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const FleetRoute& route : routes) {
+        nlohmann::json row = {{"name", route.name},
+                              {"hostname", HOST},
+                              {"path_prefix", "/" + route.name + "/"},
+                              {"type", route.idempotent ? "idempotent" : "non_idempotent"},
+                              {"timeout_ms", 2000},
+                              {"target_latency_ms", 500},
+                              {"priority", 1},
+                              {"max_attempts", route.max_attempts},
+                              {"allowed_regions", nlohmann::json::array()}};
+        if (route.fan_out) {
+            row["fanout_services"] = route.services;
+            row["top_k"] = 5;
+            row["min_success_share"] = route.min_coverage;
+        } else {
+            row["service"] = route.services.front();
+        }
+        rows.push_back(row);
+    }
+    nlohmann::json services = nlohmann::json::array();
+    for (const auto& [name, count] : m_services) {
+        services.push_back({{"name", name},
+                            {"health_path", "/health"},
+                            {"max_connections", 100},
+                            {"cold_start_s", 1.0},
+                            {"cold_per_s", 0.0}});
+    }
+    m_store->put(names::CONFIG_KIND, names::CONFIG_NAME,
+                 {{"version", 1},
+                  {"routes", rows},
+                  {"services", services},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 262144},
+                    {"header_timeout_ms", 5000},
+                    {"idle_timeout_ms", 30000}}}});
+}
+
+void FrontFleet::start(const std::vector<FleetRoute>& routes) {
+    publish_config(routes);
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        start_node(*node);
+    }
+}
+
+void FrontFleet::start_node(Node& node) {
+    Result<std::unique_ptr<Front>> front = Front::start(node.settings, "", 0, node.signals);
+    if (!has_value(front)) {
+        throw std::runtime_error(describe(error_of(front)));
+    }
+    node.front = std::move(std::get<std::unique_ptr<Front>>(front));
+    node.thread = std::thread([&node] { node.front->run(); });
+    check_readiness(node);
+}
+
+void FrontFleet::check_readiness(Node& node) {
+    call(node.settings.ready_address, names::READINESS_PATH,
+         [this, &node](CallStatus, const HttpResponseMessage& response) {
+             node.ready = response.status == http::OK;
+             if (!node.ready) {
+                 run_after(CHECK_INTERVAL, [this, &node] { check_readiness(node); });
+             }
+         });
+}
+
+bool FrontFleet::is_ready() const {
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [](const std::unique_ptr<Node>& node) { return node->ready; });
+}
+
+void FrontFleet::send(std::size_t node, const std::string& path,
+                      std::function<void(int status, const std::string& retry_after)> on_end) {
+    call(m_nodes.at(node)->settings.caller_address, path,
+         [on_end](CallStatus status, const HttpResponseMessage& response) {
+             on_end(status == CallStatus::answered ? response.status : 0,
+                    std::string(find_header(response.headers, names::RETRY_AFTER)));
+         });
+}
+
+void FrontFleet::call(const std::string& address, const std::string& path,
+                      std::function<void(CallStatus, const HttpResponseMessage&)> on_end) {
+    const std::shared_ptr<HttpChannel> channel =
+        HttpChannel::open(m_loop, address, [](HttpChannel&) {});
+    if (channel == nullptr) {
+        m_loop.post([on_end] { on_end(CallStatus::not_sent, HttpResponseMessage{}); });
+        return;
+    }
+    const std::string id = "r" + std::to_string(m_next_request++);
+    ChannelCall request;
+    request.make_request = [path, id] {
+        return encode(
+            HttpRequestMessage{"GET",
+                               path,
+                               {{"Host", HOST}, {names::REQUEST_ID, id}, {names::DEADLINE, "2000"}},
+                               "",
+                               false});
+    };
+    request.is_own_response = [](const HttpResponseMessage&) {
+        return true;
+    };
+    request.on_sent = [] {
+    };
+    request.on_end = std::move(on_end);
+    channel->start(std::move(request));
+}
+
+bool FrontFleet::run_steps(std::vector<Step> steps) {
+    m_steps = std::move(steps);
+    m_loop.run();
+    return m_steps.empty();
+}
+
+void FrontFleet::run_after(Duration delay, std::function<void()> action) {
+    m_loop.run_at(monotonic_now() + delay, std::move(action));
+}
+
+void FrontFleet::check_steps() {
+    if (!m_steps.empty() && m_steps.front().condition()) {
+        const Step step = m_steps.front();
+        m_steps.erase(m_steps.begin());
+        if (step.action) {
+            step.action();
+        }
+        if (m_steps.empty()) {
+            m_loop.stop();
+        }
+    }
+    run_after(CHECK_INTERVAL, [this] { check_steps(); });
+}
+
+std::size_t FrontFleet::crashed() const {
+    return static_cast<std::size_t>(std::count_if(
+        m_targets.begin(), m_targets.end(),
+        [](const std::shared_ptr<standin::PlatformTarget>& target) { return target->is_down(); }));
+}
+
+const std::vector<FleetArrival>& FrontFleet::arrivals() const {
+    return m_arrivals;
+}
+
+std::size_t FrontFleet::requests_reaching_targets(const std::string& path, Time after) const {
+    std::set<std::string> requests;
+    for (const FleetArrival& arrival : m_arrivals) {
+        if (arrival.path == path && arrival.at >= after) {
+            requests.insert(arrival.request_id);
+        }
+    }
+    return requests.size();
+}
+
+standin::PlatformStore& FrontFleet::store() {
+    return *m_store;
+}
+
+}  // namespace ebonymount
--- /dev/null
+++ b/test/support/front_fleet.h
@@ -0,0 +1,108 @@
+// Front nodes on loopback sockets, with stand-ins for the platform's store and targets.
+//
+// Each node is a `Front` on a thread of its own; the store, the targets and the callers share one
+// event loop on the test's thread. A test gives steps, each with a condition to wait for, so that
+// no check depends on how fast the machine is.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "front/front.h"
+#include "platform_store.h"
+#include "platform_target.h"
+
+namespace ebonymount {
+
+/// One route, and the services that it uses: a single one, or the shards of a fan-out.
+struct FleetRoute {
+    /// Requests match `/NAME/`.
+    std::string name;
+    std::vector<std::string> services;
+    bool fan_out = false;
+    bool idempotent = true;
+    std::int64_t max_attempts = 2;
+    double min_coverage = 0.75;
+};
+
+/// The arrival of a request at a target.
+struct FleetArrival {
+    std::string target;
+    std::string path;
+    std::string request_id;
+    Time at{};
+};
+
+class FrontFleet {
+public:
+    explicit FrontFleet(std::size_t nodes);
+    ~FrontFleet();
+    FrontFleet(const FrontFleet&) = delete;
+    FrontFleet& operator=(const FrontFleet&) = delete;
+    FrontFleet(FrontFleet&&) = delete;
+    FrontFleet& operator=(FrontFleet&&) = delete;
+
+    /// Adds targets of a service, one data centre after the other. Before `start`.
+    void add_targets(const std::string& service, std::size_t count);
+    /// Changes the behaviour of all targets.
+    void set_behaviour(const standin::TargetBehaviour& behaviour);
+    /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
+    void start(const std::vector<FleetRoute>& routes);
+
+    /// True once each node has said that it is ready.
+    bool is_ready() const;
+
+    /// Sends a request to a node on a new connection; `on_end` receives the status, 0 if the
+    /// connection ended without a response, and the value of Retry-After.
+    void send(std::size_t node, const std::string& path,
+              std::function<void(int status, const std::string& retry_after)> on_end);
+
+    /// An action to run once the condition holds.
+    struct Step {
+        std::function<bool()> condition;
+        std::function<void()> action;
+    };
+    /// Runs until each condition has held in turn; false if one never did.
+    bool run_steps(std::vector<Step> steps);
+
+    void run_after(Duration delay, std::function<void()> action);
+
+    /// Number of targets that have crashed.
+    std::size_t crashed() const;
+    /// Arrivals at targets, in order.
+    const std::vector<FleetArrival>& arrivals() const;
+    /// Number of different requests that reached a target with that path after that time.
+    std::size_t requests_reaching_targets(const std::string& path, Time after) const;
+    standin::PlatformStore& store();
+
+private:
+    struct Node {
+        platform::Settings settings;
+        FrontSignals signals;
+        std::unique_ptr<Front> front;
+        std::thread thread;
+        bool ready = false;
+    };
+
+    void publish_config(const std::vector<FleetRoute>& routes);
+    void start_node(Node& node);
+    void check_readiness(Node& node);
+    void call(const std::string& address, const std::string& path,
+              std::function<void(CallStatus, const HttpResponseMessage&)> on_end);
+    void check_steps();
+
+    EventLoop m_loop;
+    std::unique_ptr<standin::PlatformStore> m_store;
+    std::map<std::string, std::size_t> m_services;
+    std::vector<std::shared_ptr<standin::PlatformTarget>> m_targets;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<FleetArrival> m_arrivals;
+    std::vector<Step> m_steps;
+    std::int64_t m_next_request = 1;
+};
+
+}  // namespace ebonymount
