Quarantine: check each broken connection by a connect instead of waiting for one

What callers saw: a request that crashes targets was sent on and on; targets went down one after the other under innocent callers' requests.

Cause: a crash was confirmed only as a by-product, when the same node's next request to that target was refused a connection within 2 s. A node avoids exactly that target, so most crashes stayed unconfirmed.

Change: each broken connection is followed by one connect to the target. Refused: a crash. Accepted: a lost response, and the suspicion is dropped. A connect that ends without a response proves nothing; it used to count as a crash. One connect at a time for each target; the next request uses it.

Ruled out: the threshold. With the evidence complete, three crashes are known by the fourth attempt.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/crash_detector.h"
 #include "front/store_call.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
@@ -118,6 +119,7 @@
             continue;
         }
         if (has_value(entry)) {
+            check_for_restart(value_of(entry));
             entries.push_back(value_of(entry));
         } else {
             log_warning("targets", "ignored an invalid entry: " + describe(error_of(entry)));
@@ -150,6 +152,7 @@
             remove(m_registry, object.name, monotonic_now());
             continue;
         }
+        check_for_restart(value_of(entry));
         upsert(m_registry, value_of(entry));
         LogEvent(LogLevel::info, "targets", "entry")
             .add("target", object.name)
@@ -164,6 +167,15 @@
     }
 }
 
+void FleetWatcher::check_for_restart(const TargetEntry& entry) {
+    const auto before = m_registry.entries.find(entry.id);
+    const auto target = m_state.targets.by_id.find(entry.id);
+    if (before != m_registry.entries.end() && target != m_state.targets.by_id.end() &&
+        before->second.started_at_ms != entry.started_at_ms) {
+        on_crash_evidence(m_state, target->second, "restarted");
+    }
+}
+
 void FleetWatcher::apply_evacuations(const Objects& objects, bool is_list) {
     if (is_list) {
         m_out_data_centres.clear();
@@ -226,7 +238,6 @@
         {request, m_options.feed.self.node, m_started_at_ms, ++m_reported_crashes});
     m_counted_reports.emplace(name, now + SUSPECT_TTL);
     add_crashes(m_state.quarantine, request, 1, now);
-    LogEvent(LogLevel::warning, "quarantine", "crash").add("report", name).write();
     call_store("POST", platform::create_path(platform::Kind::quarantine),
                platform::create_body(name, ""),
                [this, name](CallStatus status, const HttpResponseMessage& response) {
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -57,6 +57,8 @@
     void apply_config(const Objects& objects);
     void apply_target_list(const Objects& objects, bool after_outage);
     void apply_target_changes(const Objects& objects);
+    /// If the target has restarted, connections to it that broke before were crashes.
+    void check_for_restart(const TargetEntry& entry);
     void apply_evacuations(const Objects& objects, bool is_list);
     void apply_nodes(const Objects& objects);
     void apply_crash_reports(const Objects& objects);
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -39,6 +39,7 @@
       parts_missing(metrics.counter("ebonymount_front_parts_missing_total")),
       crash_evidence_broken(crash_evidence_counter(metrics, "broken")),
       crash_evidence_confirmed(crash_evidence_counter(metrics, "confirmed")),
+      crash_evidence_refuted(crash_evidence_counter(metrics, "refuted")),
       crash_evidence_unconfirmed(crash_evidence_counter(metrics, "unconfirmed")),
       crash_reports_stored(crash_report_counter(metrics, "stored")),
       crash_reports_failed(crash_report_counter(metrics, "failed")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -42,6 +42,7 @@
     /// Connections that broke while a request ran, by what became of them.
     Counter& crash_evidence_broken;
     Counter& crash_evidence_confirmed;
+    Counter& crash_evidence_refuted;
     Counter& crash_evidence_unconfirmed;
     /// Crash reports to the store, by outcome.
     Counter& crash_reports_stored;
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "front/crash_detector.h"
 #include "front/request_log.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
@@ -296,7 +297,7 @@
 FanOutAttemptStatus RequestHandler::classify_outcome(const OpenAttempt& attempt,
                                                      CallStatus call_status,
                                                      HttpResponseMessage& response) {
-    if (call_status == CallStatus::not_sent) {
+    if (call_status == CallStatus::not_sent || call_status == CallStatus::refused) {
         return attempt.was_sent ? FanOutAttemptStatus::broken : FanOutAttemptStatus::not_connected;
     }
     if (call_status != CallStatus::answered) {
@@ -313,6 +314,7 @@
     }
     if (headers.misdirected) {
         target.replaced = true;
+        on_crash_evidence(m_front, attempt.target, "replaced");
         return FanOutAttemptStatus::misdirected;
     }
     if (headers.not_run) {
@@ -351,10 +353,8 @@
                 return;
             }
             on_failure(target, false, cold_start, now);
-            for (const std::uint64_t request :
-                 confirm_crash(m_front.quarantine, attempt.target, now)) {
-                ++m_front.counters.crash_evidence_confirmed;
-                m_front.on_crash(request);
+            if (call_status == CallStatus::refused) {
+                on_crash_evidence(m_front, attempt.target, "connect_refused");
             }
             return;
         case FanOutAttemptStatus::broken:
@@ -363,14 +363,8 @@
                 on_connection_rejected(target, now);
             }
             if (call_status == CallStatus::broken || call_status == CallStatus::rejected) {
-                record_broken_connection(m_front.quarantine, {attempt.target, m_fingerprint, now});
-                ++m_front.counters.crash_evidence_broken;
-                LogEvent(LogLevel::info, "quarantine", "connection_broken")
-                    .add("request", m_caller_headers.request_id)
-                    .add("fingerprint", std::to_string(m_fingerprint))
-                    .add("target", target.entry.id)
-                    .add("outcome", name_of(call_status))
-                    .write();
+                detect_crash(m_front, {attempt.target, m_fingerprint, now},
+                             m_caller_headers.request_id, call_status);
             }
             return;
         case FanOutAttemptStatus::timed_out:
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -62,6 +62,28 @@
     }
 }
 
+void TargetPool::probe(TargetIndex target, std::function<void(ConnectResult)> on_end) {
+    const Channel channel = open(target);
+    if (channel == nullptr) {
+        m_loop.post([on_end] { on_end(ConnectResult::no_response); });
+        return;
+    }
+    m_probes.emplace(channel.get(), std::move(on_end));
+    update_counts(target);
+}
+
+void TargetPool::end_probe(const HttpChannel& channel) {
+    const auto found = m_probes.find(&channel);
+    if (found == m_probes.end() || channel.is_connecting()) {
+        return;
+    }
+    const std::function<void(ConnectResult)> on_end = std::move(found->second);
+    m_probes.erase(found);
+    on_end(channel.has_connected() ? ConnectResult::accepted
+           : channel.was_refused() ? ConnectResult::refused
+                                   : ConnectResult::no_response);
+}
+
 void TargetPool::sweep(Time now) {
     std::vector<Channel> closing;
     for (const auto& [id, running] : m_running_calls) {
@@ -138,6 +160,7 @@
                       [&channel](const Channel& kept) { return kept.get() == &channel; });
     }
     update_counts(target);
+    end_probe(channel);
 }
 
 void TargetPool::update_counts(TargetIndex target) {
--- a/src/front/target_pool.h
+++ b/src/front/target_pool.h
@@ -31,6 +31,13 @@
     Duration max_idle = from_ms(30000);
 };
 
+/// What a connect has shown about a target.
+enum class ConnectResult : std::uint8_t {
+    accepted,     ///< The target accepts connections.
+    refused,      ///< Nothing listens at the target's address.
+    no_response,  ///< The connect failed otherwise, or not at all within its time.
+};
+
 class TargetPool {
 public:
     TargetPool(EventLoop& loop, TargetTable& targets);
@@ -45,6 +52,10 @@
     /// Closes the connection of a call in progress; `on_end` is called with `aborted`.
     void abort(PoolCallId call);
 
+    /// Opens a connection to see whether the target still runs; `on_end` is called once. Later
+    /// calls use the connection.
+    void probe(TargetIndex target, std::function<void(ConnectResult)> on_end);
+
     /// Aborts calls past their deadline, abandons slow connects and closes connections that are
     /// idle for too long or belong to targets that accept no work.
     void sweep(Time now);
@@ -62,6 +73,7 @@
 
     Channel find_idle(TargetIndex target, Duration max_idle, Time now);
     Channel open(TargetIndex target);
+    void end_probe(const HttpChannel& channel);
     void on_channel_change(TargetIndex target, HttpChannel& channel);
     void update_counts(TargetIndex target);
 
@@ -69,6 +81,7 @@
     TargetTable& m_targets;
     std::vector<std::vector<Channel>> m_channels;
     std::unordered_map<PoolCallId, RunningCall> m_running_calls;
+    std::unordered_map<const HttpChannel*, std::function<void(ConnectResult)>> m_probes;
     PoolCallId m_next_call = 1;
     std::int64_t m_opened_connections = 0;
 };
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace ebonymount {
@@ -38,6 +39,8 @@
             return "answered";
         case CallStatus::not_sent:
             return "not_sent";
+        case CallStatus::refused:
+            return "refused";
         case CallStatus::broken:
             return "broken";
         case CallStatus::rejected:
@@ -122,6 +125,14 @@
     return m_has_call;
 }
 
+bool HttpChannel::has_connected() const {
+    return m_has_connected;
+}
+
+bool HttpChannel::was_refused() const {
+    return m_was_refused;
+}
+
 const std::string& HttpChannel::address() const {
     return m_address;
 }
@@ -156,10 +167,13 @@
 }
 
 void HttpChannel::finish_connect() {
-    if (m_stream.connect_error() != 0) {
-        fail(CallStatus::not_sent);
+    const int error = m_stream.connect_error();
+    if (error != 0) {
+        m_was_refused = error == ECONNREFUSED || error == ECONNRESET;
+        fail(m_was_refused ? CallStatus::refused : CallStatus::not_sent);
         return;
     }
+    m_has_connected = true;
     m_phase = Phase::idle;
     m_last_used = monotonic_now();
     watch();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -20,6 +20,7 @@
 enum class CallStatus : std::uint8_t {
     answered,   ///< The whole response arrived.
     not_sent,   ///< The connection failed or was closed before the request was sent.
+    refused,    ///< Nothing listens at the address, so the request was not sent.
     broken,     ///< The connection ended before the whole response arrived.
     rejected,   ///< A new connection ended before its first response; may be a connection limit.
     malformed,  ///< The received bytes are not an HTTP response, or exceed a limit.
@@ -71,6 +72,11 @@
     /// True when a call is waiting to be sent or in flight.
     bool has_call() const;
 
+    /// True once the peer has accepted the connection, also after it was closed.
+    bool has_connected() const;
+    /// True if nothing listens at the address.
+    bool was_refused() const;
+
     /// The address that the channel was opened to.
     const std::string& address() const;
 
@@ -102,6 +108,8 @@
     std::function<void(HttpChannel&)> m_on_change;
     Phase m_phase = Phase::connecting;
     bool m_has_call = false;
+    bool m_has_connected = false;
+    bool m_was_refused = false;
     bool m_has_responded = false;
     /// Responses to other calls that were skipped during the present one.
     int m_skipped_responses = 0;
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -1,5 +1,6 @@
 #include "policy/crash_quarantine.h"
 
+#include <algorithm>
 #include <sstream>
 #include <string>
 
@@ -8,8 +9,10 @@
 namespace ebonymount {
 namespace {
 
-/// If a target refuses connections within this time after a connection broke, it has crashed.
-constexpr Duration CRASH_DETECTION_TIME = from_ms(2000);
+/// A target that refuses connections, or is known to have restarted, within this time after a
+/// connection broke has crashed. A crashed target is back after some seconds and registers within
+/// its heartbeat.
+constexpr Duration CRASH_DETECTION_TIME = from_ms(10000);
 
 }  // namespace
 
@@ -58,6 +61,17 @@
     quarantine.broken_connections.push_back(broken);
 }
 
+bool begin_check(CrashQuarantine& quarantine, TargetIndex target) {
+    const bool has_broken =
+        std::any_of(quarantine.broken_connections.begin(), quarantine.broken_connections.end(),
+                    [target](const BrokenConnection& broken) { return broken.target == target; });
+    return has_broken && quarantine.checked_targets.insert(target).second;
+}
+
+void end_check(CrashQuarantine& quarantine, TargetIndex target) {
+    quarantine.checked_targets.erase(target);
+}
+
 std::vector<std::uint64_t> confirm_crash(CrashQuarantine& quarantine, TargetIndex target,
                                          Time now) {
     std::vector<std::uint64_t> requests;
@@ -71,6 +85,12 @@
     return requests;
 }
 
+std::size_t refute_crash(CrashQuarantine& quarantine, TargetIndex target, Time connected_at) {
+    return std::erase_if(quarantine.broken_connections, [&](const BrokenConnection& broken) {
+        return broken.target == target && broken.at <= connected_at;
+    });
+}
+
 std::size_t drop_expired_suspects(CrashQuarantine& quarantine, Time now) {
     const std::size_t dropped = std::erase_if(
         quarantine.broken_connections,
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -1,14 +1,16 @@
 // Quarantine of requests that crash the targets that run them ("queries of death").
 //
 // Callers send such a request again, to any node, and it would crash one target after another. A
-// connection that breaks while a request runs may only mean a lost response; if the target then
-// refuses connections, it has crashed, and the requests that ran there are suspected. A request
-// that was running when several targets crashed is refused. Nodes report crashes to each other, so
-// that a crash seen by one node counts on every node.
+// connection that breaks while a request runs may only mean a lost response. So the node connects
+// to the target at once: if the connection is refused, or the target turns out to have restarted,
+// it has crashed, and the requests that ran there are suspected. A request that was running when
+// several targets crashed is refused. Nodes report crashes to each other, so that a crash seen by
+// one node counts on every node.
 #pragma once
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -48,15 +50,26 @@
 struct CrashQuarantine {
     std::unordered_map<std::uint64_t, SuspectRequest> suspects;
     std::vector<BrokenConnection> broken_connections;
+    /// Targets that are being checked by a connect.
+    std::set<TargetIndex> checked_targets;
 };
 
 /// Records that a request's connection to a target broke while the request ran.
 void record_broken_connection(CrashQuarantine& quarantine, const BrokenConnection& broken);
 
-/// Called when the target refuses connections: returns the fingerprints of the requests that ran
-/// there when it crashed. Each broken connection counts once.
+/// True if a connect to the target is to be made now, because a connection to it broke and no
+/// earlier connect is in progress; `end_check` ends it.
+bool begin_check(CrashQuarantine& quarantine, TargetIndex target);
+void end_check(CrashQuarantine& quarantine, TargetIndex target);
+
+/// Called when the target refuses connections or has restarted: returns the fingerprints of the
+/// requests that ran there when it crashed. Each broken connection counts once.
 std::vector<std::uint64_t> confirm_crash(CrashQuarantine& quarantine, TargetIndex target, Time now);
 
+/// Called when the target has accepted a connection that was opened at `connected_at`: it had not
+/// crashed before. Returns the number of broken connections that were lost responses.
+std::size_t refute_crash(CrashQuarantine& quarantine, TargetIndex target, Time connected_at);
+
 /// One crash as nodes report it to each other: the name of an object in the platform's store.
 struct CrashReport {
     /// Fingerprint of the request.
