Quarantine: write a crash report until the store has taken it

What callers saw: after an outage of the store, each node sent a crashing request to targets of its own until it had seen three crashes itself.

Cause: a report was written once. With the store down, turning the node away, or losing its answer, the report was gone, and with it what the other nodes needed to know.

Change: reports wait in a bounded queue, written one at a time; a failed write is repeated after a pause with full jitter of at most 0.8 s, an answer lost shows as 409 at the next write. The pause is short against the stable window, within which all nodes must know.

Still so: while the store is down, nodes do not learn of each other's crashes at all.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -28,6 +28,7 @@
       m_options(std::move(options)),
       m_handlers(std::move(handlers)),
       m_started_at_ms(wall_clock_ms()),
+      m_reporter(state, m_options.feed.store_address),
       m_feed(state.event_loop, state.metrics, m_options.feed,
              [this](const KindUpdate& update) { apply_update(update); }) {
     m_state.on_crash = [this](std::uint64_t request) {
@@ -52,6 +53,7 @@
     }
     m_state.counters.crash_evidence_unconfirmed +=
         static_cast<std::int64_t>(drop_expired_suspects(m_state.quarantine, now));
+    m_reporter.sweep(now);
     remove_old_reports(now);
 }
 
@@ -238,24 +240,7 @@
         {request, m_options.feed.self.node, m_started_at_ms, ++m_reported_crashes});
     m_counted_reports.emplace(name, now + SUSPECT_TTL);
     add_crashes(m_state.quarantine, request, 1, now);
-    call_store("POST", platform::create_path(platform::Kind::quarantine),
-               platform::create_body(name, ""),
-               [this, name](CallStatus status, const HttpResponseMessage& response) {
-                   const bool is_stored =
-                       status == CallStatus::answered &&
-                       (response.status == http::OK || response.status == http::CREATED ||
-                        response.status == http::CONFLICT);
-                   ++(is_stored ? m_state.counters.crash_reports_stored
-                                : m_state.counters.crash_reports_failed);
-                   // Without the report, other nodes do not count this crash and may first suspect
-                   // the request when it crashes another target.
-                   LogEvent(is_stored ? LogLevel::info : LogLevel::warning, "quarantine", "report")
-                       .add("report", name)
-                       .add("stored", is_stored ? "yes" : "no")
-                       .add("outcome", name_of(status))
-                       .add("status", response.status)
-                       .write();
-               });
+    m_reporter.add(name);
 }
 
 void FleetWatcher::remove_old_reports(Time now) {
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "front/crash_reporter.h"
 #include "front/front_state.h"
 #include "front/store_feed.h"
 #include "policy/target_registry.h"
@@ -45,8 +46,8 @@
     FleetWatcher(FleetWatcher&&) = delete;
     FleetWatcher& operator=(FleetWatcher&&) = delete;
 
-    /// Removes old crash reports and targets that did not register again in time, and registers
-    /// this node if it is not registered yet. To be called several times a second.
+    /// Sends crash reports, removes old ones and targets that did not register again in time, and
+    /// registers this node if it is not registered yet. To be called several times a second.
     void sweep(Time now);
 
 private:
@@ -92,6 +93,7 @@
     /// Wall-clock milliseconds; part of the names of crash reports, so that they differ from those
     /// of earlier starts.
     std::int64_t m_started_at_ms = 0;
+    CrashReporter m_reporter;
     StoreFeed m_feed;
 };
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -47,6 +47,7 @@
     /// Crash reports to the store, by outcome.
     Counter& crash_reports_stored;
     Counter& crash_reports_failed;
+    Counter& crash_reports_dropped;
     Histogram& request_time;
     Histogram& attempt_time;
 };
--- a/src/io/http_status.h
+++ b/src/io/http_status.h
@@ -20,6 +20,7 @@
 constexpr int HEADERS_TOO_LARGE = 431;
 /// Sent by targets for a request that was cancelled or exceeded its deadline.
 constexpr int CANCELLED = 499;
+constexpr int INTERNAL_ERROR = 500;
 constexpr int BAD_GATEWAY = 502;
 constexpr int UNAVAILABLE = 503;
 constexpr int TIMEOUT = 504;
