Fan-out: ask the quarantine before each attempt, hedge and part, not only on arrival

What callers saw: one fan-out that crashes its targets took down two replicas of every shard.

Cause: the quarantine was asked when a request arrived. A request that was running, or waiting for a connection, went on to further targets while the ones it had reached crashed.

Change: `suspicion_of` is asked before each attempt and again when it is sent. Broken connections that are still being checked count for 100 ms: the retry waits for the result, so a lost response costs one connect. A request that ends quarantined closes the connections of its other parts, which would crash their targets when they leave the queue.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -127,6 +127,7 @@
         OBJECTIVE_MARGIN + connect + scaled(m_front.part_cpu_time, MERGE_SHARE) * parts;
     parameters.part_time = m_front.part_cpu_time;
     parameters.allowed_regions = route.allowed_regions;
+    parameters.fingerprint = m_fingerprint;
     return parameters;
 }
 
@@ -157,9 +158,13 @@
     while (!m_events.empty()) {
         const FanOutEvent next = m_events.front();
         m_events.pop_front();
-        const FanOutContext context{*m_view,         m_front.targets,
-                                    m_front.budgets, m_front.retry_budget,
-                                    monotonic_now(), m_front.random};
+        const FanOutContext context{*m_view,
+                                    m_front.targets,
+                                    m_front.budgets,
+                                    m_front.retry_budget,
+                                    m_front.quarantine,
+                                    monotonic_now(),
+                                    m_front.random};
         const std::vector<FanOutAction> actions = step(m_state, next, context);
         for (const FanOutAction& action : actions) {
             execute(action);
@@ -227,9 +232,8 @@
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
     call.call.is_head = m_request.method == "HEAD";
     call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
-    // The target may be withdrawn while a connection to it is opened.
     call.call.may_send = [self, index = action.target] {
-        return self->m_front.targets.states[index].accepts_work;
+        return self->may_still_send(index);
     };
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
@@ -252,6 +256,11 @@
     }
 }
 
+bool RequestHandler::may_still_send(TargetIndex target) const {
+    return m_front.targets.states[target].accepts_work &&
+           suspicion_of(m_front.quarantine, m_fingerprint, monotonic_now()) == Suspicion::none;
+}
+
 void RequestHandler::withdraw_attempt(const WithdrawAttempt& action) {
     for (std::size_t i = 0; i < m_open_attempts.size(); ++i) {
         if (m_open_attempts[i].id == action.id && m_front.pool.withdraw(m_open_attempts[i].call)) {
@@ -347,8 +356,8 @@
             on_refusal(target, now);
             return;
         case FanOutAttemptStatus::not_connected:
-            if (!target.accepts_work) {
-                // Withdrawn while the connection was opened, which says nothing about the target.
+            if (!may_still_send(attempt.target)) {
+                // Not sent for another reason than the connection.
                 on_abandoned(target, Duration::zero(), 0, now);
                 return;
             }
@@ -444,6 +453,10 @@
         m_connection->respond(std::move(response));
     }
     m_connection.reset();
+    if (is_quarantined(m_front.quarantine, m_fingerprint)) {
+        // Parts that are still queued would crash their targets.
+        cancel_attempts();
+    }
 }
 
 void RequestHandler::respond_at_once(int status, const char* reason, Duration retry_after) {
@@ -465,7 +478,13 @@
     m_state.finished = true;
     ++m_front.counters.caller_gone;
     log_request_end(log_context(), "caller_gone", 0);
-    // Only a closed connection notifies a target that the caller is gone.
+    cancel_attempts();
+    m_connection.reset();
+    schedule_tick();
+}
+
+void RequestHandler::cancel_attempts() {
+    // Only a closed connection tells a target to stop.
     const std::vector<OpenAttempt> open = m_open_attempts;
     for (const OpenAttempt& attempt : open) {
         if (!m_front.pool.withdraw(attempt.call)) {
@@ -475,8 +494,6 @@
                          monotonic_now());
         }
     }
-    m_connection.reset();
-    schedule_tick();
 }
 
 }  // namespace ebonymount
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -51,6 +51,8 @@
     void advance(const FanOutEvent& event);
     void execute(const FanOutAction& action);
     void start_attempt(const StartAttempt& action);
+    /// False if the target was withdrawn, or the request became suspected, since it was chosen.
+    bool may_still_send(TargetIndex target) const;
     void withdraw_attempt(const WithdrawAttempt& action);
     void on_attempt_sent(std::uint32_t id);
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
@@ -65,6 +67,7 @@
     void merge_parts(HttpResponseMessage& response);
     void respond_at_once(int status, const char* reason, Duration retry_after);
     void on_caller_gone();
+    void cancel_attempts();
     void schedule_tick();
     RequestLogContext log_context() const;
 
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -14,6 +14,10 @@
 /// its heartbeat.
 constexpr Duration CRASH_DETECTION_TIME = from_ms(10000);
 
+/// How long a broken connection counts against a request before it is known to be a crash. Connects
+/// to other regions end within half of this time.
+constexpr Duration CHECK_TIME = from_ms(100);
+
 }  // namespace
 
 std::string crash_report_name(const CrashReport& report) {
@@ -49,6 +53,24 @@
     suspect.last_report_at = now;
 }
 
+Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request, Time now) {
+    if (is_quarantined(quarantine, request)) {
+        return Suspicion::quarantined;
+    }
+    if (quarantine.broken_connections.empty()) {
+        return Suspicion::none;
+    }
+    const auto found = quarantine.suspects.find(request);
+    const std::int64_t crashes = found == quarantine.suspects.end() ? 0 : found->second.crashes;
+    const std::int64_t unconfirmed =
+        std::count_if(quarantine.broken_connections.begin(), quarantine.broken_connections.end(),
+                      [request, now](const BrokenConnection& broken) {
+                          return broken.request == request && now - broken.at <= CHECK_TIME;
+                      });
+    return crashes + unconfirmed >= CRASHES_TO_QUARANTINE ? Suspicion::unconfirmed
+                                                          : Suspicion::none;
+}
+
 bool is_quarantined(const CrashQuarantine& quarantine, std::uint64_t request) {
     if (quarantine.suspects.empty()) {
         return false;
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -96,6 +96,16 @@
 void add_crashes(CrashQuarantine& quarantine, std::uint64_t request, std::int64_t crashes,
                  Time now);
 
+/// Whether a request may be sent to a target.
+enum class Suspicion : std::uint8_t {
+    none,         ///< It may be sent.
+    unconfirmed,  ///< It is refused if its broken connections were crashes, which is being checked.
+    quarantined,  ///< It has crashed too many targets.
+};
+
+/// Suspicion of the request with that fingerprint; to be asked before each attempt.
+Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request, Time now);
+
 /// True if the request with that fingerprint must not be sent to any target.
 bool is_quarantined(const CrashQuarantine& quarantine, std::uint64_t request);
 
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -78,8 +78,15 @@
     return {REFUSAL_COST_WITHOUT_TOKEN_US, FAILURE_COST_WITHOUT_TOKEN_US};
 }
 
-/// The untried candidate with the shortest expected time.
+Suspicion suspicion(const Step& s) {
+    return suspicion_of(s.context.quarantine, s.state.parameters.fingerprint, s.context.now);
+}
+
+/// The untried candidate with the shortest expected time; empty for a request that may crash it.
 std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
+    if (suspicion(s) != Suspicion::none) {
+        return std::nullopt;
+    }
     const ServiceView& service = service_of(s, shard);
     const AttemptCosts costs = costs_at(s, shard.service);
     std::optional<TargetIndex> best;
@@ -221,10 +228,14 @@
     if (shard.answered || shard.failed || shard.live_attempts > 0) {
         return;
     }
-    if (!may_send_again(s, shard)) {
+    if (!may_send_again(s, shard) || suspicion(s) == Suspicion::quarantined) {
         fail_shard(s, shard);
         return;
     }
+    if (suspicion(s) == Suspicion::unconfirmed) {
+        shard.retry_at = s.context.now + REFUSAL_PAUSE;
+        return;
+    }
     const std::optional<TargetIndex> choice = choose_target(s, shard);
     if (choice.has_value() && spend_token(s, shard)) {
         s.state.retries += shard.tried.empty() ? 0 : 1;
@@ -258,6 +269,9 @@
     }
     const std::optional<TargetIndex> choice = choose_target(s, shard);
     if (!choice.has_value()) {
+        if (suspicion(s) == Suspicion::unconfirmed) {
+            shard.hedge_at = s.context.now + REFUSAL_PAUSE;
+        }
         return;
     }
     const Time partial_response = partial_response_time(s.state.parameters, 1);
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -14,6 +14,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "base/verdict.h"
+#include "policy/crash_quarantine.h"
 #include "policy/fleet_view.h"
 #include "policy/retry_budget.h"
 
@@ -54,6 +55,8 @@
     Time final_deadline{};
     /// Regions whose targets may be used; empty means all.
     std::vector<std::string> allowed_regions;
+    /// Identifies equal requests in the crash quarantine.
+    std::uint64_t fingerprint = 0;
 };
 
 /// One attempt at one target.
@@ -160,6 +163,7 @@
     /// Retry budget of each service, by service index.
     std::vector<RetryBudget>& budgets;
     RetryBudgetLimits retry_budget;
+    const CrashQuarantine& quarantine;
     Time now{};
     Random& random;
 };
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -298,4 +298,55 @@
     CHECK(answered == 4);
 }
 
+// Guards against the incident "retries of crashing requests": the quarantine was asked once, on
+// arrival, so a request that was running went on to further targets.
+TEST_CASE("a running request is sent to no further target once it has crashed three") {
+    FleetFixture fleet(4, 3);
+    Request request(fleet, fleet.parameters(START));
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    REQUIRE(attempts.size() == 4);
+    const Time now = START + from_ms(5);
+    for (const StartAttempt& attempt : attempts) {
+        request.sent(attempt.id, START);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+        record_broken_connection(fleet.quarantine, {attempts[i].target, 0, now});
+    }
+    // Until connects have shown whether these were crashes, nothing more is sent.
+    CHECK(started(request.end(attempts[0].id, FanOutAttemptStatus::broken, now)).empty());
+    CHECK(started(request.end(attempts[1].id, FanOutAttemptStatus::broken, now)).empty());
+    CHECK_FALSE(request.state.finished);
+    fleet.quarantine.broken_connections.clear();
+    add_crashes(fleet.quarantine, 0, 3, now);
+    const std::vector<FanOutAction> actions = request.tick(now + from_ms(10));
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions).has_value());
+    CHECK(ended(actions)->status == FanOutStatus::failed);
+    CHECK(request.state.verdict == Verdict::may_have_run);
+}
+
+TEST_CASE("a running request goes on if its broken connections were no crashes") {
+    FleetFixture fleet(4, 3);
+    Request request(fleet, fleet.parameters(START));
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    const Time now = START + from_ms(5);
+    for (const StartAttempt& attempt : attempts) {
+        request.sent(attempt.id, START);
+        record_broken_connection(fleet.quarantine, {attempt.target, 0, now});
+    }
+    CHECK(started(request.end(attempts[0].id, FanOutAttemptStatus::broken, now)).empty());
+    fleet.quarantine.broken_connections.clear();
+    CHECK(started(request.tick(now + from_ms(10))).size() == 1);
+}
+
+TEST_CASE("a quarantined request is refused before anything is sent") {
+    FleetFixture fleet(4, 3);
+    add_crashes(fleet.quarantine, 0, 3, START);
+    Request request(fleet, fleet.parameters(START));
+    const std::vector<FanOutAction> actions = request.begin();
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions).has_value());
+    CHECK(ended(actions)->status == FanOutStatus::not_run);
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_crashing_requests.cpp
+++ b/test/failure/test_crashing_requests.cpp
@@ -101,4 +101,30 @@
     CHECK(requests_after_third_crash(fleet, 6, standin::Outage::busy) <= MAX_REQUESTS_AFTER);
 }
 
+// Guards against the incident "retries of crashing requests": a running fan-out went on with
+// retries at the second replicas although three of its targets had crashed.
+TEST_CASE("a fan-out that crashes its targets is not retried at their replicas") {
+    constexpr std::size_t SHARDS = 10;
+    FrontFleet fleet(1);
+    std::vector<std::string> shards;
+    for (std::size_t i = 0; i < SHARDS; ++i) {
+        shards.push_back("shard" + std::to_string(i));
+        fleet.add_targets(shards.back(), 3);
+    }
+    fleet.start({{"book", shards, true}});
+    standin::TargetBehaviour behaviour;
+    behaviour.crashing_path = CRASHING;
+    fleet.set_behaviour(behaviour);
+    bool ended = false;
+    const auto send = [&] {
+        fleet.send(0, CRASHING, [&ended](int, const std::string&) { ended = true; });
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, send},
+                             {[&] { return ended; },
+                              [] {
+                              }}}));
+    // The first part of each shard, and the retries of the two that broke first.
+    CHECK(fleet.crashed() <= SHARDS + CRASHES - 1);
+}
+
 }  // namespace ebonymount
--- a/test/support/fleet_fixture.cpp
+++ b/test/support/fleet_fixture.cpp
@@ -30,7 +30,7 @@
 }
 
 FanOutContext FleetFixture::context(Time now) {
-    return {*m_view, targets, budgets, retry_budget, now, random};
+    return {*m_view, targets, budgets, retry_budget, quarantine, now, random};
 }
 
 FanOutParameters FleetFixture::parameters(Time now) const {
--- a/test/support/fleet_fixture.h
+++ b/test/support/fleet_fixture.h
@@ -27,6 +27,7 @@
     TargetTable targets;
     std::vector<RetryBudget> budgets;
     RetryBudgetLimits retry_budget{190, 4, 0};
+    CrashQuarantine quarantine;
     Random random{1};
 
 private:
