Keep one status for calls that were not sent

A call to a port without a listener had got a status of its own, which failure/test_http_sessions did not allow and nothing needs: the check of a target looks at the connect itself. A later request that is not connected starts another check if the first one ended without a response.

--- a/src/front/crash_detector.cpp
+++ b/src/front/crash_detector.cpp
@@ -3,9 +3,7 @@
 #include "io/log_event.h"
 
 namespace ebonymount {
-namespace {
 
-/// Connects to the target unless that is being done, and draws the conclusion.
 void check_target(FrontState& front, TargetIndex target) {
     if (!begin_check(front.quarantine, target)) {
         return;
@@ -24,8 +22,6 @@
     });
 }
 
-}  // namespace
-
 void detect_crash(FrontState& front, const BrokenConnection& broken, const std::string& request_id,
                   CallStatus status) {
     record_broken_connection(front.quarantine, broken);
--- a/src/front/crash_detector.h
+++ b/src/front/crash_detector.h
@@ -17,6 +17,10 @@
 void detect_crash(FrontState& front, const BrokenConnection& broken, const std::string& request_id,
                   CallStatus status);
 
+/// Connects to the target if connections to it broke and no connect has shown yet whether it
+/// crashed.
+void check_target(FrontState& front, TargetIndex target);
+
 /// The target has crashed if a connection to it broke shortly before: counts and reports a crash
 /// for each request that ran there. `evidence` is for the log.
 void on_crash_evidence(FrontState& front, TargetIndex target, const char* evidence);
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -306,7 +306,7 @@
 FanOutAttemptStatus RequestHandler::classify_outcome(const OpenAttempt& attempt,
                                                      CallStatus call_status,
                                                      HttpResponseMessage& response) {
-    if (call_status == CallStatus::not_sent || call_status == CallStatus::refused) {
+    if (call_status == CallStatus::not_sent) {
         return attempt.was_sent ? FanOutAttemptStatus::broken : FanOutAttemptStatus::not_connected;
     }
     if (call_status != CallStatus::answered) {
@@ -362,9 +362,7 @@
                 return;
             }
             on_failure(target, false, cold_start, now);
-            if (call_status == CallStatus::refused) {
-                on_crash_evidence(m_front, attempt.target, "connect_refused");
-            }
+            check_target(m_front, attempt.target);
             return;
         case FanOutAttemptStatus::broken:
             on_failure(target, true, cold_start, now);
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -39,8 +39,6 @@
             return "answered";
         case CallStatus::not_sent:
             return "not_sent";
-        case CallStatus::refused:
-            return "refused";
         case CallStatus::broken:
             return "broken";
         case CallStatus::rejected:
@@ -170,7 +168,7 @@
     const int error = m_stream.connect_error();
     if (error != 0) {
         m_was_refused = error == ECONNREFUSED || error == ECONNRESET;
-        fail(m_was_refused ? CallStatus::refused : CallStatus::not_sent);
+        fail(CallStatus::not_sent);
         return;
     }
     m_has_connected = true;
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -20,7 +20,6 @@
 enum class CallStatus : std::uint8_t {
     answered,   ///< The whole response arrived.
     not_sent,   ///< The connection failed or was closed before the request was sent.
-    refused,    ///< Nothing listens at the address, so the request was not sent.
     broken,     ///< The connection ended before the whole response arrived.
     rejected,   ///< A new connection ended before its first response; may be a connection limit.
     malformed,  ///< The received bytes are not an HTTP response, or exceed a limit.
