Quarantine: an answer refutes a request's crashes; count by service

What callers saw: after several targets crashed at once, innocent fan-outs that had parts on three of them were refused by every node for ten minutes.

Cause: every request that ran on a crashed target was counted like the one that crashed it, over all services together, and nothing was ever taken back.

Change: an answer by a target of a service shows that the request does not crash these targets; its crashes there no longer count, the reports are withdrawn, and the nodes that counted them take them back. Three crashes in one service count, or three over all services after which no target has answered. So a request that crashes one shard's targets is kept from that shard, and the others still answer.

Why this holds the bound: a request that crashes what runs it is never answered.

Known limit: a request that crashes targets only now and then is cleared by each answer.

--- a/src/front/crash_detector.cpp
+++ b/src/front/crash_detector.cpp
@@ -28,7 +28,7 @@
     ++front.counters.crash_evidence_broken;
     LogEvent(LogLevel::info, "quarantine", "connection_broken")
         .add("request", request_id)
-        .add("fingerprint", std::to_string(broken.request))
+        .add("fingerprint", std::to_string(broken.crash.request))
         .add("target", front.targets.states[broken.target].entry.id)
         .add("outcome", name_of(status))
         .write();
@@ -36,14 +36,29 @@
 }
 
 void on_crash_evidence(FrontState& front, TargetIndex target, const char* evidence) {
-    for (const std::uint64_t request : confirm_crash(front.quarantine, target, monotonic_now())) {
+    for (const Crash& crash : confirm_crash(front.quarantine, target, monotonic_now())) {
         ++front.counters.crash_evidence_confirmed;
         LogEvent(LogLevel::warning, "quarantine", "crash")
-            .add("fingerprint", std::to_string(request))
+            .add("fingerprint", std::to_string(crash.request))
+            .add("service", crash.service)
             .add("target", front.targets.states[target].entry.id)
+            .add("others_answered", crash.others_answered ? "yes" : "no")
             .add("evidence", evidence)
             .write();
-        front.on_crash(request);
+        front.on_crash(crash);
+    }
+}
+
+void on_request_answered(FrontState& front, std::uint64_t request, const std::string& service) {
+    if (!is_suspected(front.quarantine, request)) {
+        return;
+    }
+    for (const std::string& report : refute_request(front.quarantine, request, service)) {
+        LogEvent(LogLevel::info, "quarantine", "crash_refuted")
+            .add("report", report)
+            .add("service", service)
+            .write();
+        front.on_crash_refuted(report);
     }
 }
 
--- a/src/front/crash_detector.h
+++ b/src/front/crash_detector.h
@@ -17,6 +17,9 @@
 void detect_crash(FrontState& front, const BrokenConnection& broken, const std::string& request_id,
                   CallStatus status);
 
+/// A target of the service has answered the request: withdraws the reports that this refutes.
+void on_request_answered(FrontState& front, std::uint64_t request, const std::string& service);
+
 /// Connects to the target if connections to it broke and no connect has shown yet whether it
 /// crashed.
 void check_target(FrontState& front, TargetIndex target);
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -31,8 +31,12 @@
       m_reporter(state, m_options.feed.store_address),
       m_feed(state.event_loop, state.metrics, m_options.feed,
              [this](const KindUpdate& update) { apply_update(update); }) {
-    m_state.on_crash = [this](std::uint64_t request) {
-        report_crash(request);
+    m_state.on_crash = [this](const Crash& crash) {
+        report_crash(crash);
+    };
+    m_state.on_crash_refuted = [this](const std::string& report) {
+        m_counted_reports.erase(report);
+        m_reporter.withdraw(report);
     };
     // The list of nodes shows whether this node is registered already. On the first start of the
     // deployment no node is, so this one registers at once.
@@ -76,7 +80,7 @@
             apply_nodes(update.objects);
             return;
         case platform::Kind::quarantine:
-            apply_crash_reports(update.objects);
+            apply_crash_reports(update.objects, update.is_list);
             return;
     }
 }
@@ -218,29 +222,56 @@
     m_handlers.on_nodes(nodes);
 }
 
-void FleetWatcher::apply_crash_reports(const Objects& objects) {
+void FleetWatcher::apply_crash_reports(const Objects& objects, bool is_list) {
     const Time now = monotonic_now();
+    std::set<std::string> listed;
     for (const platform::StoredObject& object : objects) {
+        const std::optional<Crash> crash = platform::decode_crash_report(object);
+        if (!crash.has_value()) {
+            continue;
+        }
         if (object.removed) {
-            m_counted_reports.erase(object.name);
+            forget_report(object.name, crash->request);
             continue;
         }
-        const std::optional<CrashReport> report = parse_crash_report(object.name);
+        listed.insert(object.name);
         // A list repeats reports that were received as changes before; each report counts once.
-        if (report.has_value() &&
-            m_counted_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
-            add_crashes(m_state.quarantine, report->request, 1, now);
+        if (m_counted_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
+            add_crash(m_state.quarantine, object.name, *crash, now);
+        }
+    }
+    if (is_list) {
+        forget_unlisted_reports(listed);
+    }
+}
+
+void FleetWatcher::forget_report(const std::string& name, std::uint64_t request) {
+    m_counted_reports.erase(name);
+    remove_crash(m_state.quarantine, name, request);
+}
+
+void FleetWatcher::forget_unlisted_reports(const std::set<std::string>& listed) {
+    std::vector<CrashReport> withdrawn;
+    for (const auto& [name, expires] : m_counted_reports) {
+        const std::optional<CrashReport> report = parse_crash_report(name);
+        // A report of this node may still be on its way to the store.
+        if (report.has_value() && report->node != m_options.feed.self.node &&
+            listed.count(name) == 0) {
+            withdrawn.push_back(*report);
         }
     }
+    for (const CrashReport& report : withdrawn) {
+        forget_report(crash_report_name(report), report.request);
+    }
 }
 
-void FleetWatcher::report_crash(std::uint64_t request) {
+void FleetWatcher::report_crash(const Crash& crash) {
     const Time now = monotonic_now();
     const std::string name = crash_report_name(
-        {request, m_options.feed.self.node, m_started_at_ms, ++m_reported_crashes});
+        {crash.request, m_options.feed.self.node, m_started_at_ms, ++m_reported_crashes});
     m_counted_reports.emplace(name, now + SUSPECT_TTL);
-    add_crashes(m_state.quarantine, request, 1, now);
-    m_reporter.add(name);
+    add_crash(m_state.quarantine, name, crash, now);
+    m_reporter.add(name, crash);
 }
 
 void FleetWatcher::remove_old_reports(Time now) {
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -62,8 +62,11 @@
     void check_for_restart(const TargetEntry& entry);
     void apply_evacuations(const Objects& objects, bool is_list);
     void apply_nodes(const Objects& objects);
-    void apply_crash_reports(const Objects& objects);
-    void report_crash(std::uint64_t request);
+    void apply_crash_reports(const Objects& objects, bool is_list);
+    void forget_report(const std::string& name, std::uint64_t request);
+    /// Reports of other nodes that are no longer in the store were withdrawn.
+    void forget_unlisted_reports(const std::set<std::string>& listed);
+    void report_crash(const Crash& crash);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -76,8 +76,10 @@
     CrashQuarantine quarantine;
     TargetPool pool;
     Random random;
-    /// Called with the fingerprint of a request when a target has crashed while running it.
-    std::function<void(std::uint64_t)> on_crash;
+    /// Called when a target has crashed while running a request.
+    std::function<void(const Crash&)> on_crash;
+    /// Called with the name of a crash report when a target has answered the request.
+    std::function<void(const std::string& report)> on_crash_refuted;
 };
 
 }  // namespace ebonymount
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -96,12 +96,6 @@
     }
     m_route = static_cast<std::size_t>(route);
     m_fingerprint = fingerprint(m_request.method, host, m_request.target, m_request.body);
-    if (is_quarantined(m_front.quarantine, m_fingerprint)) {
-        ++m_front.counters.quarantined;
-        respond_at_once(http::UNAVAILABLE, "the request is quarantined: it crashed several targets",
-                        QUARANTINE_RETRY);
-        return false;
-    }
     return true;
 }
 
@@ -137,6 +131,12 @@
     if (!is_fan_out(route)) {
         services = {services[choose_service(route, uniform(m_front.random))]};
     }
+    if (is_quarantined(services)) {
+        ++m_front.counters.quarantined;
+        respond_at_once(http::UNAVAILABLE, "the request is quarantined: it crashed several targets",
+                        QUARANTINE_RETRY);
+        return;
+    }
     m_parts.resize(services.size());
     m_prepared = platform::prepare_for_targets(m_request);
     m_state = begin_request(fan_out_parameters(route), services);
@@ -232,8 +232,9 @@
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
     call.call.is_head = m_request.method == "HEAD";
     call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
-    call.call.may_send = [self, index = action.target] {
-        return self->may_still_send(index);
+    call.call.may_send = [self, index = action.target,
+                          service = m_state.shards[action.shard].service] {
+        return self->may_still_send(index, service);
     };
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
@@ -256,9 +257,29 @@
     }
 }
 
-bool RequestHandler::may_still_send(TargetIndex target) const {
+bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service) const {
     return m_front.targets.states[target].accepts_work &&
-           suspicion_of(m_front.quarantine, m_fingerprint, monotonic_now()) == Suspicion::none;
+           suspicion_of(m_front.quarantine, m_fingerprint, service_name(service),
+                        monotonic_now()) == Suspicion::none;
+}
+
+const std::string& RequestHandler::service_name(ServiceIndex service) const {
+    return m_view->services[service].limits.name;
+}
+
+bool RequestHandler::is_quarantined(const std::vector<ServiceIndex>& services) const {
+    if (!is_suspected(m_front.quarantine, m_fingerprint)) {
+        return false;
+    }
+    const Time now = monotonic_now();
+    const std::int64_t usable =
+        std::count_if(services.begin(), services.end(), [this, now](ServiceIndex service) {
+            return suspicion_of(m_front.quarantine, m_fingerprint, service_name(service), now) !=
+                   Suspicion::quarantined;
+        });
+    const Route& route = m_view->table.routes[m_route];
+    const double needed = is_fan_out(route) ? route.min_coverage : 1.0;
+    return static_cast<double>(usable) < needed * static_cast<double>(services.size());
 }
 
 void RequestHandler::withdraw_attempt(const WithdrawAttempt& action) {
@@ -345,10 +366,12 @@
     switch (outcome) {
         case FanOutAttemptStatus::answered:
             on_response(target, now - attempt.sent_at, attempt.ahead, now);
+            on_request_answered(m_front, m_fingerprint, service_name(service));
             m_front.counters.attempt_time.add(now - attempt.sent_at);
             return;
         case FanOutAttemptStatus::target_error:
             on_target_error(target, now - attempt.sent_at, attempt.ahead, now);
+            on_request_answered(m_front, m_fingerprint, service_name(service));
             m_front.counters.attempt_time.add(now - attempt.sent_at);
             return;
         case FanOutAttemptStatus::refused:
@@ -356,7 +379,7 @@
             on_refusal(target, now);
             return;
         case FanOutAttemptStatus::not_connected:
-            if (!may_still_send(attempt.target)) {
+            if (!may_still_send(attempt.target, service)) {
                 // Not sent for another reason than the connection.
                 on_abandoned(target, Duration::zero(), 0, now);
                 return;
@@ -370,8 +393,9 @@
                 on_connection_rejected(target, now);
             }
             if (call_status == CallStatus::broken || call_status == CallStatus::rejected) {
-                detect_crash(m_front, {attempt.target, m_fingerprint, now},
-                             m_caller_headers.request_id, call_status);
+                const Crash crash{m_fingerprint, service_name(service), m_state.answered > 0};
+                detect_crash(m_front, {attempt.target, crash, now}, m_caller_headers.request_id,
+                             call_status);
             }
             return;
         case FanOutAttemptStatus::timed_out:
@@ -451,7 +475,11 @@
         m_connection->respond(std::move(response));
     }
     m_connection.reset();
-    if (is_quarantined(m_front.quarantine, m_fingerprint)) {
+    std::vector<ServiceIndex> services;
+    for (const ShardState& shard : m_state.shards) {
+        services.push_back(shard.service);
+    }
+    if (is_quarantined(services)) {
         // Parts that are still queued would crash their targets.
         cancel_attempts();
     }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -52,7 +52,11 @@
     void execute(const FanOutAction& action);
     void start_attempt(const StartAttempt& action);
     /// False if the target was withdrawn, or the request became suspected, since it was chosen.
-    bool may_still_send(TargetIndex target) const;
+    bool may_still_send(TargetIndex target, ServiceIndex service) const;
+    const std::string& service_name(ServiceIndex service) const;
+    /// True if the request has crashed targets of so many of the services that the others cannot
+    /// serve it.
+    bool is_quarantined(const std::vector<ServiceIndex>& services) const;
     void withdraw_attempt(const WithdrawAttempt& action);
     void on_attempt_sent(std::uint32_t id);
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -46,37 +46,83 @@
     return stable_hash(text);
 }
 
-void add_crashes(CrashQuarantine& quarantine, std::uint64_t request, std::int64_t crashes,
-                 Time now) {
-    SuspectRequest& suspect = quarantine.suspects[request];
-    suspect.crashes += crashes;
+void add_crash(CrashQuarantine& quarantine, const std::string& report, const Crash& crash,
+               Time now) {
+    SuspectRequest& suspect = quarantine.suspects[crash.request];
+    suspect.crashes.emplace(report, crash);
     suspect.last_report_at = now;
 }
 
-Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request, Time now) {
-    if (is_quarantined(quarantine, request)) {
-        return Suspicion::quarantined;
-    }
-    if (quarantine.broken_connections.empty()) {
-        return Suspicion::none;
+void remove_crash(CrashQuarantine& quarantine, const std::string& report, std::uint64_t request) {
+    const auto found = quarantine.suspects.find(request);
+    if (found != quarantine.suspects.end() && found->second.crashes.erase(report) > 0 &&
+        found->second.crashes.empty()) {
+        quarantine.suspects.erase(found);
     }
+}
+
+std::vector<std::string> refute_request(CrashQuarantine& quarantine, std::uint64_t request,
+                                        const std::string& service) {
+    const auto refute = [&service](Crash& crash) {
+        crash.others_answered = true;
+        return crash.service == service;
+    };
+    std::erase_if(quarantine.broken_connections, [&](BrokenConnection& broken) {
+        return broken.crash.request == request && refute(broken.crash);
+    });
+    std::vector<std::string> refuted;
     const auto found = quarantine.suspects.find(request);
-    const std::int64_t crashes = found == quarantine.suspects.end() ? 0 : found->second.crashes;
-    const std::int64_t unconfirmed =
-        std::count_if(quarantine.broken_connections.begin(), quarantine.broken_connections.end(),
-                      [request, now](const BrokenConnection& broken) {
-                          return broken.request == request && now - broken.at <= CHECK_TIME;
-                      });
-    return crashes + unconfirmed >= CRASHES_TO_QUARANTINE ? Suspicion::unconfirmed
-                                                          : Suspicion::none;
+    if (found == quarantine.suspects.end()) {
+        return refuted;
+    }
+    for (auto& [report, crash] : found->second.crashes) {
+        if (refute(crash)) {
+            refuted.push_back(report);
+        }
+    }
+    for (const std::string& report : refuted) {
+        remove_crash(quarantine, report, request);
+    }
+    return refuted;
 }
 
-bool is_quarantined(const CrashQuarantine& quarantine, std::uint64_t request) {
-    if (quarantine.suspects.empty()) {
-        return false;
+Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request,
+                       const std::string& service, Time now) {
+    if (quarantine.suspects.empty() && quarantine.broken_connections.empty()) {
+        return Suspicion::none;
     }
+    std::int64_t in_service = 0;
+    std::int64_t unanswered = 0;
+    const auto count = [&](const Crash& crash) {
+        in_service += crash.service == service ? 1 : 0;
+        unanswered += crash.others_answered ? 0 : 1;
+    };
+    const auto has_too_many = [&] {
+        return std::max(in_service, unanswered) >= CRASHES_TO_QUARANTINE;
+    };
     const auto found = quarantine.suspects.find(request);
-    return found != quarantine.suspects.end() && found->second.crashes >= CRASHES_TO_QUARANTINE;
+    if (found != quarantine.suspects.end()) {
+        for (const auto& [report, crash] : found->second.crashes) {
+            count(crash);
+        }
+    }
+    if (has_too_many()) {
+        return Suspicion::quarantined;
+    }
+    for (const BrokenConnection& broken : quarantine.broken_connections) {
+        if (broken.crash.request == request && now - broken.at <= CHECK_TIME) {
+            count(broken.crash);
+        }
+    }
+    return has_too_many() ? Suspicion::unconfirmed : Suspicion::none;
+}
+
+bool is_suspected(const CrashQuarantine& quarantine, std::uint64_t request) {
+    return quarantine.suspects.count(request) > 0 ||
+           std::any_of(quarantine.broken_connections.begin(), quarantine.broken_connections.end(),
+                       [request](const BrokenConnection& broken) {
+                           return broken.crash.request == request;
+                       });
 }
 
 void record_broken_connection(CrashQuarantine& quarantine, const BrokenConnection& broken) {
@@ -94,17 +140,16 @@
     quarantine.checked_targets.erase(target);
 }
 
-std::vector<std::uint64_t> confirm_crash(CrashQuarantine& quarantine, TargetIndex target,
-                                         Time now) {
-    std::vector<std::uint64_t> requests;
+std::vector<Crash> confirm_crash(CrashQuarantine& quarantine, TargetIndex target, Time now) {
+    std::vector<Crash> crashes;
     std::erase_if(quarantine.broken_connections, [&](const BrokenConnection& broken) {
         const bool is_match = broken.target == target && now - broken.at <= CRASH_DETECTION_TIME;
         if (is_match) {
-            requests.push_back(broken.request);
+            crashes.push_back(broken.crash);
         }
         return is_match;
     });
-    return requests;
+    return crashes;
 }
 
 std::size_t refute_crash(CrashQuarantine& quarantine, TargetIndex target, Time connected_at) {
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -4,11 +4,13 @@
 // connection that breaks while a request runs may only mean a lost response. So the node connects
 // to the target at once: if the connection is refused, or the target turns out to have restarted,
 // it has crashed, and the requests that ran there are suspected. A request that was running when
-// several targets crashed is refused. Nodes report crashes to each other, so that a crash seen by
-// one node counts on every node.
+// several targets crashed, and that none has answered, is refused. An answer shows that the request
+// merely happened to run on a target that crashed for another reason, and its crashes no longer
+// count. Nodes report crashes to each other, so that a crash seen by one node counts on every node.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,10 +29,23 @@
 /// A request that has crashed no target for this long is no longer suspected or quarantined.
 constexpr Duration SUSPECT_TTL = from_ms(600000);
 
-/// A suspected request: the number of crashes during which it was running, and the time of the last
-/// report.
+/// One crash of a target while a request ran there.
+struct Crash {
+    /// Fingerprint of the request.
+    std::uint64_t request = 0;
+    /// Service of the target.
+    std::string service;
+    /// Targets of other services answered the same request, so it crashes only some targets, or the
+    /// crash had another cause.
+    bool others_answered = false;
+
+    friend bool operator==(const Crash&, const Crash&) = default;
+};
+
+/// A suspected request: the crashes that no answer of a target has refuted, by the names of their
+/// reports, and the time of the last report.
 struct SuspectRequest {
-    std::int64_t crashes = 0;
+    std::map<std::string, Crash> crashes;
     Time last_report_at{};
 
     friend bool operator==(const SuspectRequest&, const SuspectRequest&) = default;
@@ -39,8 +54,8 @@
 /// A connection that broke while a request ran.
 struct BrokenConnection {
     TargetIndex target = 0;
-    /// Fingerprint of the request.
-    std::uint64_t request = 0;
+    /// The crash that it may turn out to be.
+    Crash crash;
     Time at{};
 
     friend bool operator==(const BrokenConnection&, const BrokenConnection&) = default;
@@ -62,9 +77,9 @@
 bool begin_check(CrashQuarantine& quarantine, TargetIndex target);
 void end_check(CrashQuarantine& quarantine, TargetIndex target);
 
-/// Called when the target refuses connections or has restarted: returns the fingerprints of the
-/// requests that ran there when it crashed. Each broken connection counts once.
-std::vector<std::uint64_t> confirm_crash(CrashQuarantine& quarantine, TargetIndex target, Time now);
+/// Called when the target refuses connections or has restarted: returns a crash for each request
+/// that ran there. Each broken connection counts once.
+std::vector<Crash> confirm_crash(CrashQuarantine& quarantine, TargetIndex target, Time now);
 
 /// Called when the target has accepted a connection that was opened at `connected_at`: it had not
 /// crashed before. Returns the number of broken connections that were lost responses.
@@ -92,9 +107,17 @@
 std::uint64_t fingerprint(std::string_view method, std::string_view host, std::string_view target,
                           std::string_view body);
 
-/// Counts crashes seen by this or another node for the request with that fingerprint.
-void add_crashes(CrashQuarantine& quarantine, std::uint64_t request, std::int64_t crashes,
-                 Time now);
+/// Counts a crash that this or another node has seen, once for each report name.
+void add_crash(CrashQuarantine& quarantine, const std::string& report, const Crash& crash,
+               Time now);
+
+/// Another node has withdrawn its report of a crash of that request.
+void remove_crash(CrashQuarantine& quarantine, const std::string& report, std::uint64_t request);
+
+/// Called when a target of the service has answered the request: it does not crash these targets.
+/// Returns the names of the reports that this refutes.
+std::vector<std::string> refute_request(CrashQuarantine& quarantine, std::uint64_t request,
+                                        const std::string& service);
 
 /// Whether a request may be sent to a target.
 enum class Suspicion : std::uint8_t {
@@ -103,11 +126,14 @@
     quarantined,  ///< It has crashed too many targets.
 };
 
-/// Suspicion of the request with that fingerprint; to be asked before each attempt.
-Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request, Time now);
+/// Suspicion of the request with that fingerprint at targets of the service; to be asked before
+/// each attempt. Crashes in the same service count, and those after which no target of any service
+/// has answered the request.
+Suspicion suspicion_of(const CrashQuarantine& quarantine, std::uint64_t request,
+                       const std::string& service, Time now);
 
-/// True if the request with that fingerprint must not be sent to any target.
-bool is_quarantined(const CrashQuarantine& quarantine, std::uint64_t request);
+/// True if crashes are counted, or connections broke, while the request ran.
+bool is_suspected(const CrashQuarantine& quarantine, std::uint64_t request);
 
 /// Drops broken connections that were not confirmed as crashes, and suspected requests whose last
 /// crash is older than `SUSPECT_TTL`. Returns the number of broken connections dropped.
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -78,13 +78,14 @@
     return {REFUSAL_COST_WITHOUT_TOKEN_US, FAILURE_COST_WITHOUT_TOKEN_US};
 }
 
-Suspicion suspicion(const Step& s) {
-    return suspicion_of(s.context.quarantine, s.state.parameters.fingerprint, s.context.now);
+Suspicion suspicion(const Step& s, const ShardState& shard) {
+    return suspicion_of(s.context.quarantine, s.state.parameters.fingerprint,
+                        service_of(s, shard).limits.name, s.context.now);
 }
 
 /// The untried candidate with the shortest expected time; empty for a request that may crash it.
 std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
-    if (suspicion(s) != Suspicion::none) {
+    if (suspicion(s, shard) != Suspicion::none) {
         return std::nullopt;
     }
     const ServiceView& service = service_of(s, shard);
@@ -228,11 +229,11 @@
     if (shard.answered || shard.failed || shard.live_attempts > 0) {
         return;
     }
-    if (!may_send_again(s, shard) || suspicion(s) == Suspicion::quarantined) {
+    if (!may_send_again(s, shard) || suspicion(s, shard) == Suspicion::quarantined) {
         fail_shard(s, shard);
         return;
     }
-    if (suspicion(s) == Suspicion::unconfirmed) {
+    if (suspicion(s, shard) == Suspicion::unconfirmed) {
         shard.retry_at = s.context.now + REFUSAL_PAUSE;
         return;
     }
@@ -269,7 +270,7 @@
     }
     const std::optional<TargetIndex> choice = choose_target(s, shard);
     if (!choice.has_value()) {
-        if (suspicion(s) == Suspicion::unconfirmed) {
+        if (suspicion(s, shard) == Suspicion::unconfirmed) {
             shard.hedge_at = s.context.now + REFUSAL_PAUSE;
         }
         return;
