Targets: know the limit that a target names, and log this node's share of it

The limit is decoded into the target's state with the share that this node would have; naming, change and end are logged and counted. The list of nodes is handed on by name, as the share depends on a node's place in it.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -210,16 +210,22 @@
     m_name_is_taken = own != objects.end();
     m_registered = m_name_is_taken && platform::decode_registration(*own) == m_options.feed.self;
     m_next_registration = Time{};
-    const std::int64_t nodes =
-        static_cast<std::int64_t>(objects.size()) + (m_name_is_taken ? 0 : 1);
-    if (nodes != m_node_count) {
-        LogEvent(LogLevel::info, "front", "nodes")
-            .add("nodes", nodes)
-            .add("before", m_node_count)
-            .write();
+    std::vector<std::string> names;
+    for (const platform::StoredObject& object : objects) {
+        names.push_back(object.name);
+    }
+    if (!m_name_is_taken) {
+        names.push_back(m_options.feed.self.node);
     }
-    m_node_count = nodes;
-    m_handlers.on_nodes(nodes);
+    if (names == m_node_names) {
+        return;
+    }
+    LogEvent(LogLevel::info, "front", "nodes")
+        .add("nodes", static_cast<std::int64_t>(names.size()))
+        .add("before", static_cast<std::int64_t>(m_node_names.size()))
+        .write();
+    m_node_names = names;
+    m_handlers.on_nodes(names);
 }
 
 void FleetWatcher::apply_crash_reports(const Objects& objects, bool is_list) {
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -31,9 +31,9 @@
 struct FleetWatcherHandlers {
     /// Receives each newer route table.
     std::function<void(const RouteTable&)> on_table;
-    /// Receives the number of nodes that share the fleet's limits, each time their list has
+    /// Receives the names of the nodes that share the fleet's limits, each time their list has
     /// changed.
-    std::function<void(std::int64_t nodes)> on_nodes;
+    std::function<void(const std::vector<std::string>& names)> on_nodes;
 };
 
 class FleetWatcher {
@@ -83,7 +83,7 @@
     bool m_has_targets = false;
     bool m_has_evacuations = false;
     std::set<std::string> m_out_data_centres;
-    std::int64_t m_node_count = 0;
+    std::vector<std::string> m_node_names;
     bool m_registered = false;
     /// The store has an object with this node's name.
     bool m_name_is_taken = false;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -130,8 +130,8 @@
     m_fleet_watcher = std::make_unique<FleetWatcher>(
         m_state, options,
         FleetWatcherHandlers{[this](const RouteTable& table) { apply_caller_limits(table.limits); },
-                             [this](std::int64_t nodes) {
-                                 m_node_count = nodes;
+                             [this](const std::vector<std::string>& names) {
+                                 m_node_names = names;
                                  split_fleet_limits();
                              }});
 }
@@ -147,9 +147,12 @@
 }
 
 void Front::split_fleet_limits() {
-    const std::int64_t nodes = m_node_count > 0 ? m_node_count : ASSUMED_NODES;
-    m_state.targets.nodes = nodes;
-    m_state.targets.own_node = m_settings.node;
+    const std::int64_t nodes =
+        m_node_names.empty() ? ASSUMED_NODES : static_cast<std::int64_t>(m_node_names.size());
+    m_state.targets.group.count = nodes;
+    m_state.targets.group.names = m_node_names;
+    m_state.targets.group.self = m_settings.node;
+    ++m_state.targets.group.generation;
     m_state.targets.own_data_centre = m_settings.data_centre;
     m_state.targets.own_region = m_settings.region;
     m_state.targets.cold_overrun = m_settings.cold_overrun;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "front/fleet_watcher.h"
@@ -69,7 +70,8 @@
     std::shared_ptr<HttpListener> m_ready_listener;
     std::shared_ptr<HttpListener> m_metrics_listener;
     std::unique_ptr<FleetWatcher> m_fleet_watcher;
-    std::int64_t m_node_count = 0;
+    /// Names of the registered nodes with this one; empty until they are known.
+    std::vector<std::string> m_node_names;
     std::optional<Time> m_stopping_since;
     Time m_next_settings_check{};
     std::string m_settings_text;
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -37,6 +37,8 @@
       retries(metrics.counter("ebonymount_front_retries_total")),
       attempts_without_token(metrics.counter("ebonymount_front_without_token_total")),
       parts_missing(metrics.counter("ebonymount_front_parts_missing_total")),
+      limits_named(metrics.counter("ebonymount_front_target_limits_named_total")),
+      limits_ended(metrics.counter("ebonymount_front_target_limits_ended_total")),
       crash_evidence_broken(crash_evidence_counter(metrics, "broken")),
       crash_evidence_confirmed(crash_evidence_counter(metrics, "confirmed")),
       crash_evidence_refuted(crash_evidence_counter(metrics, "refuted")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -39,6 +39,9 @@
     Counter& retries;
     Counter& attempts_without_token;
     Counter& parts_missing;
+    /// Rate limits that targets have named or changed, and that have ended.
+    Counter& limits_named;
+    Counter& limits_ended;
     /// Connections that broke while a request ran, by what became of them.
     Counter& crash_evidence_broken;
     Counter& crash_evidence_confirmed;
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -62,6 +62,9 @@
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
     FanOutAttemptStatus classify_outcome(const OpenAttempt& attempt, CallStatus call_status,
                                          HttpResponseMessage& response);
+    /// Applies the limit that a target's response names.
+    void apply_limit(const OpenAttempt& attempt, const platform::TargetResponseHeaders& headers,
+                     bool is_success);
     void record_outcome(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                         CallStatus call_status);
     void keep_part(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -125,13 +125,13 @@
 std::int64_t cold_limit_per_node(const TargetTable& table, double cold_per_second) {
     const double total =
         cold_per_second * table.cold_overrun + static_cast<double>(table.cold_slack);
-    return static_cast<std::int64_t>(total * COLD_SHARE /
-                                     static_cast<double>(std::max<std::int64_t>(1, table.nodes)));
+    return static_cast<std::int64_t>(
+        total * COLD_SHARE / static_cast<double>(std::max<std::int64_t>(1, table.group.count)));
 }
 
 std::int64_t connections_per_node(const TargetTable& table, const TargetState& state) {
     const double share = static_cast<double>(state.max_connections) * CONNECTION_SHARE /
-                         static_cast<double>(std::max<std::int64_t>(1, table.nodes));
+                         static_cast<double>(std::max<std::int64_t>(1, table.group.count));
     return std::max<std::int64_t>(1, std::llround(share));
 }
 
@@ -239,6 +239,26 @@
     state.reported_at = now;
 }
 
+LimitChange on_limit_report(const TargetTable& table, TargetState& state, const LimitReport& report,
+                            Random& random, Time now) {
+    if (!report.per_second.has_value()) {
+        // Responses to earlier requests may have been on their way when the limit was named.
+        const bool has_ended =
+            report.is_answer && state.limit.has_value() && report.sent_at > state.limit->named_at;
+        if (has_ended) {
+            state.limit.reset();
+        }
+        return has_ended ? LimitChange::ended : LimitChange::none;
+    }
+    const bool is_new = !state.limit.has_value();
+    if (is_new) {
+        state.limit.emplace();
+    }
+    const bool is_changed = state.limit->per_second != *report.per_second;
+    update_limit(*state.limit, *report.per_second, table.group, state.entry.id, random, now);
+    return is_new || is_changed ? LimitChange::named : LimitChange::none;
+}
+
 std::int64_t requests_ahead(const TargetState& state, Time now) {
     const bool is_recent = now - state.reported_at < MAX_REPORT_AGE;
     return is_recent ? std::max(state.outstanding, state.reported_waiting) : state.outstanding;
@@ -316,10 +336,10 @@
 
 bool may_keep_idle(const TargetTable& table, const TargetState& state) {
     const double allowed = static_cast<double>(state.max_connections) * IDLE_SHARE;
-    if (state.same_region || static_cast<double>(table.nodes) <= allowed) {
+    if (state.same_region || static_cast<double>(table.group.count) <= allowed) {
         return true;
     }
-    const std::uint64_t hash = stable_hash(table.own_node + "/" + state.entry.id);
+    const std::uint64_t hash = stable_hash(table.group.self + "/" + state.entry.id);
     return hash % IDLE_HASH_RANGE < IDLE_HASH_RANGE / 3;
 }
 
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -7,12 +7,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
+#include "policy/rate_limit.h"
 #include "policy/target_registry.h"
 
 namespace ebonymount {
@@ -64,18 +66,20 @@
     std::int64_t max_connections = 1;
     /// After a rejected connection: earliest time to open new ones.
     Time connect_again_at{};
+
+    /// The request rate that the target allows, while it names a limit.
+    std::optional<RateLimit> limit;
 };
 
 /// All targets that have been registered since this node started; indices remain valid.
 struct TargetTable {
     std::vector<TargetState> states;
     std::unordered_map<std::string, TargetIndex> by_id;
-    std::string own_node;
     std::string own_data_centre;
     std::string own_region;
-    /// Number of nodes that share the targets, and hence connection limits and the capacity of cold
-    /// targets.
-    std::int64_t nodes = 1;
+    /// Nodes that share the targets, and hence connection limits, rate limits and the capacity of
+    /// cold targets.
+    NodeGroup group;
     /// The platform's bound for a cold target, for all nodes together: its rate times
     /// `cold_overrun`, plus `cold_slack` requests.
     double cold_overrun = 1.5;
@@ -110,6 +114,23 @@
 /// The target reported its queue length.
 void on_load_report(TargetState& state, std::int64_t waiting, Time now);
 
+/// What a response says of the target's limit.
+struct LimitReport {
+    /// The limit that it names; empty if it names none.
+    std::optional<double> per_second;
+    /// It is the response to a request that ran. Others may leave out a limit that holds.
+    bool is_answer = false;
+    /// When the request was sent.
+    Time sent_at{};
+};
+
+/// What a response has changed.
+enum class LimitChange : std::uint8_t { none, named, ended };
+
+/// Applies what a response says of the target's limit.
+LimitChange on_limit_report(const TargetTable& table, TargetState& state, const LimitReport& report,
+                            Random& random, Time now);
+
 /// Requests that run or are queued at the target, as far as this node knows.
 std::int64_t requests_ahead(const TargetState& state, Time now);
 
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -196,6 +196,25 @@
     CHECK(platform::decode_target_headers(response).misdirected);
 }
 
+TEST_CASE("a target's limit is a decimal number of at least zero, and anything else is none") {
+    const auto decoded = [](const std::string& text) {
+        HttpResponseMessage response;
+        response.headers = {{"Server-Limit", text}};
+        return platform::decode_target_headers(response).rate_limit;
+    };
+    CHECK(decoded("28.1") == 28.1);
+    CHECK(decoded("1") == 1.0);
+    CHECK(decoded("0") == 0.0);
+    CHECK(decoded("0.25") == 0.25);
+    for (const char* text : {"", "-1", "+1", " ", "1e3", "nan", "inf", "0x10", "1,5", "1.2.3",
+                             "1 per second", "28.1;q=1", "."}) {
+        CAPTURE(text);
+        CHECK_FALSE(decoded(text).has_value());
+    }
+    CHECK_FALSE(decoded(std::string(400, '9')).has_value());
+    CHECK_FALSE(platform::decode_target_headers(HttpResponseMessage{}).rate_limit.has_value());
+}
+
 TEST_CASE("a merged response lists the signatures of its parts and the number of missing ones") {
     const HttpResponseMessage response = platform::merged_response({"a.1", "b.2"}, 1, "records");
     CHECK(response.status == 200);
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -69,7 +69,7 @@
     constexpr double COLD_PER_SECOND = 8.0;
     constexpr std::int64_t NODES = 6;
     FleetFixture fleet(1, 1);
-    fleet.targets.nodes = NODES;
+    fleet.targets.group.count = NODES;
     TargetState& target = fleet.state(0, 0);
     target.cold_until = START + from_ms(60000);
     std::vector<Time> sends;
@@ -101,7 +101,7 @@
 
 TEST_CASE("a cold target gets no requests if its limit is too small for the number of nodes") {
     FleetFixture fleet(1, 1);
-    fleet.targets.nodes = 100;
+    fleet.targets.group.count = 100;
     fleet.state(0, 0).cold_until = START + from_ms(1000);
     CHECK_FALSE(is_candidate(fleet.targets, fleet.state(0, 0), 8.0, START));
 }
@@ -109,14 +109,14 @@
 TEST_CASE("a node opens its share of a target's connections, and at least one") {
     FleetFixture fleet(1, 1);
     TargetState& target = fleet.state(0, 0);
-    fleet.targets.nodes = 5;
+    fleet.targets.group.count = 5;
     target.connections = 3;
     CHECK(is_candidate(fleet.targets, target, 0.0, START));
     target.connections = 4;
     CHECK_FALSE(is_candidate(fleet.targets, target, 0.0, START));
     target.idle_connections = 1;
     CHECK(is_candidate(fleet.targets, target, 0.0, START));
-    fleet.targets.nodes = 84;
+    fleet.targets.group.count = 84;
     target.idle_connections = 0;
     target.connections = 0;
     CHECK(is_candidate(fleet.targets, target, 0.0, START));
@@ -178,8 +178,8 @@
     std::int64_t idle_connections = 0;
     for (std::int64_t node = 0; node < NODES; ++node) {
         TargetTable table;
-        table.own_node = "node-" + std::to_string(node);
-        table.nodes = NODES;
+        table.group.self = "node-" + std::to_string(node);
+        table.group.count = NODES;
         TargetState state;
         state.entry.id = "target";
         state.max_connections = CONNECTION_LIMIT;
