--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -40,6 +40,8 @@
     bool draining = false;
     /// A request with this path crashes the target when it starts to run; empty for none.
     std::string crashing_path;
+    /// The limit that each response names, in requests a second; empty for none.
+    std::string limit;
 };
 
 class PlatformTarget;
@@ -90,6 +92,7 @@
     void run(const std::shared_ptr<Work>& work);
     void finish(const std::shared_ptr<Work>& work);
     void start_queued();
+    void add_limit(ebonymount::HttpResponseMessage& response) const;
     void refuse(const Connection& connection, int status, const std::string& request_id);
     std::string make_records();
 
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <deque>
 #include <set>
 #include <stdexcept>
 
@@ -245,6 +246,23 @@
         [](const std::shared_ptr<standin::PlatformTarget>& target) { return target->is_down(); }));
 }
 
+std::size_t FrontFleet::max_arrivals(Duration window, Time from) const {
+    std::map<std::string, std::deque<Time>> windows;
+    std::size_t most = 0;
+    for (const FleetArrival& arrival : m_arrivals) {
+        if (arrival.at < from) {
+            continue;
+        }
+        std::deque<Time>& times = windows[arrival.target];
+        times.push_back(arrival.at);
+        while (times.back() - times.front() >= window) {
+            times.pop_front();
+        }
+        most = std::max(most, times.size());
+    }
+    return most;
+}
+
 const std::vector<FleetArrival>& FrontFleet::arrivals() const {
     return m_arrivals;
 }
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -73,6 +73,8 @@
 
     /// Number of targets that have crashed.
     std::size_t crashed() const;
+    /// The most requests that arrived at one target in any window of that length from `from` on.
+    std::size_t max_arrivals(Duration window, Time from) const;
     /// Arrivals at targets, in order.
     const std::vector<FleetArrival>& arrivals() const;
     /// Number of different requests that reached a target with that path after that time.
