Targets: divide the limit that a target names among the nodes, and send within it

What targets saw: a target in need that named its limit got up to 1.6 times what the rule allows.

Cause: nothing read the limit; targets were chosen by response time alone, which a limit does not change.

Change: each node has an equal share of the limit as a token bucket that starts empty. Where shares would be less than a request, only as many nodes send as the burst has whole requests, chosen by rendezvous hashing over the registered nodes; the others check once in a long while, in a time slot of their own, whether the limit still holds. A target whose share is used up is left out like one that is unreachable; if none is left the caller is refused at once, with the time of the next token as Retry-After. The limit ends with the first answer to a later request that does not name it, or a restart of the target.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -285,8 +285,7 @@
 void RequestHandler::withdraw_attempt(const WithdrawAttempt& action) {
     for (std::size_t i = 0; i < m_open_attempts.size(); ++i) {
         if (m_open_attempts[i].id == action.id && m_front.pool.withdraw(m_open_attempts[i].call)) {
-            on_abandoned(m_front.targets.states[m_open_attempts[i].target], Duration::zero(), 0,
-                         monotonic_now());
+            on_not_sent(m_open_attempts[i].target);
             m_open_attempts.erase(m_open_attempts.begin() + static_cast<std::ptrdiff_t>(i));
             return;
         }
@@ -409,9 +408,10 @@
         case FanOutAttemptStatus::not_connected:
             if (!may_still_send(attempt.target, service)) {
                 // Not sent for another reason than the connection.
-                on_abandoned(target, Duration::zero(), 0, now);
+                on_not_sent(attempt.target);
                 return;
             }
+            uncount_request(target);
             on_failure(target, false, cold_start, now);
             check_target(m_front, attempt.target);
             return;
@@ -537,6 +537,12 @@
     schedule_tick();
 }
 
+void RequestHandler::on_not_sent(TargetIndex target) {
+    TargetState& state = m_front.targets.states[target];
+    on_abandoned(state, Duration::zero(), 0, monotonic_now());
+    uncount_request(state);
+}
+
 void RequestHandler::cancel_attempts() {
     // Only a closed connection tells a target to stop.
     const std::vector<OpenAttempt> open = m_open_attempts;
@@ -544,8 +550,7 @@
         if (!m_front.pool.withdraw(attempt.call)) {
             m_front.pool.abort(attempt.call);
         } else {
-            on_abandoned(m_front.targets.states[attempt.target], Duration::zero(), 0,
-                         monotonic_now());
+            on_not_sent(attempt.target);
         }
     }
 }
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -209,9 +209,7 @@
     if (s.state.parameters.idempotent) {
         shard.hedge_at = s.context.now + hedge_delay(s, shard, state);
     }
-    if (s.context.now < state.cold_until) {
-        count_cold_request(state, s.context.now);
-    }
+    count_request(state, s.context.now);
     s.actions.emplace_back(
         StartAttempt{attempt.id, shard_index, target, s.state.parameters.final_deadline, hedge});
 }
--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -22,8 +22,14 @@
 /// Smallest limit that shares are computed from; a target with a smaller one is only checked.
 constexpr double MIN_LIMIT_PER_SECOND = 0.05;
 
+/// A limit below this counts as this much for the rate of checks.
+constexpr double MIN_CHECKED_LIMIT = 0.25;
+
+/// How long a node may make its check once it is due. A check that no request came for is left out
+/// until the next interval: otherwise nodes would save them up and make them together.
+constexpr Duration CHECK_SLOT = from_ms(1000);
+
 constexpr Duration MIN_CHECK_INTERVAL = from_ms(10000);
-constexpr Duration MAX_CHECK_INTERVAL = from_ms(600000);
 
 constexpr double US_PER_SECOND = 1e6;
 
@@ -40,9 +46,13 @@
     return std::min(limit.share.burst, limit.tokens + gained);
 }
 
-/// The time until the next check: the interval with jitter, so that nodes do not check together.
-Duration check_pause(const RateLimit& limit, Random& random) {
-    return scaled(limit.share.check_interval, 0.5 + uniform(random));
+/// Start of the last check slot that has begun, or of the first one.
+Time check_slot_at(const RateLimit& limit, Time now) {
+    if (now < limit.next_check) {
+        return limit.next_check;
+    }
+    const std::int64_t passed = (now - limit.next_check) / limit.share.check_interval;
+    return limit.next_check + passed * limit.share.check_interval;
 }
 
 }  // namespace
@@ -58,10 +68,10 @@
         share.per_second = RATE_SHARE * per_second / static_cast<double>(senders);
         share.burst = burst / static_cast<double>(senders);
     }
-    const double checks_per_second = CHECK_SHARE * std::max(per_second, 1.0);
+    const double checks_per_second = CHECK_SHARE * std::max(per_second, MIN_CHECKED_LIMIT);
     const Duration interval =
         from_seconds(static_cast<double>(nodes - senders) / checks_per_second);
-    share.check_interval = std::clamp(interval, MIN_CHECK_INTERVAL, MAX_CHECK_INTERVAL);
+    share.check_interval = std::max(interval, MIN_CHECK_INTERVAL);
     return share;
 }
 
@@ -95,7 +105,8 @@
     limit.share = share_of_limit(per_second, limit.rank, group.count);
     limit.tokens = std::min(limit.tokens, limit.share.burst);
     if (is_new) {
-        limit.next_check = now + check_pause(limit, random);
+        // At a random time, so that nodes do not check together.
+        limit.next_check = now + scaled(limit.share.check_interval, uniform(random));
     }
 }
 
@@ -105,7 +116,9 @@
 
 Time limit_token_at(const RateLimit& limit, Time now) {
     if (limit.share.per_second <= 0.0) {
-        return std::max(now, limit.next_check);
+        const Time slot = check_slot_at(limit, now);
+        const Time next = now < slot + CHECK_SLOT ? slot : slot + limit.share.check_interval;
+        return std::max(now, next);
     }
     const double missing = 1.0 - tokens_at(limit, now);
     // Half a microsecond less than a token counts as one, as times are whole microseconds.
@@ -113,9 +126,9 @@
     return wait * US_PER_SECOND < 0.5 ? now : now + from_seconds(wait) + Duration(1);
 }
 
-void spend_limit_token(RateLimit& limit, Random& random, Time now) {
+void spend_limit_token(RateLimit& limit, Time now) {
     if (limit.share.per_second <= 0.0) {
-        limit.next_check = now + check_pause(limit, random);
+        limit.next_check = check_slot_at(limit, now) + limit.share.check_interval;
         return;
     }
     limit.tokens = std::max(0.0, tokens_at(limit, now) - 1.0);
--- a/src/policy/rate_limit.h
+++ b/src/policy/rate_limit.h
@@ -39,7 +39,7 @@
     /// whether the limit still holds.
     double per_second = 0.0;
     double burst = 0.0;
-    /// For such a node: the mean time between two of its requests.
+    /// For such a node: the time between two of its requests.
     Duration check_interval{};
 
     friend bool operator==(const RateShare&, const RateShare&) = default;
@@ -64,7 +64,7 @@
     Time refilled_at{};
     /// When the limit was last named.
     Time named_at{};
-    /// For a node without a rate: when it may send a request.
+    /// For a node without a rate: when the next time slot for a check begins.
     Time next_check{};
 };
 
@@ -79,7 +79,7 @@
 Time limit_token_at(const RateLimit& limit, Time now);
 
 /// Counts a request that is sent.
-void spend_limit_token(RateLimit& limit, Random& random, Time now);
+void spend_limit_token(RateLimit& limit, Time now);
 
 /// Takes back a request that was counted and not sent.
 void return_limit_token(RateLimit& limit);
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -299,6 +299,8 @@
             return "no_connection";
         case Availability::cold:
             return "cold";
+        case Availability::over_limit:
+            return "over_limit";
     }
     return "unknown";
 }
@@ -326,6 +328,9 @@
             return Availability::cold;
         }
     }
+    if (state.limit.has_value() && !has_limit_token(*state.limit, now)) {
+        return Availability::over_limit;
+    }
     return Availability::available;
 }
 
@@ -344,10 +349,17 @@
 }
 
 Time available_at(const TargetState& state, Time now) {
-    return std::max(now, state.unreachable_until);
+    const Time reachable = std::max(now, state.unreachable_until);
+    return state.limit.has_value() ? limit_token_at(*state.limit, reachable) : reachable;
 }
 
-void count_cold_request(TargetState& state, Time now) {
+void count_request(TargetState& state, Time now) {
+    if (state.limit.has_value()) {
+        spend_limit_token(*state.limit, now);
+    }
+    if (now >= state.cold_until) {
+        return;
+    }
     if (now - state.cold_window_start >= COLD_WINDOW) {
         state.cold_window_start = now;
         state.sent_in_cold_window = 0;
@@ -355,4 +367,10 @@
     ++state.sent_in_cold_window;
 }
 
+void uncount_request(TargetState& state) {
+    if (state.limit.has_value()) {
+        return_limit_token(*state.limit);
+    }
+}
+
 }  // namespace ebonymount
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -155,6 +155,7 @@
     unreachable,     ///< It could not be reached recently.
     no_connection,   ///< No idle connection, and no new one may be opened.
     cold,            ///< It is cold, and this node has used up its requests for this window.
+    over_limit,      ///< This node has used up its share of the limit that the target named.
 };
 
 /// Name of an availability in logs.
@@ -174,10 +175,15 @@
 /// it, so that connections left open at the target by a power loss still leave room.
 bool may_keep_idle(const TargetTable& table, const TargetState& state);
 
-/// When an unreachable target is tried again; `now` if it is reachable.
+/// When a target that is unreachable, or whose limit is used up, can be tried again; `now` if it
+/// is neither.
 Time available_at(const TargetState& state, Time now);
 
-/// Counts a request to a cold target against this node's share of its capacity.
-void count_cold_request(TargetState& state, Time now);
+/// Counts a request against this node's shares of the capacity of a cold target, and of the limit
+/// that the target named.
+void count_request(TargetState& state, Time now);
+
+/// Takes back a request that was counted and not sent.
+void uncount_request(TargetState& state);
 
 }  // namespace ebonymount
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -75,7 +75,7 @@
     std::vector<Time> sends;
     for (Time now = START; now < START + from_ms(5000); now += from_ms(10)) {
         if (is_candidate(fleet.targets, target, COLD_PER_SECOND, now)) {
-            count_cold_request(target, now);
+            count_request(target, now);
             sends.push_back(now);
         }
     }
@@ -191,4 +191,29 @@
     CHECK(idle_connections >= NODES / 3);
 }
 
+TEST_CASE("a target whose limit is used up is left out until this node may send again") {
+    FleetFixture fleet(1, 1);
+    TargetState& target = fleet.state(0, 0);
+    const auto report = [&](std::optional<double> limit, bool is_answer, Time sent_at, Time now) {
+        return on_limit_report(fleet.targets, target, {limit, is_answer, sent_at}, fleet.random,
+                               now);
+    };
+    CHECK(report(std::nullopt, true, START, START) == LimitChange::none);
+    CHECK(report(2.0, true, START, START) == LimitChange::named);
+    CHECK(report(2.0, false, START, START) == LimitChange::none);
+    CHECK(availability(fleet.targets, target, 0.0, START) == Availability::over_limit);
+    const Time next = available_at(target, START);
+    CHECK(next <= START + from_ms(1000));
+    CHECK(availability(fleet.targets, target, 0.0, next) == Availability::available);
+    count_request(target, next);
+    CHECK(availability(fleet.targets, target, 0.0, next) == Availability::over_limit);
+    uncount_request(target);
+    CHECK(availability(fleet.targets, target, 0.0, next) == Availability::available);
+    // Only the answer to a request sent since then shows that the limit has ended.
+    CHECK(report(std::nullopt, false, next, next) == LimitChange::none);
+    CHECK(report(std::nullopt, true, START, next) == LimitChange::none);
+    CHECK(report(std::nullopt, true, next, next) == LimitChange::ended);
+    CHECK_FALSE(target.limit.has_value());
+}
+
 }  // namespace ebonymount
