--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -48,6 +48,9 @@
       m_updates_relayed(metrics.counter("ebonymount_store_news_relayed_total")),
       m_updates_received(metrics.counter("ebonymount_store_news_followed_total")),
       m_probes(metrics.counter("ebonymount_store_probes_total")),
+      m_state_age_ms(metrics.counter("ebonymount_store_state_age_ms")),
+      m_source_own(metrics.counter("ebonymount_store_source{kind=\"own\"}")),
+      m_source_reader(metrics.counter("ebonymount_store_source{kind=\"reader\"}")),
       m_traffic{metrics.counter("ebonymount_peer_bytes_in_total"),
                 metrics.counter("ebonymount_peer_bytes_out_total")},
       m_peers(loop, m_traffic) {
@@ -228,6 +231,7 @@
     for (const SourceAction& action : decide(m_source, source_inputs(now), m_random)) {
         execute(action, now);
     }
+    report_source(now);
     send_due_lists(now);
     // Followers learn at once that this node's data is recent again.
     const bool is_recent_again = !was_recent && age(now) <= m_timing.stale_age;
@@ -237,6 +241,29 @@
     }
 }
 
+void StoreFeed::report_source(Time now) {
+    const bool follows = is_following();
+    // A node without any state has the age of the clock.
+    const Duration state_age = age(now);
+    m_state_age_ms = state_age.count() / 1000;
+    m_source_own = m_source.reading ? 1 : 0;
+    m_source_reader = follows ? 1 : 0;
+    const bool has_source = state_age <= m_timing.max_age;
+    if (has_source == m_has_source) {
+        return;
+    }
+    m_has_source = has_source;
+    LogEvent(has_source ? LogLevel::info : LogLevel::warning, "store",
+             has_source ? "source_again" : "no_source")
+        .add("has_state", is_complete(m_mirror) ? "yes" : "no")
+        .add("knows_nodes", m_source.members_known ? "yes" : "no")
+        .add("reads", m_source.reading ? "yes" : "no")
+        .add("reader", m_upstream == nullptr ? "" : m_upstream->link.reader.node)
+        .add("failed_probes", static_cast<std::int64_t>(m_source.failed_probes))
+        .add_ms("age_ms", state_age)
+        .write();
+}
+
 bool StoreFeed::is_following() const {
     return ebonymount::is_following(m_source, source_inputs(monotonic_now()));
 }
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -89,6 +89,8 @@
     Duration age(Time now) const;
 
     SourceInputs source_inputs(Time now) const;
+    /// Sets the gauges, and logs when the state becomes old or recent again.
+    void report_source(Time now);
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
@@ -114,6 +116,10 @@
     Counter& m_updates_relayed;
     Counter& m_updates_received;
     Counter& m_probes;
+    /// Gauges: the age of this node's state, and whether it reads the store or follows a reader.
+    Counter& m_state_age_ms;
+    Counter& m_source_own;
+    Counter& m_source_reader;
     TrafficCounters m_traffic;
     PeerPool m_peers;
     std::shared_ptr<PeerServer> m_server;
@@ -130,6 +136,8 @@
     std::shared_ptr<Upstream> m_candidate;
     std::map<platform::Kind, EncodedList> m_encoded_lists;
     Time m_next_heartbeat{};
+    /// The state is recent, from whatever source.
+    bool m_has_source = false;
 };
 
 }  // namespace ebonymount
