--- a/test/correctness/test_store_source.cpp
+++ b/test/correctness/test_store_source.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Duration TICK = from_ms(100);
+
+/// Pause between two calls for the list of nodes.
+constexpr Duration LIST_PAUSE = from_ms(600);
 constexpr Duration CONFIG_APPLY = from_ms(6000);
 constexpr Duration STABLE_WINDOW = from_ms(6000);
 
@@ -29,6 +32,10 @@
     bool has_state = false;
     bool running = true;
     bool cut_from_store = false;
+    /// The node reads the list of nodes itself while it does not know the others; a node that
+    /// follows another one has stopped to.
+    bool lists_nodes = false;
+    Time next_list_call{};
     Random random{1};
 };
 
@@ -47,6 +54,10 @@
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             restart(nodes[i], i);
         }
+        for (std::size_t i = 0; i < std::min<std::size_t>(3, nodes.size()); ++i) {
+            m_initial_peers.push_back(
+                nodes[i * (nodes.size() / 3 + 1) % nodes.size()].self.address);
+        }
     }
 
     /// Starts a node, without any state, which knows the registered nodes at once.
@@ -61,6 +72,15 @@
         set_members(node.source, node.self, m_members, now);
     }
 
+    /// Starts a node, without any state, which knows a few addresses only.
+    void restart_without_members(ModelNode& node, std::size_t seed) {
+        restart(node, seed);
+        node.source = StoreSource{};
+        node.source.waits_until = now + from_ms(700);
+        node.lists_nodes = true;
+        node.next_list_call = now;
+    }
+
     void run_for(Duration duration) {
         for (const Time end = now + duration; now < end; now += TICK) {
             for (ModelNode& node : nodes) {
@@ -92,11 +112,13 @@
     std::size_t probes = 0;
     /// Times that a node began to read the store itself; each costs a call for each kind.
     std::size_t reading_starts = 0;
+    /// Calls for the list of nodes by nodes that do not know the others.
+    std::size_t list_calls = 0;
 
 private:
     ModelNode* find(const std::string& name) {
         const auto found = std::find_if(nodes.begin(), nodes.end(), [&name](const ModelNode& node) {
-            return node.self.node == name;
+            return node.self.node == name || node.self.address == name;
         });
         return found == nodes.end() ? nullptr : &*found;
     }
@@ -113,6 +135,9 @@
         link->last_message = now;
         link->as_of = std::max(link->as_of.value_or(Time{}), sender->source.last_contact);
         receiver.has_state = receiver.has_state || sender->has_state;
+        if (sender->has_state && !receiver.source.members_known) {
+            set_members(receiver.source, receiver.self, m_members, now);
+        }
     }
 
     void advance(ModelNode& node) {
@@ -121,10 +146,17 @@
             node.own_contact = now;
             node.has_state = true;
         }
+        if (node.lists_nodes && !node.source.members_known && now >= node.next_list_call) {
+            ++list_calls;
+            node.next_list_call = now + LIST_PAUSE;
+            if (reaches_store) {
+                set_members(node.source, node.self, m_members, now);
+            }
+        }
         receive(node.upstream, node);
         receive(node.candidate, node);
         const SourceInputs inputs = {node.self,
-                                     m_no_peers,
+                                     m_initial_peers,
                                      m_timing,
                                      node.upstream.has_value() ? &*node.upstream : nullptr,
                                      node.candidate.has_value() ? &*node.candidate : nullptr,
@@ -142,6 +174,7 @@
             } else if (std::holds_alternative<FollowCandidate>(action)) {
                 node.upstream = node.candidate;
                 node.candidate.reset();
+                node.lists_nodes = node.lists_nodes && node.source.reading;
             } else if (std::holds_alternative<ProbeStore>(action)) {
                 ++probes;
                 on_probe_result(node.source, reaches_store, now);
@@ -152,7 +185,7 @@
     }
 
     std::vector<Member> m_members;
-    std::vector<std::string> m_no_peers;
+    std::vector<std::string> m_initial_peers;
     StoreReadTiming m_timing = store_read_timing(CONFIG_APPLY, STABLE_WINDOW);
 };
 
@@ -268,6 +301,33 @@
     }
 }
 
+// Guards against the incident "no node reads the store": nodes without any state followed each
+// other and stopped their own calls, so none noticed that the store was back.
+TEST_CASE("nodes that start together while the store is down all have their state once it is up") {
+    const std::vector<FleetSize> sizes = {{1, 1}, {1, 2}, {3, 1}, {3, 2}, {3, 3}, {6, 10}, {6, 49}};
+    for (const FleetSize& size : sizes) {
+        for (const std::int64_t outage_s : {0, 1, 2, 5, 20}) {
+            for (std::size_t seed = 0; seed < 5; ++seed) {
+                CAPTURE(size.data_centres, size.nodes_per_data_centre, outage_s, seed);
+                ModelFleet fleet(size.data_centres, size.nodes_per_data_centre);
+                fleet.run_for(from_ms(5000));
+                fleet.store_is_up = outage_s == 0;
+                Random random(seed);
+                for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+                    fleet.run_for(uniform(random) < 0.1 ? TICK : Duration::zero());
+                    fleet.restart_without_members(fleet.nodes[i], 100 * seed + i);
+                }
+                fleet.run_for(from_ms(outage_s * 1000));
+                fleet.store_is_up = true;
+                fleet.run_for(from_ms(3000));
+                CHECK(fleet.count([](const ModelNode& node) { return node.has_state; }) ==
+                      fleet.nodes.size());
+                CHECK(fleet.all_newer_than(CONFIG_APPLY / 2));
+            }
+        }
+    }
+}
+
 TEST_CASE("followers of a reader that is killed or silent follow the other reader") {
     for (const bool is_killed : {true, false}) {
         ModelFleet fleet(6, 49);
