Store: a node that does not know the others follows nobody

What callers saw: after all nodes had been restarted while the store was silent, every request was refused until the end, although the store was back after two seconds.

Cause: a circular wait. A node without the list of nodes does not probe the store, because its watcher of that list calls it. Such a node also followed a connected peer whatever that peer knew, and following pauses the watchers. Nodes that started together followed each other without any state, and none had a call left.

The model shows it with 2 to 60 nodes after outages of 2 s and more.

Ruled out: pauses after failed calls (at most 1.5 s), and an unreachable first reader (the stream was connected and sent heartbeats).

Change: a node that does not know the others follows nobody, so its own calls for the list go on until it has it from the store or from a node that has state; with the list, the probes take over. A node with state still gives its lists to one that opens a stream. No timeout is involved.

Cost: while the store is down and no node has state, each node makes about one call a second for the list, where it made none before.

--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -114,9 +114,10 @@
     const bool has_timed_out = candidate.ended || now > candidate.opened + wait;
     const bool is_usable = is_recent(&candidate, inputs) && inputs.has_state;
     // A connected reader without recent updates is better than none: it shows when the store is
-    // back.
-    const bool is_best =
-        !source.reading && inputs.upstream == nullptr && has_timed_out && is_sending;
+    // back. A node that does not know the others follows nobody, so that it goes on calling the
+    // store for their list: the reader may have no state either, and wait for another node itself.
+    const bool is_best = source.members_known && !source.reading && inputs.upstream == nullptr &&
+                         has_timed_out && is_sending;
     if (is_usable ? may_follow : is_best) {
         if (inputs.upstream != nullptr) {
             source.avoided[inputs.upstream->reader.node] = now + AVOID_TIME;
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -9,6 +9,10 @@
 // later group is twice as large, and the rest probes at random times while a reader is connected
 // and reports that it cannot reach the store either.
 //
+// Nodes never wait for each other in a circle. A node that does not know the others follows nobody,
+// and calls the store for their list until it has it, from the store or from a node that has state.
+// A node that knows the others probes the store whatever its reader sends, as long as that is old.
+//
 // `decide` is a step function: it reads no clock and does no I/O.
 #pragma once
 
