Targets: send nothing new to a target that says it is leaving

The store may list it as ready for seconds longer, or be down; a node that had passed on such a response sent on.

Change: the response that says so takes the target out at this node, for attempts that wait for a connection too, until another instance has its id. Load, cold state, limit and leaving are applied in one place, front/target_reports.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -5,6 +5,7 @@
 
 #include "front/crash_detector.h"
 #include "front/request_log.h"
+#include "front/target_reports.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 #include "policy/record_merge.h"
@@ -258,7 +259,8 @@
 }
 
 bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service) const {
-    return m_front.targets.states[target].accepts_work &&
+    const TargetState& state = m_front.targets.states[target];
+    return state.accepts_work && !state.leaving &&
            suspicion_of(m_front.quarantine, m_fingerprint, service_name(service),
                         monotonic_now()) == Suspicion::none;
 }
@@ -334,18 +336,13 @@
                                                   : FanOutAttemptStatus::broken;
     }
     const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
-    TargetState& target = m_front.targets.states[attempt.target];
-    if (headers.waiting.has_value()) {
-        on_load_report(target, *headers.waiting, monotonic_now());
-    }
-    if (headers.cold_remaining.has_value()) {
-        on_cold_report(target, *headers.cold_remaining, monotonic_now());
-    }
     if (!headers.misdirected) {
-        apply_limit(attempt, headers, is_success(response.status));
+        const bool is_answer =
+            is_success(response.status) && !headers.not_run && !headers.signature.empty();
+        apply_target_reports(m_front, headers, {attempt.target, attempt.sent_at, is_answer});
     }
     if (headers.misdirected) {
-        target.replaced = true;
+        m_front.targets.states[attempt.target].replaced = true;
         on_crash_evidence(m_front, attempt.target, "replaced");
         return FanOutAttemptStatus::misdirected;
     }
@@ -359,31 +356,6 @@
                                        : FanOutAttemptStatus::target_error;
 }
 
-void RequestHandler::apply_limit(const OpenAttempt& attempt,
-                                 const platform::TargetResponseHeaders& headers, bool is_success) {
-    TargetState& target = m_front.targets.states[attempt.target];
-    const bool is_answer = is_success && !headers.not_run && !headers.signature.empty();
-    const LimitChange change =
-        on_limit_report(m_front.targets, target, {headers.rate_limit, is_answer, attempt.sent_at},
-                        m_front.random, monotonic_now());
-    if (change == LimitChange::none) {
-        return;
-    }
-    ++(change == LimitChange::named ? m_front.counters.limits_named
-                                    : m_front.counters.limits_ended);
-    LogEvent line(LogLevel::info, "targets",
-                  change == LimitChange::named ? "limit_named" : "limit_ended");
-    line.add("target", target.entry.id)
-        .add("service", service_name(m_state.shards[attempt.shard].service))
-        .add("nodes", m_front.targets.group.count);
-    if (target.limit.has_value()) {
-        line.add_fraction("per_second", target.limit->per_second)
-            .add_fraction("share_per_second", target.limit->share.per_second)
-            .add("rank", static_cast<std::int64_t>(target.limit->rank));
-    }
-    line.write();
-}
-
 void RequestHandler::record_outcome(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                                     CallStatus call_status) {
     const Time now = monotonic_now();
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -51,7 +51,8 @@
     void advance(const FanOutEvent& event);
     void execute(const FanOutAction& action);
     void start_attempt(const StartAttempt& action);
-    /// False if the target was withdrawn, or the request became suspected, since it was chosen.
+    /// False if the target was withdrawn or is leaving, or the request became suspected, since it
+    /// was chosen.
     bool may_still_send(TargetIndex target, ServiceIndex service) const;
     const std::string& service_name(ServiceIndex service) const;
     /// True if the request has crashed targets of so many of the services that the others cannot
@@ -62,9 +63,6 @@
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
     FanOutAttemptStatus classify_outcome(const OpenAttempt& attempt, CallStatus call_status,
                                          HttpResponseMessage& response);
-    /// Applies the limit that a target's response names.
-    void apply_limit(const OpenAttempt& attempt, const platform::TargetResponseHeaders& headers,
-                     bool is_success);
     void record_outcome(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                         CallStatus call_status);
     void keep_part(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -311,7 +311,7 @@
         }
         for (const TargetIndex index : service_of(s, shard).targets) {
             const TargetState& target = s.context.targets.states[index];
-            if (target.accepts_work) {
+            if (target.accepts_work && !target.leaving) {
                 earliest = std::min(earliest, available_at(target, s.context.now));
             }
         }
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -289,6 +289,8 @@
     switch (availability) {
         case Availability::available:
             return "available";
+        case Availability::leaving:
+            return "leaving";
         case Availability::out_of_service:
             return "out_of_service";
         case Availability::replaced:
@@ -310,6 +312,9 @@
     if (!state.accepts_work) {
         return Availability::out_of_service;
     }
+    if (state.leaving) {
+        return Availability::leaving;
+    }
     if (state.replaced) {
         return Availability::replaced;
     }
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -29,6 +29,8 @@
     bool accepts_work = false;
     bool same_data_centre = false;
     bool same_region = false;
+    /// The target said that it is leaving; true until another instance has its id.
+    bool leaving = false;
     /// Another target responded at the address; true until the entry changes.
     bool replaced = false;
 
@@ -150,6 +152,7 @@
 /// Whether a request may be sent to a target, and if not, why.
 enum class Availability : std::uint8_t {
     available,
+    leaving,         ///< It said that it is leaving.
     out_of_service,  ///< It is draining or gone, or its data centre is out of service.
     replaced,        ///< Another target has its address.
     unreachable,     ///< It could not be reached recently.
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -216,4 +216,18 @@
     CHECK_FALSE(target.limit.has_value());
 }
 
+TEST_CASE("a target that is leaving is left out until another instance has its id") {
+    FleetFixture fleet(1, 1);
+    TargetState& target = fleet.state(0, 0);
+    target.leaving = true;
+    CHECK(availability(fleet.targets, target, 0.0, START) == Availability::leaving);
+    TargetEntry entry = target.entry;
+    entry.cold_remaining = from_ms(500);
+    update_entry(fleet.targets, fleet.target(0, 0), entry, START);
+    CHECK(target.leaving);
+    entry.started_at_ms = target.entry.started_at_ms + 1;
+    update_entry(fleet.targets, fleet.target(0, 0), entry, START);
+    CHECK_FALSE(target.leaving);
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_target_limits.cpp
+++ b/test/failure/test_target_reports.cpp
@@ -1,8 +1,9 @@
-// Targets that name a limit, at a fleet of nodes on loopback sockets under more load than that.
+// What targets say of themselves, at a fleet of nodes on loopback sockets: limits under more load
+// than that, and leaving.
 //
-// Bound of the platform: from the stable window after a target first named its limit, it gets in
-// any 4 s at most one and a half times what the limit allows, and 5 requests, from all nodes
-// together.
+// Bound of the platform for limits: from the stable window after a target first named its limit, it
+// gets in any 4 s at most one and a half times what the limit allows, and 5 requests, from all
+// nodes together.
 #include <catch2/catch.hpp>
 
 #include "front_fleet.h"
@@ -87,4 +88,33 @@
     CHECK(most_requests("1.0") <= allowed_requests(1.0));
 }
 
+// Guards against new requests at a target that says in its responses that it is leaving, while the
+// store still lists it as ready.
+TEST_CASE("each node sends a target that is leaving one request at most") {
+    FrontFleet fleet(NODES);
+    fleet.add_targets("booking", TARGETS);
+    standin::TargetBehaviour behaviour;
+    behaviour.leaving = true;
+    fleet.set_behaviour("booking-0", behaviour);
+    fleet.start({{"book", {"booking"}}});
+    std::size_t ended = 0;
+    std::size_t served = 0;
+    constexpr std::size_t REQUESTS = 120;
+    const std::function<void()> send = [&] {
+        fleet.send(ended % NODES, "/book/x", [&](int status, const std::string&) {
+            served += status == 200 ? 1 : 0;
+            if (++ended < REQUESTS) {
+                send();
+            }
+        });
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, send},
+                             {[&] { return ended == REQUESTS; },
+                              [] {
+                              }}}));
+    CHECK(served == REQUESTS);
+    CHECK(fleet.arrivals_at("booking-0") <= NODES);
+    CHECK(fleet.arrivals_at("booking-1") + fleet.arrivals_at("booking-2") >= REQUESTS - NODES);
+}
+
 }  // namespace ebonymount
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -78,7 +78,10 @@
     return m_down;
 }
 
-void PlatformTarget::add_limit(HttpResponseMessage& response) const {
+void PlatformTarget::add_reports(HttpResponseMessage& response) const {
+    if (m_behaviour.leaving) {
+        response.headers.push_back({names::LEAVING, "1"});
+    }
     if (!m_behaviour.limit.empty()) {
         response.headers.push_back({names::RATE_LIMIT, m_behaviour.limit});
     }
@@ -91,7 +94,7 @@
     response.headers.push_back({names::REQUEST_ID, request_id});
     response.headers.push_back({names::INSTANCE_ID, m_parameters.id});
     response.headers.push_back({names::NOT_EXECUTED, "1"});
-    add_limit(response);
+    add_reports(response);
     connection->respond(std::move(response));
 }
 
@@ -167,7 +170,7 @@
         response.headers.push_back({names::LOAD, std::to_string(m_running) + "," +
                                                      std::to_string(m_queued.size()) + "," +
                                                      std::to_string(m_parameters.slots)});
-        add_limit(response);
+        add_reports(response);
         response.body = make_records();
         m_observer.on_response(*this, work->request_id, signature, response.body, success);
         if (uniform(m_random) < m_behaviour.lost_response_share) {
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -42,6 +42,8 @@
     std::string crashing_path;
     /// The limit that each response names, in requests a second; empty for none.
     std::string limit;
+    /// Each response says that the target is leaving; it goes on serving.
+    bool leaving = false;
 };
 
 class PlatformTarget;
@@ -92,7 +94,7 @@
     void run(const std::shared_ptr<Work>& work);
     void finish(const std::shared_ptr<Work>& work);
     void start_queued();
-    void add_limit(ebonymount::HttpResponseMessage& response) const;
+    void add_reports(ebonymount::HttpResponseMessage& response) const;
     void refuse(const Connection& connection, int status, const std::string& request_id);
     std::string make_records();
 
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -108,6 +108,15 @@
     }
 }
 
+void FrontFleet::set_behaviour(const std::string& target,
+                               const standin::TargetBehaviour& behaviour) {
+    for (const std::shared_ptr<standin::PlatformTarget>& one : m_targets) {
+        if (one->parameters().id == target) {
+            one->set_behaviour(behaviour);
+        }
+    }
+}
+
 void FrontFleet::publish_config(const std::vector<FleetRoute>& routes) {
     nlohmann::json rows = nlohmann::json::array();
     for (const FleetRoute& route : routes) {
@@ -246,6 +255,12 @@
         [](const std::shared_ptr<standin::PlatformTarget>& target) { return target->is_down(); }));
 }
 
+std::size_t FrontFleet::arrivals_at(const std::string& target) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                      [&target](const FleetArrival& arrival) { return arrival.target == target; }));
+}
+
 std::size_t FrontFleet::max_arrivals(Duration window, Time from) const {
     std::map<std::string, std::deque<Time>> windows;
     std::size_t most = 0;
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -48,6 +48,8 @@
 
     /// Adds targets of a service, one data centre after the other. Before `start`.
     void add_targets(const std::string& service, std::size_t count);
+    /// Changes the behaviour of one target.
+    void set_behaviour(const std::string& target, const standin::TargetBehaviour& behaviour);
     /// Changes the behaviour of all targets.
     void set_behaviour(const standin::TargetBehaviour& behaviour);
     /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
@@ -73,6 +75,7 @@
 
     /// Number of targets that have crashed.
     std::size_t crashed() const;
+    std::size_t arrivals_at(const std::string& target) const;
     /// The most requests that arrived at one target in any window of that length from `from` on.
     std::size_t max_arrivals(Duration window, Time from) const;
     /// Arrivals at targets, in order.
