Targets: leave a target alone for the time that it asks for when it turns this node away

Targets that are busy answer 429 with it already; nothing decoded it.

Change: Retry-After of a 503 or 429 takes the target out at this node for that time and up to a fifth more, at random, so that nodes do not return together; then one request goes first, and an answer opens the target again. Attempts that wait for a connection are held to it. If no target is left, the caller is refused at once and told when the first one may be tried. A date, a negative, broken or longer value than 600 s is logged and ignored.

Test with six nodes and three targets that turn them away: 18 requests or fewer reach targets.

--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -39,6 +39,7 @@
       parts_missing(metrics.counter("ebonymount_front_parts_missing_total")),
       limits_named(metrics.counter("ebonymount_front_target_limits_named_total")),
       limits_ended(metrics.counter("ebonymount_front_target_limits_ended_total")),
+      turned_away(metrics.counter("ebonymount_front_turned_away_total")),
       targets_leaving(metrics.counter("ebonymount_front_targets_leaving_total")),
       crash_evidence_broken(crash_evidence_counter(metrics, "broken")),
       crash_evidence_confirmed(crash_evidence_counter(metrics, "confirmed")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -42,6 +42,8 @@
     /// Rate limits that targets have named or changed, and that have ended.
     Counter& limits_named;
     Counter& limits_ended;
+    /// Responses that turned this node away for a time.
+    Counter& turned_away;
     /// Targets that said that they are leaving.
     Counter& targets_leaving;
     /// Connections that broke while a request ran, by what became of them.
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -260,7 +260,9 @@
 
 bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service) const {
     const TargetState& state = m_front.targets.states[target];
-    return state.accepts_work && !state.leaving &&
+    const bool is_turned_away =
+        state.turned_away_until.has_value() && monotonic_now() < *state.turned_away_until;
+    return state.accepts_work && !state.leaving && !is_turned_away &&
            suspicion_of(m_front.quarantine, m_fingerprint, service_name(service),
                         monotonic_now()) == Suspicion::none;
 }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -51,8 +51,8 @@
     void advance(const FanOutEvent& event);
     void execute(const FanOutAction& action);
     void start_attempt(const StartAttempt& action);
-    /// False if the target was withdrawn or is leaving, or the request became suspected, since it
-    /// was chosen.
+    /// False if the target was withdrawn, is leaving or turned this node away, or the request
+    /// became suspected, since it was chosen.
     bool may_still_send(TargetIndex target, ServiceIndex service) const;
     const std::string& service_name(ServiceIndex service) const;
     /// True if the request has crashed targets of so many of the services that the others cannot
--- a/src/front/target_reports.cpp
+++ b/src/front/target_reports.cpp
@@ -41,6 +41,17 @@
         .write();
 }
 
+void apply_turned_away(FrontState& front, Duration duration, const TargetResponseInfo& info) {
+    TargetState& target = front.targets.states[info.target];
+    on_turned_away(target, duration, front.random, monotonic_now());
+    ++front.counters.turned_away;
+    LogEvent(LogLevel::info, "targets", "turned_away")
+        .add("target", target.entry.id)
+        .add("service", target.entry.service)
+        .add_ms("for_ms", duration)
+        .write();
+}
+
 }  // namespace
 
 void apply_target_reports(FrontState& front, const platform::TargetResponseHeaders& headers,
@@ -57,6 +68,15 @@
     if (headers.leaving) {
         apply_leaving(front, info);
     }
+    if (headers.turned_away_for.has_value()) {
+        apply_turned_away(front, *headers.turned_away_for, info);
+    }
+    if (!headers.ignored_retry_after.empty()) {
+        LogEvent(LogLevel::warning, "targets", "ignored_retry_after")
+            .add("target", target.entry.id)
+            .add("value", headers.ignored_retry_after)
+            .write();
+    }
 }
 
 }  // namespace ebonymount
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -55,6 +55,9 @@
 constexpr Duration FIRST_RETRY_PAUSE = from_ms(250);
 constexpr std::int64_t MAX_RETRY_DOUBLINGS = 3;
 
+/// Maximum time by which nodes return later than a target asked, as a fraction of that time.
+constexpr double RETURN_JITTER = 0.2;
+
 /// Length of the window in which requests to a cold target are counted.
 constexpr Duration COLD_WINDOW = from_ms(1000);
 
@@ -183,6 +186,10 @@
     state.waiting_since = now;
     state.failures = 0;
     state.unreachable_until = Time{};
+    // A response to a request sent before the node was turned away says nothing of the time since.
+    if (state.turned_away_until.has_value() && now >= *state.turned_away_until) {
+        state.turned_away_until.reset();
+    }
     state.refusal_share -= SAMPLE_WEIGHT * state.refusal_share;
     add_outcome(state, false, now);
 }
@@ -239,6 +246,11 @@
     state.reported_at = now;
 }
 
+void on_turned_away(TargetState& state, Duration duration, Random& random, Time now) {
+    const Time until = now + scaled(duration, 1.0 + RETURN_JITTER * uniform(random));
+    state.turned_away_until = std::max(until, state.turned_away_until.value_or(until));
+}
+
 LimitChange on_limit_report(const TargetTable& table, TargetState& state, const LimitReport& report,
                             Random& random, Time now) {
     if (!report.per_second.has_value()) {
@@ -289,6 +301,8 @@
     switch (availability) {
         case Availability::available:
             return "available";
+        case Availability::turned_away:
+            return "turned_away";
         case Availability::leaving:
             return "leaving";
         case Availability::out_of_service:
@@ -315,6 +329,10 @@
     if (state.leaving) {
         return Availability::leaving;
     }
+    if (state.turned_away_until.has_value() &&
+        (now < *state.turned_away_until || state.outstanding > 0)) {
+        return Availability::turned_away;
+    }
     if (state.replaced) {
         return Availability::replaced;
     }
@@ -354,7 +372,8 @@
 }
 
 Time available_at(const TargetState& state, Time now) {
-    const Time reachable = std::max(now, state.unreachable_until);
+    const Time reachable =
+        std::max({now, state.unreachable_until, state.turned_away_until.value_or(now)});
     return state.limit.has_value() ? limit_token_at(*state.limit, reachable) : reachable;
 }
 
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -69,6 +69,8 @@
     /// After a rejected connection: earliest time to open new ones.
     Time connect_again_at{};
 
+    /// The target turned this node away until then; empty once it has answered again.
+    std::optional<Time> turned_away_until;
     /// The request rate that the target allows, while it names a limit.
     std::optional<RateLimit> limit;
 };
@@ -116,6 +118,10 @@
 /// The target reported its queue length.
 void on_load_report(TargetState& state, std::int64_t waiting, Time now);
 
+/// The target turned this node away for that long. Nodes return at random times after it, each with
+/// a single request first.
+void on_turned_away(TargetState& state, Duration duration, Random& random, Time now);
+
 /// What a response says of the target's limit.
 struct LimitReport {
     /// The limit that it names; empty if it names none.
@@ -152,6 +158,7 @@
 /// Whether a request may be sent to a target, and if not, why.
 enum class Availability : std::uint8_t {
     available,
+    turned_away,     ///< It turned this node away, or has not answered its first request since.
     leaving,         ///< It said that it is leaving.
     out_of_service,  ///< It is draining or gone, or its data centre is out of service.
     replaced,        ///< Another target has its address.
@@ -178,8 +185,8 @@
 /// it, so that connections left open at the target by a power loss still leave room.
 bool may_keep_idle(const TargetTable& table, const TargetState& state);
 
-/// When a target that is unreachable, or whose limit is used up, can be tried again; `now` if it
-/// is neither.
+/// When a target that is unreachable, has turned this node away, or whose limit is used up, can be
+/// tried again; `now` for any other.
 Time available_at(const TargetState& state, Time now);
 
 /// Counts a request against this node's shares of the capacity of a cold target, and of the limit
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -215,6 +215,39 @@
     CHECK_FALSE(platform::decode_target_headers(HttpResponseMessage{}).rate_limit.has_value());
 }
 
+TEST_CASE("a refusal's Retry-After is a number of seconds up to ten minutes, or is ignored") {
+    const auto decoded = [](int status, const std::string& text) {
+        HttpResponseMessage response;
+        response.status = status;
+        response.headers = {{"Retry-After", text}};
+        return platform::decode_target_headers(response);
+    };
+    for (const int status : {503, 429}) {
+        CHECK(decoded(status, "2").turned_away_for == from_ms(2000));
+        CHECK(decoded(status, "0.25").turned_away_for == from_ms(250));
+        CHECK(decoded(status, "0").turned_away_for == from_ms(0));
+        CHECK(decoded(status, "600").turned_away_for == from_ms(600000));
+        for (const char* text : {"-1", "601", "99999999999999999999", "1e1", "soon", "1,5",
+                                 "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+            CAPTURE(text);
+            CHECK_FALSE(decoded(status, text).turned_away_for.has_value());
+            CHECK(decoded(status, text).ignored_retry_after == text);
+        }
+        CHECK(decoded(status, "").ignored_retry_after.empty());
+    }
+    CHECK_FALSE(decoded(200, "2").turned_away_for.has_value());
+    CHECK_FALSE(decoded(500, "2").turned_away_for.has_value());
+}
+
+TEST_CASE("a target is leaving only if it says so") {
+    HttpResponseMessage response;
+    CHECK_FALSE(platform::decode_target_headers(response).leaving);
+    response.headers = {{"Server-Leaving", "0"}};
+    CHECK_FALSE(platform::decode_target_headers(response).leaving);
+    response.headers = {{"server-leaving", "1"}};
+    CHECK(platform::decode_target_headers(response).leaving);
+}
+
 TEST_CASE("a merged response lists the signatures of its parts and the number of missing ones") {
     const HttpResponseMessage response = platform::merged_response({"a.1", "b.2"}, 1, "records");
     CHECK(response.status == 200);
--- a/test/correctness/test_target_state.cpp
+++ b/test/correctness/test_target_state.cpp
@@ -230,4 +230,29 @@
     CHECK_FALSE(target.leaving);
 }
 
+TEST_CASE("a target that turned this node away gets one request after that time, then all") {
+    FleetFixture fleet(1, 1);
+    TargetState& target = fleet.state(0, 0);
+    on_turned_away(target, from_ms(2000), fleet.random, START);
+    const auto state_at = [&](Time now) {
+        return availability(fleet.targets, target, 0.0, now);
+    };
+    CHECK(state_at(START + from_ms(1999)) == Availability::turned_away);
+    const Time back = available_at(target, START);
+    CHECK(back >= START + from_ms(2000));
+    CHECK(back <= START + from_ms(2400));
+    // A shorter time that a response to an earlier request names does not shorten it.
+    on_turned_away(target, from_ms(100), fleet.random, START + from_ms(10));
+    CHECK(available_at(target, START) == back);
+    // The response to an earlier request does not end it either.
+    on_sent(target, START);
+    on_response(target, from_ms(20), 0, START + from_ms(20));
+    CHECK(state_at(START + from_ms(1000)) == Availability::turned_away);
+    REQUIRE(state_at(back) == Availability::available);
+    on_sent(target, back);
+    CHECK(state_at(back) == Availability::turned_away);
+    on_response(target, from_ms(20), 0, back + from_ms(20));
+    CHECK(state_at(back + from_ms(20)) == Availability::available);
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_target_reports.cpp
+++ b/test/failure/test_target_reports.cpp
@@ -1,5 +1,5 @@
 // What targets say of themselves, at a fleet of nodes on loopback sockets: limits under more load
-// than that, and leaving.
+// than that, leaving, and turning nodes away.
 //
 // Bound of the platform for limits: from the stable window after a target first named its limit, it
 // gets in any 4 s at most one and a half times what the limit allows, and 5 requests, from all
@@ -117,4 +117,33 @@
     CHECK(fleet.arrivals_at("booking-1") + fleet.arrivals_at("booking-2") >= REQUESTS - NODES);
 }
 
+// Guards against requests at a target that has turned the node away with 503 and Retry-After. Bound
+// of the platform: at most two from each node between half a second later and the end of that time.
+TEST_CASE("nodes that a target turned away leave it alone, and callers are told when to return") {
+    FrontFleet fleet(NODES);
+    fleet.add_targets("booking", TARGETS);
+    standin::TargetBehaviour behaviour;
+    behaviour.refused_share = 1.0;
+    behaviour.retry_after = "30";
+    fleet.set_behaviour(behaviour);
+    fleet.start({{"book", {"booking"}}});
+    std::size_t ended = 0;
+    std::size_t refused = 0;
+    constexpr std::size_t REQUESTS = 120;
+    const std::function<void()> send = [&] {
+        fleet.send(ended % NODES, "/book/x", [&](int status, const std::string& retry_after) {
+            refused += status == 503 && !retry_after.empty() ? 1 : 0;
+            if (++ended < REQUESTS) {
+                send();
+            }
+        });
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, send},
+                             {[&] { return ended == REQUESTS; },
+                              [] {
+                              }}}));
+    CHECK(refused == REQUESTS);
+    CHECK(fleet.arrivals().size() <= NODES * TARGETS);
+}
+
 }  // namespace ebonymount
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -94,6 +94,9 @@
     response.headers.push_back({names::REQUEST_ID, request_id});
     response.headers.push_back({names::INSTANCE_ID, m_parameters.id});
     response.headers.push_back({names::NOT_EXECUTED, "1"});
+    if (!m_behaviour.retry_after.empty()) {
+        response.headers.push_back({names::RETRY_AFTER, m_behaviour.retry_after});
+    }
     add_reports(response);
     connection->respond(std::move(response));
 }
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -42,6 +42,8 @@
     std::string crashing_path;
     /// The limit that each response names, in requests a second; empty for none.
     std::string limit;
+    /// Refusals carry this Retry-After; empty for none.
+    std::string retry_after;
     /// Each response says that the target is leaving; it goes on serving.
     bool leaving = false;
 };
