--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -477,6 +477,12 @@
         m_connection->respond(std::move(response));
     }
     m_connection.reset();
+    if (!m_open_attempts.empty() && is_suspected(m_front.quarantine, m_fingerprint)) {
+        cancel_attempts_if_quarantined();
+    }
+}
+
+void RequestHandler::cancel_attempts_if_quarantined() {
     std::vector<ServiceIndex> services;
     for (const ShardState& shard : m_state.shards) {
         services.push_back(shard.service);
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -73,6 +73,7 @@
     void respond_at_once(int status, const char* reason, Duration retry_after);
     void on_caller_gone();
     void cancel_attempts();
+    void cancel_attempts_if_quarantined();
     /// An attempt at the target ended before it was sent.
     void on_not_sent(TargetIndex target);
     void schedule_tick();
--- a/test/error/test_platform_fuzz.cpp
+++ b/test/error/test_platform_fuzz.cpp
@@ -6,6 +6,7 @@
 #include "base/random.h"
 #include "io/http_message.h"
 #include "platform/call_headers.h"
+#include "platform/names.h"
 #include "platform/settings.h"
 #include "platform/store_calls.h"
 #include "policy/crash_quarantine.h"
@@ -126,6 +127,34 @@
     });
 }
 
+TEST_CASE("mutated headers of targets are decoded within bounds or ignored") {
+    fuzz({"28.1", "2", "0.25", "1", "2,7,2", "600"}, [](const std::string& text) {
+        HttpResponseMessage response;
+        response.status = 503;
+        for (const char* name :
+             {platform::names::RATE_LIMIT, platform::names::RETRY_AFTER, platform::names::LEAVING,
+              platform::names::LOAD, platform::names::COLD}) {
+            response.headers.push_back({name, text});
+        }
+        const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
+        CHECK((!headers.rate_limit.has_value() || *headers.rate_limit >= 0.0));
+        CHECK((!headers.turned_away_for.has_value() ||
+               (*headers.turned_away_for >= from_ms(0) &&
+                *headers.turned_away_for <= from_ms(600000))));
+        CHECK((!headers.waiting.has_value() || *headers.waiting >= 0));
+    });
+}
+
+TEST_CASE("mutated crash reports are decoded or ignored") {
+    const std::string name = crash_report_name({77, "node", 5, 3});
+    fuzz({R"({"service":"a","others_answered":true})"}, [&name](const std::string& text) {
+        const std::optional<Crash> crash =
+            platform::decode_crash_report({name, 1, false, false, text});
+        REQUIRE(crash.has_value());
+        CHECK(crash->request == 77);
+    });
+}
+
 TEST_CASE("mutated names of crash reports are parsed consistently or rejected") {
     fuzz({crash_report_name({77, "node", 5, 3})}, [](const std::string& text) {
         const std::optional<CrashReport> report = parse_crash_report(text);
--- a/test/failure/test_store_feed.cpp
+++ b/test/failure/test_store_feed.cpp
@@ -1,12 +1,11 @@
 // Nodes of one data centre that relay store updates to each other over loopback. Each case runs
 // until a condition holds; no check depends on elapsed time.
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <catch2/catch.hpp>
 
 #include <set>
 
 #include "front/store_feed.h"
+#include "loopback.h"
 #include "platform/names.h"
 #include "platform_store.h"
 
@@ -19,11 +18,6 @@
 constexpr std::size_t NODES = 6;
 constexpr std::size_t FOLLOWERS = NODES - READERS_PER_DATA_CENTRE;
 
-std::string free_address() {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().toString();
-}
-
 /// Nodes with one store, all on one event loop.
 class FeedFleet {
 public:
@@ -78,14 +72,8 @@
         return true;
     }
 
-    /// An action to run once the condition holds.
-    struct Step {
-        std::function<bool()> condition;
-        std::function<void()> action;
-    };
-
     /// Runs the loop until each condition has held in turn; false if one never did.
-    bool run_steps(std::vector<Step> steps) {
+    bool run_steps(std::vector<TestStep> steps) {
         m_steps = std::move(steps);
         m_loop.run();
         return m_steps.empty();
@@ -132,21 +120,14 @@
                 node->feed->sweep(monotonic_now());
             }
         }
-        if (!m_steps.empty() && m_steps.front().condition()) {
-            const Step step = m_steps.front();
-            m_steps.erase(m_steps.begin());
-            if (step.action) {
-                step.action();
-            }
-            if (m_steps.empty()) {
-                m_loop.stop();
-                return;
-            }
+        if (advance_steps(m_steps)) {
+            m_loop.stop();
+            return;
         }
         m_loop.run_at(monotonic_now() + from_ms(20), [this] { sweep(); });
     }
 
-    std::vector<Step> m_steps;
+    std::vector<TestStep> m_steps;
 };
 
 }  // namespace
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -1,8 +1,5 @@
 #include "front_fleet.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
-
 #include <deque>
 #include <set>
 #include <stdexcept>
@@ -22,11 +19,6 @@
 constexpr const char* HOST = "fleet.example";
 constexpr std::array<const char*, 3> DATA_CENTRES = {"east", "west", "north"};
 
-std::string free_address() {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().toString();
-}
-
 }  // namespace
 
 FrontFleet::FrontFleet(std::size_t nodes)
@@ -190,7 +182,7 @@
 }
 
 void FrontFleet::send(std::size_t node, const std::string& path,
-                      std::function<void(int status, const std::string& retry_after)> on_end) {
+                      const std::function<void(int, const std::string&)>& on_end) {
     call(m_nodes.at(node)->settings.caller_address, path,
          [on_end](CallStatus status, const HttpResponseMessage& response) {
              on_end(status == CallStatus::answered ? response.status : 0,
@@ -225,7 +217,7 @@
     channel->start(std::move(request));
 }
 
-bool FrontFleet::run_steps(std::vector<Step> steps) {
+bool FrontFleet::run_steps(std::vector<TestStep> steps) {
     m_steps = std::move(steps);
     m_loop.run();
     return m_steps.empty();
@@ -236,15 +228,8 @@
 }
 
 void FrontFleet::check_steps() {
-    if (!m_steps.empty() && m_steps.front().condition()) {
-        const Step step = m_steps.front();
-        m_steps.erase(m_steps.begin());
-        if (step.action) {
-            step.action();
-        }
-        if (m_steps.empty()) {
-            m_loop.stop();
-        }
+    if (advance_steps(m_steps)) {
+        m_loop.stop();
     }
     run_after(CHECK_INTERVAL, [this] { check_steps(); });
 }
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "front/front.h"
+#include "loopback.h"
 #include "platform_store.h"
 #include "platform_target.h"
 
@@ -61,15 +62,10 @@
     /// Sends a request to a node on a new connection; `on_end` receives the status, 0 if the
     /// connection ended without a response, and the value of Retry-After.
     void send(std::size_t node, const std::string& path,
-              std::function<void(int status, const std::string& retry_after)> on_end);
+              const std::function<void(int status, const std::string& retry_after)>& on_end);
 
-    /// An action to run once the condition holds.
-    struct Step {
-        std::function<bool()> condition;
-        std::function<void()> action;
-    };
     /// Runs until each condition has held in turn; false if one never did.
-    bool run_steps(std::vector<Step> steps);
+    bool run_steps(std::vector<TestStep> steps);
 
     void run_after(Duration delay, std::function<void()> action);
 
@@ -106,7 +102,7 @@
     std::vector<std::shared_ptr<standin::PlatformTarget>> m_targets;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<FleetArrival> m_arrivals;
-    std::vector<Step> m_steps;
+    std::vector<TestStep> m_steps;
     std::int64_t m_next_request = 1;
 };
 
