Soak: targets that name a limit, with a check of the rule

The soak had no target that names a limit. The series of a seed are drawn as before, so kept seeds keep their timeline.

--- a/test/soak/soak_checker.cpp
+++ b/test/soak/soak_checker.cpp
@@ -48,6 +48,14 @@
            std::lower_bound(times.begin(), times.end(), from);
 }
 
+/// A target with a limit gets at most this many times its limit in a window, and some requests.
+constexpr Duration LIMIT_WINDOW = ebonymount::from_ms(4000);
+constexpr double LIMIT_FACTOR = 1.5;
+constexpr double LIMIT_SLACK = 5.0;
+
+/// A node may not know of a limit until the target has answered it; a response may be lost.
+constexpr std::int64_t ARRIVALS_UNTIL_LIMIT_KNOWN = 5;
+
 }  // namespace
 
 SoakChecker::SoakChecker(const SoakBounds& bounds) : m_bounds(bounds) {}
@@ -118,6 +126,7 @@
         ++m_totals.extra_arrivals;
         m_extra_arrivals[target.service].push_back(now);
     }
+    check_limit(target, entry.request.node, now);
     const auto disturbance = m_target_disturbed_until.find(target.id);
     const bool target_disturbed = disturbance != m_target_disturbed_until.end() &&
                                   now <= disturbance->second + m_bounds.stable_window;
@@ -138,6 +147,38 @@
     }
 }
 
+void SoakChecker::on_limit(const std::string& target, double per_second, Time now) {
+    m_limits[target] = {per_second, now, {}, {}};
+}
+
+void SoakChecker::on_limit_ended(const std::string& target) {
+    m_limits.erase(target);
+}
+
+void SoakChecker::check_limit(const SoakTarget& target, const std::string& node, Time now) {
+    const auto found = m_limits.find(target.id);
+    if (found == m_limits.end()) {
+        return;
+    }
+    Limit& limit = found->second;
+    const bool knows_limit = ++limit.arrivals_by_node[node] > ARRIVALS_UNTIL_LIMIT_KNOWN;
+    if (!knows_limit || !is_stable(node, now) || now < limit.since + m_bounds.stable_window) {
+        return;
+    }
+    limit.counted.push_back(now);
+    while (now - limit.counted.front() >= LIMIT_WINDOW) {
+        limit.counted.pop_front();
+    }
+    const double allowed = LIMIT_FACTOR * limit.per_second *
+                               static_cast<double>(LIMIT_WINDOW / ebonymount::from_ms(1000)) +
+                           LIMIT_SLACK;
+    if (static_cast<double>(limit.counted.size()) > allowed) {
+        add_violation("LIMIT", target.id + " received " + std::to_string(limit.counted.size()) +
+                                   " requests in 4 s and names a limit of " +
+                                   std::to_string(limit.per_second) + " a second");
+    }
+}
+
 void SoakChecker::on_run(const SoakTarget& target, const std::string& request, Time now) {
     const auto found = m_entries.find(request);
     if (found == m_entries.end()) {
--- a/test/soak/soak_checker.h
+++ b/test/soak/soak_checker.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -127,6 +128,9 @@
 
     /// The store acknowledged that a target is draining or removed.
     void on_target_leaving(const std::string& target, Time now);
+    /// The target names a limit, in requests a second of all nodes together, until it ends.
+    void on_limit(const std::string& target, double per_second, Time now);
+    void on_limit_ended(const std::string& target);
     void on_data_centre(const std::string& data_centre, bool in_service, Time now);
 
     /// Marks a component as disturbed by a fault until the given time: a node or one of its links;
@@ -165,6 +169,15 @@
         std::map<std::string, std::int64_t> arrivals;
     };
 
+    /// A limit that a target names, and the requests that count against it.
+    struct Limit {
+        double per_second = 0.0;
+        Time since{};
+        std::map<std::string, std::int64_t> arrivals_by_node;
+        std::deque<Time> counted;
+    };
+
+    void check_limit(const SoakTarget& target, const std::string& node, Time now);
     void add_violation(const std::string& rule, const std::string& message);
     /// True if neither the node nor the store was disturbed within the stable window before `now`.
     bool is_stable(const std::string& node, Time now) const;
@@ -183,6 +196,7 @@
     /// By signature.
     std::map<std::string, Part> m_parts;
     std::map<std::string, Time> m_leaving;
+    std::map<std::string, Limit> m_limits;
     std::map<std::string, Time> m_out_of_service;
     std::map<std::string, Time> m_node_disturbed_until;
     std::map<std::string, Time> m_target_disturbed_until;
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -135,6 +135,7 @@
     void apply_to_node(const SoakStep& step, Node& node);
     void apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot);
     void apply_to_store(const SoakStep& step);
+    void limit_target(const SoakStep& step, TargetSlot& slot);
     void apply_to_target(const SoakStep& step, TargetSlot& slot);
     void apply_by_operator(const SoakStep& step);
     void stop_node(Node& node);
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -61,6 +61,8 @@
         apply_to_store(step);
     } else if (step.kind <= StepKind::shard_down) {
         apply_to_target(step, slot);
+    } else if (step.kind == StepKind::target_names_limit) {
+        limit_target(step, slot);
     } else {
         apply_by_operator(step);
     }
@@ -254,6 +256,23 @@
     });
 }
 
+void SoakEnvironment::limit_target(const SoakStep& step, TargetSlot& slot) {
+    if (slot.target->is_down()) {
+        return;
+    }
+    const std::int64_t limit = 2 + static_cast<std::int64_t>(18.0 * step.strength);
+    TargetBehaviour behaviour = slot.target->behaviour();
+    behaviour.limit = std::to_string(limit) + ".0";
+    slot.target->set_behaviour(behaviour);
+    m_checker.on_limit(slot.parameters.id, static_cast<double>(limit), monotonic_now());
+    run_after(step.length, [this, &slot, id = slot.parameters.id] {
+        m_checker.on_limit_ended(id);
+        TargetBehaviour restored = slot.target->behaviour();
+        restored.limit.clear();
+        slot.target->set_behaviour(restored);
+    });
+}
+
 void SoakEnvironment::apply_to_target(const SoakStep& step, TargetSlot& slot) {
     TargetBehaviour behaviour = slot.target->behaviour();
     switch (step.kind) {
@@ -299,6 +318,7 @@
     run_after(step.length, [&slot] {
         TargetBehaviour restored;
         restored.draining = slot.target->behaviour().draining;
+        restored.limit = slot.target->behaviour().limit;
         slot.target->set_behaviour(restored);
     });
 }
--- a/test/soak/soak_plan.cpp
+++ b/test/soak/soak_plan.cpp
@@ -66,13 +66,33 @@
     "repartition",
     "data_centre_out",
     "burst",
-    "callers_leave"};
+    "callers_leave",
+    "target_names_limit"};
+
+/// Number of kinds that are drawn for series.
+constexpr std::size_t SERIES_KINDS = static_cast<std::size_t>(StepKind::target_names_limit);
+
+/// Number of targets that name a limit in a run. The limit starts in the first third, as the rule
+/// holds from the stable window on.
+constexpr std::size_t LIMIT_STEPS = 4;
 
 Duration random_duration(Random& random, double min_ms, double max_ms) {
     return Duration(
         static_cast<std::int64_t>((min_ms + (max_ms - min_ms) * uniform(random)) * 1000.0));
 }
 
+void add_limit_steps(Random& random, Duration length, std::vector<SoakStep>& plan) {
+    for (std::size_t i = 0; i < LIMIT_STEPS; ++i) {
+        SoakStep step;
+        step.kind = StepKind::target_names_limit;
+        step.at = random_duration(random, 0.0, to_ms(length) / 3.0);
+        step.length = length - step.at;
+        step.strength = uniform(random);
+        step.pick = random();
+        plan.push_back(step);
+    }
+}
+
 }  // namespace
 
 const char* name_of(StepKind kind) {
@@ -84,7 +104,7 @@
     std::vector<SoakStep> plan;
     Duration at{};
     while (at < length) {
-        const StepKind kind = static_cast<StepKind>(random() % NAMES.size());
+        const StepKind kind = static_cast<StepKind>(random() % SERIES_KINDS);
         const std::size_t steps = 1 + random() % MAX_SERIES_STEPS;
         Duration step_at = at;
         for (std::size_t i = 0; i < steps; ++i) {
@@ -101,6 +121,7 @@
         }
         at += random_duration(random, 0.0, 2.0 * SERIES_GAP_MS);
     }
+    add_limit_steps(random, length, plan);
     const auto earlier = [](const SoakStep& left, const SoakStep& right) {
         return left.at < right.at;
     };
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -60,7 +60,8 @@
     data_centre_out,
     burst,
     callers_leave,
-    count,  ///< Number of kinds; not a kind itself.
+    target_names_limit,  ///< First of the kinds that are not drawn for series.
+    count,               ///< Number of kinds; not a kind itself.
 };
 
 /// Name of a kind, as printed in the timeline.
@@ -80,7 +81,8 @@
     friend bool operator==(const SoakStep&, const SoakStep&) = default;
 };
 
-/// Generates the steps of a fault phase of `length`, ordered by time.
+/// Generates the steps of a fault phase of `length`, ordered by time. The series come first, so
+/// that kinds added later leave the series of a kept seed as they were.
 std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length);
 
 /// The timeline as text, one line for each step.
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -300,6 +300,27 @@
     }
 }
 
+TEST_CASE("LIMIT: a target gets more requests in 4 s than the limit that it names allows") {
+    const auto send = [](int requests, bool is_disturbed) {
+        SoakChecker checked = checker();
+        checked.on_limit(BOOKING.id, 2.0, at(0));
+        if (is_disturbed) {
+            checked.mark_node_disturbed("node-1", at(9000));
+        }
+        // The first ones tell the node of the limit.
+        for (int i = 0; i < 5 + requests; ++i) {
+            const Time now = at(i < 5 ? 100 : 5000 + i);
+            const SoakRequest made = request("r" + std::to_string(i), "book", now);
+            checked.on_request(made);
+            checked.on_arrival(BOOKING, made, now);
+        }
+        return has_violation(checked, "LIMIT");
+    };
+    CHECK_FALSE(send(17, false));
+    CHECK(send(18, false));
+    CHECK_FALSE(send(18, true));
+}
+
 TEST_CASE(
     "the same seed gives the same plan, another seed a different one, and steps end within the "
     "length of the plan") {
