--- a/test/correctness/test_store_source.cpp
+++ b/test/correctness/test_store_source.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "policy/store_source.h"
 
@@ -108,6 +109,8 @@
 
     Time now = Time(from_ms(1000000));
     bool store_is_up = true;
+    /// Share of the calls whose answer is lost.
+    double lost_share = 0.0;
     std::vector<ModelNode> nodes;
     std::size_t probes = 0;
     /// Times that a node began to read the store itself; each costs a call for each kind.
@@ -141,7 +144,8 @@
     }
 
     void advance(ModelNode& node) {
-        const bool reaches_store = store_is_up && !node.cut_from_store;
+        const bool is_lost = lost_share > 0.0 && uniform(node.random) < lost_share;
+        const bool reaches_store = store_is_up && !node.cut_from_store && !is_lost;
         if (node.source.reading && reaches_store) {
             node.own_contact = now;
             node.has_state = true;
@@ -301,28 +305,69 @@
     }
 }
 
+/// What the store does to nodes that start.
+enum class StoreTrouble : std::uint8_t { down, loses_answers, turns_some_away };
+
+void set_trouble(ModelFleet& fleet, StoreTrouble trouble, Random& random) {
+    fleet.store_is_up = trouble != StoreTrouble::down;
+    fleet.lost_share = trouble == StoreTrouble::loses_answers ? 0.8 : 0.0;
+    for (ModelNode& node : fleet.nodes) {
+        node.cut_from_store = trouble == StoreTrouble::turns_some_away && uniform(random) < 0.5;
+    }
+}
+
+void end_trouble(ModelFleet& fleet) {
+    fleet.store_is_up = true;
+    fleet.lost_share = 0.0;
+    for (ModelNode& node : fleet.nodes) {
+        node.cut_from_store = false;
+    }
+}
+
+/// True if a node of each data centre reads the store.
+bool is_read_everywhere(const ModelFleet& fleet) {
+    std::set<std::string> all;
+    std::set<std::string> read;
+    for (const ModelNode& node : fleet.nodes) {
+        all.insert(node.self.data_centre);
+        if (node.source.reading) {
+            read.insert(node.self.data_centre);
+        }
+    }
+    return all == read;
+}
+
 // Guards against the incident "no node reads the store": nodes without any state followed each
 // other and stopped their own calls, so none noticed that the store was back.
-TEST_CASE("nodes that start together while the store is down all have their state once it is up") {
-    const std::vector<FleetSize> sizes = {{1, 1}, {1, 2}, {3, 1}, {3, 2}, {3, 3}, {6, 10}, {6, 49}};
-    for (const FleetSize& size : sizes) {
-        for (const std::int64_t outage_s : {0, 1, 2, 5, 20}) {
-            for (std::size_t seed = 0; seed < 5; ++seed) {
-                CAPTURE(size.data_centres, size.nodes_per_data_centre, outage_s, seed);
-                ModelFleet fleet(size.data_centres, size.nodes_per_data_centre);
-                fleet.run_for(from_ms(5000));
-                fleet.store_is_up = outage_s == 0;
-                Random random(seed);
-                for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
-                    fleet.run_for(uniform(random) < 0.1 ? TICK : Duration::zero());
-                    fleet.restart_without_members(fleet.nodes[i], 100 * seed + i);
+TEST_CASE(
+    "nodes that start together in trouble of the store all have their state once it is over") {
+    const std::vector<FleetSize> sizes = {{1, 1}, {1, 2}, {3, 1}, {3, 2}, {3, 3}, {6, 10}, {5, 59}};
+    for (const StoreTrouble trouble :
+         {StoreTrouble::down, StoreTrouble::loses_answers, StoreTrouble::turns_some_away}) {
+        for (const FleetSize& size : sizes) {
+            for (const std::int64_t length_s : {0, 1, 2, 5, 20}) {
+                for (std::size_t seed = 0; seed < 3; ++seed) {
+                    CAPTURE(static_cast<int>(trouble), size.data_centres,
+                            size.nodes_per_data_centre, length_s, seed);
+                    ModelFleet fleet(size.data_centres, size.nodes_per_data_centre);
+                    fleet.run_for(from_ms(5000));
+                    Random random(seed);
+                    set_trouble(fleet, trouble, random);
+                    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+                        // Starts are spread over half a second or so.
+                        const bool pauses = uniform(random) * fleet.nodes.size() < 5.0;
+                        fleet.run_for(pauses ? TICK : Duration::zero());
+                        fleet.restart_without_members(fleet.nodes[i], 100 * seed + i);
+                    }
+                    fleet.run_for(from_ms(length_s * 1000));
+                    end_trouble(fleet);
+                    fleet.run_for(from_ms(2000));
+                    CHECK(is_read_everywhere(fleet));
+                    fleet.run_for(from_ms(1000));
+                    CHECK(fleet.count([](const ModelNode& node) { return node.has_state; }) ==
+                          fleet.nodes.size());
+                    CHECK(fleet.all_newer_than(CONFIG_APPLY / 2));
                 }
-                fleet.run_for(from_ms(outage_s * 1000));
-                fleet.store_is_up = true;
-                fleet.run_for(from_ms(3000));
-                CHECK(fleet.count([](const ModelNode& node) { return node.has_state; }) ==
-                      fleet.nodes.size());
-                CHECK(fleet.all_newer_than(CONFIG_APPLY / 2));
             }
         }
     }
