--- a/test/correctness/test_store_source.cpp
+++ b/test/correctness/test_store_source.cpp
@@ -355,7 +355,8 @@
                     set_trouble(fleet, trouble, random);
                     for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
                         // Starts are spread over half a second or so.
-                        const bool pauses = uniform(random) * fleet.nodes.size() < 5.0;
+                        const bool pauses =
+                            uniform(random) * static_cast<double>(fleet.nodes.size()) < 5.0;
                         fleet.run_for(pauses ? TICK : Duration::zero());
                         fleet.restart_without_members(fleet.nodes[i], 100 * seed + i);
                     }
