--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -123,16 +123,7 @@
         parameters.slots = 4;
         parameters.work = Milliseconds(180);
         searchers.push_back(std::make_unique<Searcher>(parameters, ip, record));
-        store.put("servers", parameters.id,
-                  {{"service", parameters.service},
-                   {"address", ip + ":" + std::to_string(searchers.back()->port())},
-                   {"zone", parameters.zone},
-                   {"version", "v1"},
-                   {"max_concurrency", parameters.slots},
-                   {"state", "ready"},
-                   {"cold_remaining_ms", 0},
-                   {"sequence", 1},
-                   {"born", 1}});
+        store.put("servers", parameters.id, searchers.back()->entry());
     }
     RouteParameters route;
     route.service = "app-socio";
--- a/review/stand_in/bed.cpp
+++ b/review/stand_in/bed.cpp
@@ -34,11 +34,11 @@
     return address;
 }
 
-int listen_on(const std::string& ip, int* port) {
+int listen_on(const std::string& ip, int* port, int wanted_port = 0) {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    sockaddr_in address = address_of(ip, 0);
+    sockaddr_in address = address_of(ip, wanted_port);
     socklen_t size = sizeof address;
     if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
         listen(descriptor, LISTEN_BACKLOG) != 0) {
@@ -238,8 +238,8 @@
     ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
-Server::Server(const std::string& ip, Handler serve)
-    : m_listener(listen_on(ip, &m_port)),
+Server::Server(const std::string& ip, int port, Handler serve)
+    : m_listener(listen_on(ip, &m_port, port)),
       m_serve(std::move(serve)),
       m_acceptor([this] { accept_connections(); }) {}
 
@@ -286,7 +286,8 @@
 }
 
 Store::Store(const std::string& ip) {
-    m_server = std::make_unique<Server>(ip, [this](Connection& connection) { serve(connection); });
+    m_server =
+        std::make_unique<Server>(ip, 0, [this](Connection& connection) { serve(connection); });
 }
 
 int Store::port() const {
@@ -424,8 +425,39 @@
 }
 
 Searcher::Searcher(SearcherParameters parameters, const std::string& ip, Record& record)
-    : m_parameters(std::move(parameters)), m_record(record) {
-    m_server = std::make_unique<Server>(ip, [this](Connection& connection) { serve(connection); });
+    : m_parameters(std::move(parameters)), m_ip(ip), m_record(record) {
+    listen(0);
+}
+
+void Searcher::listen(int port) {
+    m_started_at_ms = std::chrono::duration_cast<Milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    m_server =
+        std::make_unique<Server>(m_ip, port, [this](Connection& connection) { serve(connection); });
+    m_port = m_server->port();
+}
+
+void Searcher::crash() {
+    m_record.add(m_parameters.id + " crashes");
+    m_server.reset();
+}
+
+void Searcher::restart() {
+    listen(m_port);
+    m_record.add(m_parameters.id + " is back");
+}
+
+nlohmann::json Searcher::entry() const {
+    return {{"service", m_parameters.service},
+            {"address", m_ip + ":" + std::to_string(m_port)},
+            {"zone", m_parameters.zone},
+            {"version", "v1"},
+            {"max_concurrency", m_parameters.slots},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"sequence", 1},
+            {"born", m_started_at_ms}};
 }
 
 const SearcherParameters& Searcher::parameters() const {
@@ -433,7 +465,7 @@
 }
 
 int Searcher::port() const {
-    return m_server->port();
+    return m_port;
 }
 
 std::map<std::string, int> Searcher::runs() const {
@@ -680,9 +712,10 @@
               {"idle_timeout_ms", 15000}}}};
 }
 
-std::string request_text(const std::string& method, const std::string& id, int deadline_ms) {
+std::string request_text(const std::string& method, const std::string& id, int deadline_ms,
+                         const std::string& page) {
     const std::string body = method == "POST" ? "stand=7" : "";
-    std::string text = method + " " + ROUTE_PREFIX + "2f HTTP/1.1\r\nHost: " + ROUTE_HOST +
+    std::string text = method + " " + ROUTE_PREFIX + page + " HTTP/1.1\r\nHost: " + ROUTE_HOST +
                        "\r\nX-Ebonymount-Request-Id: " + id +
                        "\r\nX-Ebonymount-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
     if (!body.empty()) {
--- a/review/stand_in/bed.h
+++ b/review/stand_in/bed.h
@@ -105,7 +105,8 @@
 class Server {
 public:
     using Handler = std::function<void(Connection&)>;
-    Server(const std::string& ip, Handler serve);
+    /// Listens on `port`, or on a free one if it is 0.
+    Server(const std::string& ip, int port, Handler serve);
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
@@ -176,6 +177,12 @@
     Searcher(SearcherParameters parameters, const std::string& ip, Record& record);
     const SearcherParameters& parameters() const;
     int port() const;
+    /// Closes all connections and refuses new ones, as a process that has crashed.
+    void crash();
+    /// Listens again on the same port, as a new process; it knows nothing of before.
+    void restart();
+    /// The entry that the searcher writes to the store.
+    nlohmann::json entry() const;
     /// Number of runs of each request id.
     std::map<std::string, int> runs() const;
     /// Arrivals of each request id, run or not.
@@ -185,8 +192,13 @@
     void serve(Connection& connection);
     std::string handle(const Message& request, const Connection& connection);
     std::string refuse(int status, const std::string& request_id) const;
+    void listen(int port);
 
     SearcherParameters m_parameters;
+    std::string m_ip;
+    int m_port = 0;
+    /// Unix time of the start, in milliseconds.
+    std::int64_t m_started_at_ms = 0;
     Record& m_record;
     mutable std::mutex m_mutex;
     std::condition_variable m_slot_freed;
@@ -262,7 +274,8 @@
 constexpr const char* ROUTE_HOST = "show.example";
 constexpr const char* ROUTE_PREFIX = "/book/";
 
-/// A client's request on the route.
-std::string request_text(const std::string& method, const std::string& id, int deadline_ms);
+/// A client's request on the route, for the page that follows the route's prefix.
+std::string request_text(const std::string& method, const std::string& id, int deadline_ms,
+                         const std::string& page = "2f");
 
 }  // namespace review
