--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -4,7 +4,6 @@
 // and woken. Each request that was answered 429, 503, 408 or 421 must not have run.
 #include <csignal>
 #include <iostream>
-#include <set>
 
 #include "../stand_in/bed.h"
 
@@ -24,8 +23,7 @@
 
 struct Traffic {
     std::mutex mutex;
-    std::map<std::string, int> status_by_id;
-    std::map<int, int> count_by_status;
+    std::vector<Sent> sent;
 };
 
 /// Books again and again on a kept connection; each attempt has an id of its own.
@@ -40,22 +38,18 @@
                 continue;
             }
         }
-        const std::string id = "c" + std::to_string(number) + "-" + std::to_string(attempt);
-        record.add("client sends " + id);
-        connection->send(request_text("POST", id, DEADLINE_MS));
-        const std::optional<Message> answer = connection->read(Milliseconds(DEADLINE_MS));
-        const int status = answer.has_value() ? answer->status() : 0;
-        const std::string retry_after = answer.has_value() ? answer->header("retry-after") : "";
-        record.add("client gets " + std::to_string(status) + " for " + id +
-                   (retry_after.empty() ? "" : ", Retry-After " + retry_after));
+        Sent sent;
+        sent.id = "c" + std::to_string(number) + "-" + std::to_string(attempt);
+        const std::optional<Message> answer =
+            ask(*connection, request_text("POST", sent.id, DEADLINE_MS), DEADLINE_MS, sent, record);
         {
             const std::lock_guard<std::mutex> lock(traffic.mutex);
-            traffic.status_by_id[id] = status;
-            ++traffic.count_by_status[status];
+            traffic.sent.push_back(sent);
         }
         if (!answer.has_value() || answer->header("connection") == "close") {
             connection.reset();
         }
+        const std::string retry_after = answer.has_value() ? answer->header("retry-after") : "";
         if (!retry_after.empty()) {
             std::this_thread::sleep_for(
                 Milliseconds(static_cast<int>(std::stod(retry_after) * 1000.0)));
@@ -63,79 +57,70 @@
     }
 }
 
-int run_case(const std::string& record_path) {
-    Record record(record_path);
-    const TemporaryFolder folder;
-    const std::string ip = "127.0.0.1";
-    Store store(ip);
-    std::vector<std::unique_ptr<Searcher>> searchers;
-    for (int i = 0; i < 3; ++i) {
-        const SearcherParameters parameters{"i-book" + std::to_string(i), "booking", "lowlands-a"};
-        searchers.push_back(std::make_unique<Searcher>(parameters, ip, record));
-        store.put("servers", parameters.id, searchers.back()->entry());
-    }
-    RouteParameters route;
-    route.type = "non_idempotent";
-    route.service = "booking";
-    route.timeout_ms = 1000;
-    store.put("config", "main", config_of(route, 96));
-    std::vector<std::unique_ptr<Node>> nodes;
-    nodes.push_back(
-        std::make_unique<Node>("front-a", ip, store.port(), folder.path(), "lowlands-a"));
-    if (!wait_until_ready(nodes, Milliseconds(10000))) {
-        std::cerr << "the node does not become ready\n";
-        return COULD_NOT_RUN;
+/// Number of requests that were answered as not run and have run.
+int count_broken(const std::vector<Sent>& all_sent, Deployment& deployment) {
+    int broken = 0;
+    for (const Sent& sent : all_sent) {
+        const int status = sent.status;
+        if (status != 429 && status != 503 && status != 408 && status != 421) {
+            continue;
+        }
+        for (const std::unique_ptr<Searcher>& searcher : deployment.searchers()) {
+            if (searcher->runs().count(sent.id) > 0) {
+                ++broken;
+                deployment.record().add("BROKEN: " + sent.id + " was answered " +
+                                        std::to_string(status) + " and ran at " +
+                                        searcher->parameters().id);
+            }
+        }
     }
-    Node& node = *nodes.front();
+    return broken;
+}
+
+int run_case(const std::string& record_path) {
+    DeploymentParameters parameters;
+    parameters.searcher = {"i-book", "booking", "lowlands-a"};
+    parameters.searchers = 3;
+    parameters.nodes = 1;
+    parameters.route.type = "non_idempotent";
+    parameters.route.timeout_ms = 1000;
+    parameters.route.max_connections = 96;
+    Deployment deployment(record_path, parameters);
+    Node& node = *deployment.nodes().front();
     const std::int64_t start_ms = now_ms();
     Traffic traffic;
     std::vector<std::thread> clients;
+    clients.reserve(CLIENTS);
     for (int i = 0; i < CLIENTS; ++i) {
         clients.emplace_back(run_client, i, std::cref(node), start_ms + TRAFFIC_MS,
-                             std::ref(traffic), std::ref(record));
+                             std::ref(traffic), std::ref(deployment.record()));
     }
     for (int i = 0; has_trouble() && i < FREEZES; ++i) {
         sleep_until_ms(start_ms + FIRST_FREEZE_MS + i * FREEZE_INTERVAL_MS);
-        record.add("node freezes");
+        deployment.record().add("node freezes");
         node.signal(SIGSTOP);
         std::this_thread::sleep_for(Milliseconds(FREEZE_MS));
-        record.add("node wakes");
+        deployment.record().add("node wakes");
         node.signal(SIGCONT);
     }
     for (std::thread& client : clients) {
         client.join();
     }
     std::this_thread::sleep_for(Milliseconds(WATCH_AFTER_MS));
-    if (node.has_ended()) {
-        std::cerr << "the node has ended\n";
-        return COULD_NOT_RUN;
+    Share share;
+    for (const Sent& sent : traffic.sent) {
+        share.add(sent);
     }
-    int broken = 0;
-    for (const auto& [id, status] : traffic.status_by_id) {
-        const bool promises = status == 429 || status == 503 || status == 408 || status == 421;
-        for (const std::unique_ptr<Searcher>& searcher : searchers) {
-            const std::map<std::string, int> runs = searcher->runs();
-            if (promises && runs.count(id) > 0) {
-                ++broken;
-                record.add("BROKEN: " + id + " was answered " + std::to_string(status) +
-                           " and ran at " + searcher->parameters().id);
-            }
-        }
-    }
-    for (const auto& [status, count] : traffic.count_by_status) {
-        std::cout << "status " << status << ": " << count << '\n';
+    const int broken = count_broken(traffic.sent, deployment);
+    std::cout << share.text() << "\nanswered as not run, and run: " << broken << '\n';
+    if (node.has_ended() || share.value() == 0.0) {
+        return COULD_NOT_RUN;
     }
-    std::cout << "answered as not run, and run: " << broken << '\n';
-    return traffic.count_by_status[200] == 0 ? COULD_NOT_RUN : broken > 0 ? RULE_BROKEN : RULE_HELD;
+    return broken > 0 ? RULE_BROKEN : RULE_HELD;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    try {
-        return run_case(argc > 1 ? argv[1] : "record.txt");
-    } catch (const std::exception& error) {
-        std::cerr << error.what() << '\n';
-        return COULD_NOT_RUN;
-    }
+    return run_program(argc, argv, run_case);
 }
--- a/review/stand_in/bed.cpp
+++ b/review/stand_in/bed.cpp
@@ -15,6 +15,8 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
+#include <iostream>
+#include <random>
 #include <stdexcept>
 
 namespace review {
@@ -34,22 +36,41 @@
     return address;
 }
 
-int listen_on(const std::string& ip, int* port, int wanted_port = 0) {
+/// Ports for the parts of a case lie below the range from which systems take ports for outgoing
+/// connections, so that a process can be started again on its port.
+constexpr int FIRST_PORT = 15000;
+constexpr int LAST_PORT = 30000;
+constexpr int PORT_ATTEMPTS = 100;
+
+/// Returns a listening socket; -1 if the port is taken.
+int try_listen(const std::string& ip, int port) {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    sockaddr_in address = address_of(ip, wanted_port);
-    socklen_t size = sizeof address;
-    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+    const sockaddr_in address = address_of(ip, port);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         listen(descriptor, LISTEN_BACKLOG) != 0) {
         close(descriptor);
-        throw std::runtime_error("cannot listen on " + ip);
+        return -1;
     }
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    *port = ntohs(address.sin_port);
     return descriptor;
 }
 
+/// Listens on the wanted port, or on a free one if it is 0; sets `port`.
+int listen_on(const std::string& ip, int* port, int wanted_port = 0) {
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<int> draw(FIRST_PORT, LAST_PORT);
+    for (int attempt = 0; attempt < PORT_ATTEMPTS; ++attempt) {
+        *port = wanted_port != 0 ? wanted_port : draw(random);
+        const int descriptor = try_listen(ip, *port);
+        if (descriptor >= 0) {
+            return descriptor;
+        }
+        std::this_thread::sleep_for(Milliseconds(wanted_port != 0 ? 20 : 0));
+    }
+    throw std::runtime_error("cannot listen on " + ip);
+}
+
 std::string lower(std::string text) {
     std::transform(text.begin(), text.end(), text.begin(),
                    [](unsigned char character) { return std::tolower(character); });
@@ -299,6 +320,23 @@
     change(kind, name, spec, false);
 }
 
+void Store::put_text(const std::string& kind, const std::string& name, const nlohmann::json& spec,
+                     const std::string& mark, const std::string& text) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_mark = mark;
+    m_text = text;
+    change(kind, name, spec, false);
+}
+
+std::string Store::text_of(const nlohmann::json& body) const {
+    std::string text = body.dump();
+    const std::size_t at = m_mark.empty() ? std::string::npos : text.find(m_mark);
+    if (at != std::string::npos) {
+        text.replace(at, m_mark.size(), m_text);
+    }
+    return text;
+}
+
 nlohmann::json Store::change(const std::string& kind, const std::string& name,
                              const nlohmann::json& spec, bool deleted) {
     std::map<std::string, nlohmann::json>& objects = m_objects[kind];
@@ -368,7 +406,7 @@
     }
     const nlohmann::json body = {
         {"items", items}, {"has_more", false}, {"store_revision", m_revision}};
-    return encode_response(200, {"Content-Type: application/json"}, body.dump());
+    return encode_response(200, {"Content-Type: application/json"}, text_of(body));
 }
 
 std::string Store::watch(const std::string& kind, const std::string& query) {
@@ -389,7 +427,7 @@
     while (!collect() && m_changed.wait_until(lock, deadline) != std::cv_status::timeout) {
     }
     const nlohmann::json body = {{"events", events}, {"store_revision", m_revision}};
-    return encode_response(200, {"Content-Type: application/json"}, body.dump());
+    return encode_response(200, {"Content-Type: application/json"}, text_of(body));
 }
 
 std::string Store::write(const std::string& method, const std::string& kind,
@@ -641,12 +679,17 @@
 
 bool Node::has_ended() {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (!m_ended && waitpid(m_process, nullptr, WNOHANG) == m_process) {
+    if (!m_ended && waitpid(m_process, &m_status, WNOHANG) == m_process) {
         m_ended = true;
     }
     return m_ended;
 }
 
+std::string Node::end_text() const {
+    return WIFSIGNALED(m_status) ? "signal " + std::to_string(WTERMSIG(m_status))
+                                 : "exit code " + std::to_string(WEXITSTATUS(m_status));
+}
+
 void Node::restart() {
     const std::lock_guard<std::mutex> lock(m_mutex);
     start();
@@ -670,21 +713,14 @@
     return m_path;
 }
 
-bool wait_until_ready(const std::vector<std::unique_ptr<Node>>& nodes, Milliseconds timeout) {
-    const Clock::time_point deadline = Clock::now() + timeout;
-    const auto is_ready = [](const std::unique_ptr<Node>& node) {
-        return node->is_ready();
-    };
-    while (!std::all_of(nodes.begin(), nodes.end(), is_ready)) {
-        if (Clock::now() > deadline) {
-            return false;
-        }
-        std::this_thread::sleep_for(Milliseconds(50));
-    }
-    return true;
-}
+namespace {
 
-nlohmann::json config_of(const RouteParameters& route, int max_connections) {
+constexpr Milliseconds READY_TIME{10000};
+constexpr const char* IP = "127.0.0.1";
+constexpr const char* ROUTE_HOST = "show.example";
+constexpr const char* ROUTE_PREFIX = "/book/";
+
+nlohmann::json config_of(const RouteParameters& route, const std::string& service) {
     const nlohmann::json row = {{"name", "r-book"},
                                 {"hostname", ROUTE_HOST},
                                 {"path_prefix", ROUTE_PREFIX},
@@ -692,24 +728,175 @@
                                 {"timeout_ms", route.timeout_ms},
                                 {"target_latency_ms", route.target_latency_ms},
                                 {"priority", 2},
-                                {"service", route.service},
+                                {"service", service},
                                 {"max_attempts", route.max_attempts},
                                 {"allowed_regions", nlohmann::json::array()}};
-    const nlohmann::json service = {{"name", route.service},
-                                    {"health_path", "/health"},
-                                    {"max_connections", max_connections},
-                                    {"protocol", "h1"},
-                                    {"tls", false},
-                                    {"cold_start_s", 3.0},
-                                    {"cold_per_s", 0.0}};
+    const nlohmann::json limits = {{"max_header_bytes", 16384},
+                                   {"max_body_bytes", 262144},
+                                   {"header_timeout_ms", 3000},
+                                   {"idle_timeout_ms", 15000}};
+    const nlohmann::json service_row = {{"name", service},
+                                        {"health_path", "/health"},
+                                        {"max_connections", route.max_connections},
+                                        {"protocol", "h1"},
+                                        {"tls", false},
+                                        {"cold_start_s", 3.0},
+                                        {"cold_per_s", 0.0}};
     return {{"version", 7},
             {"routes", nlohmann::json::array({row})},
-            {"services", nlohmann::json::array({service})},
-            {"limits",
-             {{"max_header_bytes", 16384},
-              {"max_body_bytes", 262144},
-              {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}}};
+            {"services", nlohmann::json::array({service_row})},
+            {"limits", limits}};
+}
+
+void wait_until_ready(const std::vector<std::unique_ptr<Node>>& nodes) {
+    const Clock::time_point deadline = Clock::now() + READY_TIME;
+    const auto is_ready = [](const std::unique_ptr<Node>& node) {
+        return node->is_ready();
+    };
+    while (!std::all_of(nodes.begin(), nodes.end(), is_ready)) {
+        if (Clock::now() > deadline) {
+            throw std::runtime_error("the nodes do not become ready");
+        }
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+}
+
+}  // namespace
+
+Deployment::Deployment(const std::string& record_path, const DeploymentParameters& parameters)
+    : m_record(record_path), m_store(IP) {
+    for (int i = 0; i < parameters.searchers; ++i) {
+        SearcherParameters searcher = parameters.searcher;
+        searcher.id += std::to_string(i);
+        m_searchers.push_back(std::make_unique<Searcher>(searcher, IP, m_record));
+        m_store.put("servers", searcher.id, m_searchers.back()->entry());
+    }
+    m_store.put("config", "main", config_of(parameters.route, parameters.searcher.service));
+    const std::string& zone = parameters.searcher.zone;
+    for (int i = 1; i <= parameters.nodes; ++i) {
+        m_nodes.push_back(std::make_unique<Node>("front-" + zone + "-" + std::to_string(i), IP,
+                                                 m_store.port(), m_folder.path(), zone));
+    }
+    wait_until_ready(m_nodes);
+}
+
+Record& Deployment::record() {
+    return m_record;
+}
+
+Store& Deployment::store() {
+    return m_store;
+}
+
+const std::vector<std::unique_ptr<Searcher>>& Deployment::searchers() const {
+    return m_searchers;
+}
+
+const std::vector<std::unique_ptr<Node>>& Deployment::nodes() const {
+    return m_nodes;
+}
+
+const Searcher* Deployment::searcher_reached_by(const std::string& id) const {
+    for (const std::unique_ptr<Searcher>& searcher : m_searchers) {
+        if (searcher->arrivals().count(id) > 0) {
+            return searcher.get();
+        }
+    }
+    return nullptr;
+}
+
+void Deployment::kill_nodes(Milliseconds down) {
+    m_record.add("all nodes get SIGKILL");
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        node->signal(SIGKILL);
+    }
+    std::this_thread::sleep_for(down);
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        while (!node->has_ended()) {
+            std::this_thread::sleep_for(Milliseconds(5));
+        }
+        node->restart();
+    }
+    m_record.add("all nodes are started again");
+}
+
+std::optional<Message> ask(Connection& connection, const std::string& request, int deadline_ms,
+                           Sent& sent, Record& record) {
+    sent.sent_ms = now_ms();
+    record.add("client sends " + sent.id);
+    connection.send(request);
+    std::optional<Message> answer = connection.read(Milliseconds(deadline_ms));
+    sent.ended_ms = now_ms();
+    sent.status = answer.has_value() ? answer->status() : 0;
+    sent.was_cut = !answer.has_value() && connection.has_ended();
+    std::string line = "client gets ";
+    line += sent.was_cut ? "a closed connection" : std::to_string(sent.status);
+    line += " for " + sent.id;
+    if (sent.status >= 500) {
+        line += ", Retry-After " + answer->header("retry-after") + ": " + answer->body;
+    }
+    record.add(line);
+    return answer;
+}
+
+std::vector<Sent> run_open_loop(Deployment& deployment, const OpenLoop& loop) {
+    const std::int64_t start_ms = now_ms();
+    const std::int64_t count = loop.length_ms * loop.per_second / 1000;
+    std::mutex mutex;
+    std::vector<Sent> all_sent;
+    std::vector<std::thread> requests;
+    for (std::int64_t i = 0; i < count; ++i) {
+        sleep_until_ms(start_ms + i * 1000 / loop.per_second);
+        Sent sent;
+        sent.id = "r" + std::to_string(i);
+        sent.node = loop.choose_node(i);
+        sent.sent_ms = now_ms();
+        requests.emplace_back([&, sent, page = loop.choose_page(i)]() mutable {
+            const Node& node = *deployment.nodes()[sent.node];
+            const std::unique_ptr<Connection> connection =
+                Connection::open(node.ip(), node.port(), Milliseconds(1000));
+            if (connection == nullptr) {
+                deployment.record().add("client cannot connect to " + node.name() + " for " +
+                                        sent.id);
+            } else {
+                ask(*connection, request_text("GET", sent.id, loop.deadline_ms, page),
+                    loop.deadline_ms, sent, deployment.record());
+            }
+            const std::lock_guard<std::mutex> lock(mutex);
+            all_sent.push_back(sent);
+        });
+    }
+    for (std::thread& request : requests) {
+        request.join();
+    }
+    return all_sent;
+}
+
+void Share::add(const Sent& sent) {
+    ++m_sent;
+    m_served += sent.status == 200 ? 1 : 0;
+    ++m_count_by_status[sent.status];
+}
+
+double Share::value() const {
+    return m_sent == 0 ? 0.0 : static_cast<double>(m_served) / m_sent;
+}
+
+std::string Share::text() const {
+    std::string line = std::to_string(m_served) + " of " + std::to_string(m_sent) + " served;";
+    for (const auto& [status, count] : m_count_by_status) {
+        line += " " + std::to_string(status) + ": " + std::to_string(count);
+    }
+    return line;
+}
+
+int run_program(int argc, char** argv, int (*run_case)(const std::string& record_path)) {
+    try {
+        return run_case(argc > 1 ? argv[1] : "record.txt");
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return COULD_NOT_RUN;
+    }
 }
 
 std::string request_text(const std::string& method, const std::string& id, int deadline_ms,
--- a/review/stand_in/bed.h
+++ b/review/stand_in/bed.h
@@ -78,6 +78,8 @@
     ~Connection();
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
+    Connection(Connection&&) = delete;
+    Connection& operator=(Connection&&) = delete;
 
     /// Connects within `timeout`; null if the address does not accept.
     static std::unique_ptr<Connection> open(const std::string& ip, int port, Milliseconds timeout);
@@ -110,6 +112,8 @@
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
+    Server(Server&&) = delete;
+    Server& operator=(Server&&) = delete;
     int port() const;
 
 private:
@@ -135,6 +139,10 @@
     int port() const;
     /// Writes an object as the operator or a searcher does; acknowledged on return.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    /// The same, for an entry of another writer: `mark` is replaced by `text` wherever the object
+    /// is sent.
+    void put_text(const std::string& kind, const std::string& name, const nlohmann::json& spec,
+                  const std::string& mark, const std::string& text);
 
 private:
     struct Event {
@@ -152,12 +160,15 @@
                       const std::string& body);
     nlohmann::json change(const std::string& kind, const std::string& name,
                           const nlohmann::json& spec, bool deleted);
+    std::string text_of(const nlohmann::json& body) const;
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::int64_t m_revision = 100;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<Event> m_events;
+    std::string m_mark;
+    std::string m_text;
     std::unique_ptr<Server> m_server;
 };
 
@@ -219,6 +230,8 @@
     ~Node();
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
+    Node(Node&&) = delete;
+    Node& operator=(Node&&) = delete;
 
     const std::string& name() const;
     const std::string& ip() const;
@@ -229,6 +242,8 @@
     void signal(int number);
     /// True once the process has ended.
     bool has_ended();
+    /// How the process ended: its exit code or its signal.
+    std::string end_text() const;
     /// Starts the process again after it has ended, with the same settings.
     void restart();
 
@@ -244,6 +259,7 @@
     std::mutex m_mutex;
     pid_t m_process = -1;
     bool m_ended = false;
+    int m_status = 0;
 };
 
 /// A temporary folder, removed at the end.
@@ -253,26 +269,103 @@
     ~TemporaryFolder();
     TemporaryFolder(const TemporaryFolder&) = delete;
     TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+    TemporaryFolder(TemporaryFolder&&) = delete;
+    TemporaryFolder& operator=(TemporaryFolder&&) = delete;
     const std::string& path() const;
 
 private:
     std::string m_path;
 };
 
-/// Waits until all nodes are ready; false after `timeout`.
-bool wait_until_ready(const std::vector<std::unique_ptr<Node>>& nodes, Milliseconds timeout);
-
 /// A configuration with one route to one service.
 struct RouteParameters {
     std::string type = "idempotent";
-    std::string service;
     int timeout_ms = 4000;
     int target_latency_ms = 400;
     int max_attempts = 2;
+    /// The service's limit of connections for each searcher.
+    int max_connections = 45;
+};
+
+/// Parameters of a deployment with one zone and one service.
+struct DeploymentParameters {
+    SearcherParameters searcher;
+    int searchers = 14;
+    int nodes = 3;
+    RouteParameters route;
 };
-nlohmann::json config_of(const RouteParameters& route, int max_connections);
-constexpr const char* ROUTE_HOST = "show.example";
-constexpr const char* ROUTE_PREFIX = "/book/";
+
+/// The store, the searchers and the nodes of one zone.
+class Deployment {
+public:
+    /// Starts all parts. Throws std::runtime_error if one cannot be started, or if the nodes do not
+    /// become ready.
+    Deployment(const std::string& record_path, const DeploymentParameters& parameters);
+
+    Record& record();
+    Store& store();
+    const std::vector<std::unique_ptr<Searcher>>& searchers() const;
+    const std::vector<std::unique_ptr<Node>>& nodes() const;
+    /// The first searcher at which a request with the id arrived; null if there is none.
+    const Searcher* searcher_reached_by(const std::string& id) const;
+    /// Kills all nodes, and starts them again after `down`.
+    void kill_nodes(Milliseconds down);
+
+private:
+    Record m_record;
+    TemporaryFolder m_folder;
+    Store m_store;
+    std::vector<std::unique_ptr<Searcher>> m_searchers;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+/// One request as a client saw it. Status 0 means that no complete answer came.
+struct Sent {
+    std::string id;
+    std::size_t node = 0;
+    std::int64_t sent_ms = 0;
+    std::int64_t ended_ms = 0;
+    int status = 0;
+    /// The connection closed or was reset before a complete answer.
+    bool was_cut = false;
+    /// The connection had served a request before.
+    bool is_kept = false;
+};
+
+/// Sends a request on a connection and waits for the answer; records both. Sets `sent_ms` and the
+/// fields after it but `is_kept`.
+std::optional<Message> ask(Connection& connection, const std::string& request, int deadline_ms,
+                           Sent& sent, Record& record);
+
+/// Open-loop traffic: GET requests at a constant rate, each on a new connection.
+struct OpenLoop {
+    int per_second = 60;
+    std::int64_t length_ms = 10000;
+    int deadline_ms = 5000;
+    /// The node for the n-th request, and the page that it asks for.
+    std::function<std::size_t(std::int64_t)> choose_node;
+    std::function<std::string(std::int64_t)> choose_page;
+};
+
+/// Runs the traffic from now on, and returns all requests once they have ended.
+std::vector<Sent> run_open_loop(Deployment& deployment, const OpenLoop& loop);
+
+/// How many of some requests were served.
+class Share {
+public:
+    void add(const Sent& sent);
+    double value() const;
+    /// The counts by status.
+    std::string text() const;
+
+private:
+    int m_sent = 0;
+    int m_served = 0;
+    std::map<int, int> m_count_by_status;
+};
+
+/// Runs a case with the path of its record, the program's argument; returns the exit code.
+int run_program(int argc, char** argv, int (*run_case)(const std::string& record_path));
 
 /// A client's request on the route, for the page that follows the route's prefix.
 std::string request_text(const std::string& method, const std::string& id, int deadline_ms,
