--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -159,14 +159,7 @@
     while (!m_events.empty()) {
         const FanOutEvent next = m_events.front();
         m_events.pop_front();
-        const FanOutContext context{*m_view,
-                                    m_front.targets,
-                                    m_front.budgets,
-                                    m_front.retry_budget,
-                                    m_front.quarantine,
-                                    monotonic_now(),
-                                    m_front.random};
-        const std::vector<FanOutAction> actions = step(m_state, next, context);
+        const std::vector<FanOutAction> actions = step(m_state, next, fan_out_context());
         for (const FanOutAction& action : actions) {
             execute(action);
         }
@@ -175,6 +168,12 @@
     schedule_tick();
 }
 
+FanOutContext RequestHandler::fan_out_context() const {
+    return {
+        *m_view,         m_front.targets, m_front.budgets, m_front.retry_budget, m_front.quarantine,
+        monotonic_now(), m_front.random};
+}
+
 void RequestHandler::schedule_tick() {
     const Time next = m_state.finished ? Time::max() : next_tick(m_state);
     // A timer that fires early costs one tick; rescheduling it on every event costs more.
@@ -260,11 +259,13 @@
 
 bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service) const {
     const TargetState& state = m_front.targets.states[target];
+    const Time now = monotonic_now();
     const bool is_turned_away =
-        state.turned_away_until.has_value() && monotonic_now() < *state.turned_away_until;
-    return state.accepts_work && !state.leaving && !is_turned_away &&
-           suspicion_of(m_front.quarantine, m_fingerprint, service_name(service),
-                        monotonic_now()) == Suspicion::none;
+        state.turned_away_until.has_value() && now < *state.turned_away_until;
+    return now < m_state.parameters.final_deadline && state.accepts_work && !state.leaving &&
+           !is_turned_away &&
+           suspicion_of(m_front.quarantine, m_fingerprint, service_name(service), now) ==
+               Suspicion::none;
 }
 
 const std::string& RequestHandler::service_name(ServiceIndex service) const {
@@ -303,7 +304,7 @@
             attempt.sent_at = monotonic_now();
         }
     }
-    advance(AttemptSent{id});
+    step(m_state, AttemptSent{id}, fan_out_context());
 }
 
 void RequestHandler::on_attempt_end(std::uint32_t id, CallStatus call_status,
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -49,10 +49,11 @@
     void begin();
     FanOutParameters fan_out_parameters(const Route& route) const;
     void advance(const FanOutEvent& event);
+    FanOutContext fan_out_context() const;
     void execute(const FanOutAction& action);
     void start_attempt(const StartAttempt& action);
-    /// False if the target was withdrawn, is leaving or turned this node away, or the request
-    /// became suspected, since it was chosen.
+    /// False if, since the target was chosen, it was withdrawn, is leaving or turned this node
+    /// away, or the request ran out of time or became suspected.
     bool may_still_send(TargetIndex target, ServiceIndex service) const;
     const std::string& service_name(ServiceIndex service) const;
     /// True if the request has crashed targets of so many of the services that the others cannot
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -165,7 +165,31 @@
     }
 }
 
-/// Withdraws attempts of the shard that still wait for a connection.
+/// True once no response can be of use: nothing more is sent, and the request ends in this step.
+bool is_out_of_time(const Step& s) {
+    return s.context.now >= s.state.parameters.final_deadline;
+}
+
+/// Takes back the start of an attempt that this step decided on. Returns false if the attempt was
+/// started by an earlier step.
+bool cancel_start(Step& s, const FanOutAttempt& attempt) {
+    const auto starts = [&attempt](const FanOutAction& action) {
+        const StartAttempt* start = std::get_if<StartAttempt>(&action);
+        return start != nullptr && start->id == attempt.id;
+    };
+    if (std::erase_if(s.actions, starts) == 0) {
+        return false;
+    }
+    uncount_request(s.context.targets.states[attempt.target]);
+    const ShardState& shard = s.state.shards[attempt.shard];
+    if (shard.arrivals > 0) {
+        return_token(s.context.budgets[shard.service]);
+    }
+    return true;
+}
+
+/// Withdraws attempts of the shard that still wait for a connection. An attempt that this step
+/// started is not sent at all: it could be on its way before its withdrawal.
 void withdraw_unsent(Step& s, std::uint32_t shard) {
     for (std::size_t i = 0; i < s.state.live.size();) {
         const FanOutAttempt& attempt = s.state.live[i];
@@ -173,7 +197,9 @@
             ++i;
             continue;
         }
-        s.actions.emplace_back(WithdrawAttempt{attempt.id});
+        if (!cancel_start(s, attempt)) {
+            s.actions.emplace_back(WithdrawAttempt{attempt.id});
+        }
         --s.state.shards[shard].live_attempts;
         s.state.live.erase(s.state.live.begin() + static_cast<std::ptrdiff_t>(i));
     }
@@ -224,7 +250,7 @@
 /// or fails the shard.
 void retry_or_fail_shard(Step& s, std::uint32_t shard_index) {
     ShardState& shard = s.state.shards[shard_index];
-    if (shard.answered || shard.failed || shard.live_attempts > 0) {
+    if (shard.answered || shard.failed || shard.live_attempts > 0 || is_out_of_time(s)) {
         return;
     }
     if (!may_send_again(s, shard) || suspicion(s, shard) == Suspicion::quarantined) {
@@ -360,13 +386,13 @@
         end_request(s, FanOutStatus::partial);
     } else if (total - state.failed < needed) {
         end_request(s, FanOutStatus::failed);
-    } else if (s.context.now >= state.parameters.final_deadline) {
+    } else if (is_out_of_time(s)) {
         end_request(s, FanOutStatus::out_of_time);
     }
 }
 
 void begin(Step& s) {
-    if (s.context.now >= s.state.parameters.final_deadline) {
+    if (is_out_of_time(s)) {
         // The deadline has passed before anything was sent.
         end_request(s, FanOutStatus::not_run);
         return;
@@ -441,6 +467,9 @@
 }
 
 void on_tick(Step& s) {
+    if (is_out_of_time(s)) {
+        return;
+    }
     for (std::uint32_t shard_index = 0; shard_index < s.state.shards.size(); ++shard_index) {
         const ShardState& shard = s.state.shards[shard_index];
         if (shard.hedge_at.has_value() && *shard.hedge_at <= s.context.now) {
@@ -519,6 +548,7 @@
         begin(s);
     } else if (const AttemptSent* sent = std::get_if<AttemptSent>(&event)) {
         handle_attempt_sent(s, *sent);
+        return {};
     } else if (const AttemptEnded* ended = std::get_if<AttemptEnded>(&event)) {
         handle_attempt_ended(s, *ended);
     } else {
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -122,7 +122,9 @@
 
 /// The request begins; always the first event.
 struct BeginRequest {};
-/// The request of an attempt was passed to a connection.
+/// The request of an attempt was passed to a connection. It is reported at once, also while the
+/// actions of a step are carried out, and causes no actions itself: a step that does not know of it
+/// could end the request as not run.
 struct AttemptSent {
     std::uint32_t id = 0;
 };
@@ -172,7 +174,7 @@
 FanOutState begin_request(const FanOutParameters& parameters,
                           const std::vector<ServiceIndex>& services);
 
-/// Advances the request by one event.
+/// Advances the request by one event. A step that ends the request starts no attempt.
 std::vector<FanOutAction> step(FanOutState& state, const FanOutEvent& event,
                                const FanOutContext& context);
 
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -66,4 +66,9 @@
     return true;
 }
 
+void return_token(RetryBudget& budget) {
+    budget.milli_tokens += TOKEN;
+    --budget.extra;
+}
+
 }  // namespace ebonymount
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -59,4 +59,7 @@
 /// Spends one token if there is one; on false the extra sub-query must not be sent.
 bool try_spend(RetryBudget& budget);
 
+/// Returns a token that was spent on a sub-query that has not been sent.
+void return_token(RetryBudget& budget);
+
 }  // namespace ebonymount
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -49,6 +49,60 @@
     }
 }
 
+/// True if an attempt that reached a target may have run there.
+bool may_have_run(const FanOutState& state) {
+    return state.verdict != Verdict::not_run ||
+           std::any_of(state.live.begin(), state.live.end(),
+                       [](const FanOutAttempt& attempt) { return attempt.sent; });
+}
+
+/// Drives one request by random events at random times, also long after its deadline, as after a
+/// freeze of the node, until it ends. Checks each step.
+void check_random_request(std::uint64_t seed) {
+    INFO("seed " << seed);
+    FleetFixture fleet(1 + seed % 4, 3);
+    fleet.random = Random{seed};
+    Random random{seed + 1};
+    FanOutParameters parameters = fleet.parameters(START);
+    parameters.fan_out = seed % 2 == 0;
+    parameters.idempotent = parameters.fan_out || seed % 3 == 0;
+    Request request(fleet, parameters);
+    std::vector<FanOutAction> actions = request.begin();
+    Time now = START;
+    std::vector<StartAttempt> open;
+    while (true) {
+        const std::vector<StartAttempt> starts = started(actions);
+        const std::optional<EndRequest> end = ended(actions);
+        CHECK((starts.empty() || (!end.has_value() && now < parameters.final_deadline)));
+        if (end.has_value()) {
+            CHECK((end->status != FanOutStatus::not_run || !may_have_run(request.state)));
+            return;
+        }
+        for (const StartAttempt& start : starts) {
+            if (uniform(random) < 0.8) {
+                request.sent(start.id, now);
+            }
+            open.push_back(start);
+        }
+        const Duration pause = from_ms(uniform(random) < 0.1 ? 2000 : 7);
+        now = std::max(now, std::min(next_tick(request.state), now + pause)) +
+              (pause > from_ms(100) ? pause : Duration::zero());
+        if (open.empty() || uniform(random) < 0.3) {
+            actions = request.tick(now);
+            continue;
+        }
+        const StartAttempt ending = open.back();
+        open.pop_back();
+        const double outcome = uniform(random);
+        actions = request.end(ending.id,
+                              outcome < 0.6   ? FanOutAttemptStatus::refused
+                              : outcome < 0.8 ? FanOutAttemptStatus::not_connected
+                              : outcome < 0.9 ? FanOutAttemptStatus::broken
+                                              : FanOutAttemptStatus::answered,
+                              now);
+    }
+}
+
 }  // namespace
 
 TEST_CASE("each shard is served by the replica in the node's data centre if replicas are alike") {
@@ -360,4 +414,58 @@
     CHECK(ended(actions)->status == FanOutStatus::not_run);
 }
 
+// Guards against review case 1: a node that woke after the deadline sent a refused request to
+// another target, and answered in the same step that it had not run.
+TEST_CASE("a refused request is not sent again once its deadline has passed") {
+    FleetFixture fleet(1, 3);
+    fleet.budgets[0].milli_tokens = 5000;
+    Request request(fleet, single_shard_parameters(fleet, false));
+    const std::vector<StartAttempt> first = started(request.begin());
+    request.sent(first[0].id, START);
+    const std::vector<FanOutAction> actions = request.end(first[0].id, FanOutAttemptStatus::refused,
+                                                          request.state.parameters.final_deadline);
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::not_run);
+}
+
+// Guards against review case 1 by the other way: the pause before the next attempt ends late.
+TEST_CASE("a request that waits for its next attempt is not sent once its deadline has passed") {
+    FleetFixture fleet(1, 1);
+    fleet.budgets[0].milli_tokens = 5000;
+    Request request(fleet, single_shard_parameters(fleet, false));
+    const std::vector<StartAttempt> first = started(request.begin());
+    request.sent(first[0].id, START);
+    const std::vector<FanOutAction> paused =
+        request.end(first[0].id, FanOutAttemptStatus::refused, START + from_ms(3));
+    REQUIRE(started(paused).empty());
+    REQUIRE_FALSE(ended(paused));
+    const std::vector<FanOutAction> actions =
+        request.tick(request.state.parameters.final_deadline + from_ms(2000));
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::not_run);
+}
+
+// Guards against the same false promise on related paths: a step that ends the request, because
+// another shard has failed or its time is over, must not send anything either.
+TEST_CASE("no step both starts an attempt and ends the request, and not run is true") {
+    constexpr std::uint64_t SEEDS = 3000;
+    for (std::uint64_t seed = 0; seed < SEEDS; ++seed) {
+        check_random_request(seed);
+    }
+}
+
+// Guards against an attempt that counts as unsent while it is being sent: its own step may be
+// followed by one that ends the request.
+TEST_CASE("a sent attempt is recorded without actions, also after the deadline") {
+    FleetFixture fleet(1, 1);
+    Request request(fleet, single_shard_parameters(fleet, false));
+    const std::vector<StartAttempt> first = started(request.begin());
+    CHECK(request.sent(first[0].id, request.state.parameters.final_deadline).empty());
+    const std::vector<FanOutAction> actions = request.tick(request.state.parameters.final_deadline);
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::out_of_time);
+}
+
 }  // namespace ebonymount
