--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -178,6 +178,7 @@
         return;
     }
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(page);
+    log_objects_without_name(decoded);
     if (m_listed_objects.empty()) {
         // The watch starts from the first page's revision, so changes made while further pages are
         // read are received again.
@@ -234,6 +235,7 @@
     on_success();
     m_next_watch_is_current = false;
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
+    log_objects_without_name(decoded);
     m_revision = std::max(m_revision, decoded.store_revision);
     if (decoded.objects.empty()) {
         wait_for_changes();
@@ -247,6 +249,14 @@
               &KindWatcher::wait_for_changes);
 }
 
+void KindWatcher::log_objects_without_name(const platform::ObjectPage& page) const {
+    if (page.without_name > 0) {
+        log_warning("store", std::string(platform::name_of(m_options.kind)) + ": left out " +
+                                 std::to_string(page.without_name) +
+                                 " objects whose names cannot be read");
+    }
+}
+
 void KindWatcher::on_success() {
     m_last_contact = monotonic_now();
     if (m_consecutive_failures > 0) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -107,6 +107,7 @@
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
+    void log_objects_without_name(const platform::ObjectPage& page) const;
     void on_success();
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "io/json_text.h"
 #include "policy/target_registry.h"
 
 namespace ebonymount {
@@ -105,12 +106,15 @@
 }
 
 Result<StoreUpdate> decode_store_update(std::string_view line) {
-    Json message = Json::parse(line, nullptr, false);
+    Result<Json> parsed = parse_json_text(line);
     try {
-        if (message.contains("deflated")) {
-            const std::string inflated = inflate(message.at("deflated").get<std::string>());
-            message = Json::parse(inflated, nullptr, false);
+        if (has_value(parsed) && value_of(parsed).contains("deflated")) {
+            parsed = parse_json_text(inflate(value_of(parsed).at("deflated").get<std::string>()));
         }
+        if (!has_value(parsed)) {
+            return error_of(parsed);
+        }
+        const Json& message = value_of(parsed);
         StoreUpdate update;
         update.age = Duration(message.at("age_us").get<std::int64_t>());
         update.store_failed_recently = message.at("trouble").get<bool>();
@@ -207,10 +211,11 @@
 
 FollowRequest decode_follow_request(const std::string& text) {
     FollowRequest request;
-    const Json document = Json::parse(text, nullptr, false);
-    if (!document.is_object()) {
+    const Result<Json> parsed = parse_json_text(text);
+    if (!has_value(parsed) || !value_of(parsed).is_object()) {
         return request;
     }
+    const Json& document = value_of(parsed);
     const auto compressed = document.find("compressed");
     request.accepts_compressed =
         compressed != document.end() && compressed->is_boolean() && compressed->get<bool>();
--- a/src/io/documents.cpp
+++ b/src/io/documents.cpp
@@ -2,6 +2,7 @@
 
 #include "base/check.h"
 #include "io/document_reader.h"
+#include "io/json_text.h"
 
 namespace ebonymount {
 namespace {
@@ -208,6 +209,9 @@
 }  // namespace
 
 Result<Json> parse_json(std::string_view text, const std::string& source) {
+    if (is_text_nested_too_deeply(text)) {
+        return Error{ErrorCode::invalid_input, source + " is nested too deeply", source};
+    }
     try {
         return Json::parse(text, nullptr, true, true);
     } catch (const Json::exception& error) {
--- a/src/io/peer_documents.cpp
+++ b/src/io/peer_documents.cpp
@@ -1,6 +1,7 @@
 #include "io/peer_documents.h"
 
 #include "io/document_reader.h"
+#include "io/json_text.h"
 
 namespace ebonymount {
 namespace {
@@ -186,6 +187,9 @@
 }
 
 Result<GossipMessage> decode_gossip(std::string_view bytes) {
+    if (is_msgpack_nested_too_deeply(bytes)) {
+        return Error{ErrorCode::protocol, "gossip message is nested too deeply", "gossip message"};
+    }
     try {
         const Json document = Json::from_msgpack(bytes.begin(), bytes.end());
         return read_document<GossipMessage>(document, "gossip message", read_gossip);
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -4,6 +4,7 @@
 
 #include "io/documents.h"
 #include "io/http_status.h"
+#include "io/json_text.h"
 
 namespace ebonymount {
 namespace {
@@ -64,10 +65,11 @@
     return outcome.verdict == Verdict::not_run ? http::UNAVAILABLE : http::TIMEOUT;
 }
 
-/// A target's result as JSON. A result that is not valid JSON is returned as a string.
+/// A target's result as JSON. A result that is not valid JSON, or nested too deeply, is returned as
+/// a string.
 Json result_document(const std::string& result) {
-    Json parsed = Json::parse(result, nullptr, false);
-    return parsed.is_discarded() ? Json(result) : parsed;
+    Result<Json> parsed = parse_json_text(result);
+    return has_value(parsed) ? std::get<Json>(std::move(parsed)) : Json(result);
 }
 
 Json coverage_document(const Coverage& coverage) {
--- a/test/error/test_bad_input.cpp
+++ b/test/error/test_bad_input.cpp
@@ -3,6 +3,8 @@
 #include <sstream>
 
 #include "admin/ctl.h"
+#include "front/store_mirror.h"
+#include "io/documents.h"
 #include "io/peer_documents.h"
 #include "node/caller_api.h"
 #include "node/settings.h"
@@ -126,6 +128,17 @@
     CHECK_FALSE(has_value(decode_gossip("\x01")));
 }
 
+// Guards against review case 2 on related paths: code that decodes or copies nested values calls
+// itself for each level, so one message could end the process.
+TEST_CASE("messages and documents that are nested without bound are rejected") {
+    constexpr std::size_t DEPTH = 1000000;
+    const std::string text = std::string(DEPTH, '[') + std::string(DEPTH, ']');
+    CHECK_FALSE(has_value(decode_gossip(std::string(DEPTH, '\x91'))));
+    CHECK_FALSE(has_value(parse_json(text, "draft")));
+    CHECK_FALSE(has_value(decode_store_update(text)));
+    CHECK(decode_follow_request(R"({"revisions": )" + text + "}").known.empty());
+}
+
 TEST_CASE("a hash that is not a number in a gossip message or a stored record is an error") {
     GossipMessage message;
     message.from.host = "h1";
--- a/test/error/test_platform_input.cpp
+++ b/test/error/test_platform_input.cpp
@@ -28,6 +28,19 @@
     return !has_value(platform::decode_target("i-1", spec));
 }
 
+/// Contents that another writer may leave in the store: nested without bound, half of a surrogate
+/// pair, a byte that is not UTF-8, and a number out of range.
+std::vector<std::string> unreadable_contents() {
+    constexpr std::size_t DEPTH = 400000;
+    return {entry_with("address", std::string(DEPTH, '[') + std::string(DEPTH, ']')),
+            entry_with("version", R"("\ud800")"), entry_with("version", "\"\xff\""),
+            entry_with("cold_remaining_ms", "1e999")};
+}
+
+std::string object_with(const std::string& name, const std::string& spec) {
+    return R"({"meta": {"name": ")" + name + R"(", "revision": 3}, "spec": )" + spec + "}";
+}
+
 }  // namespace
 
 TEST_CASE("a missing required settings key is an error that names the key") {
@@ -210,6 +223,51 @@
     CHECK_FALSE(has_value(platform::decode_changes(R"({"store_revision": 1})")));
 }
 
+// Guards against review case 2, in which one entry ended every node by a stack overflow, and case
+// 3, in which one entry made the whole list unreadable.
+TEST_CASE("an unreadable entry of another writer names no target, and the entries beside it hold") {
+    const std::string good = entry_with("sequence", "7");
+    for (const std::string& bad : unreadable_contents()) {
+        const Result<platform::ObjectPage> list = platform::decode_list(
+            R"({"items": [)" + object_with("a", good) + "," + object_with("b", bad) + "," +
+            object_with("c", good) + R"(], "has_more": false, "store_revision": 9})");
+        REQUIRE(has_value(list));
+        REQUIRE(value_of(list).objects.size() == 3);
+        CHECK(has_value(platform::decode_target("a", value_of(list).objects[0].spec)));
+        CHECK(value_of(list).objects[1].name == "b");
+        CHECK(value_of(list).objects[1].spec == "null");
+        CHECK(is_rejected(value_of(list).objects[1].spec));
+        CHECK(has_value(platform::decode_target("c", value_of(list).objects[2].spec)));
+    }
+}
+
+// Guards against review cases 2 and 3 on the way of changes.
+TEST_CASE("an unreadable change of another writer leaves the changes beside it readable") {
+    const std::string good = entry_with("sequence", "7");
+    for (const std::string& bad : unreadable_contents()) {
+        const Result<platform::ObjectPage> changes =
+            platform::decode_changes(R"({"events": [{"deleted": false, "object": )" +
+                                     object_with("b", bad) + R"(}, {"deleted": false, "object": )" +
+                                     object_with("c", good) + R"(}], "store_revision": 9})");
+        REQUIRE(has_value(changes));
+        REQUIRE(value_of(changes).objects.size() == 2);
+        CHECK(is_rejected(value_of(changes).objects[0].spec));
+        CHECK_FALSE(is_rejected(value_of(changes).objects[1].spec));
+    }
+}
+
+// Guards against the same on a related path: other fields of an object than its content.
+TEST_CASE("an object whose name cannot be read is left out and counted") {
+    const Result<platform::ObjectPage> list = platform::decode_list(
+        R"({"items": [{"meta": {"name": "\ud800", "revision": 3}, "spec": {}},)"
+        R"({"meta": {"name": "a", "revision": 3, "finalizers": ["\ud800"]}, "spec": {}}],)"
+        R"("store_revision": 9})");
+    REQUIRE(has_value(list));
+    REQUIRE(value_of(list).objects.size() == 1);
+    CHECK(value_of(list).objects[0].name == "a");
+    CHECK(value_of(list).without_name == 1);
+}
+
 TEST_CASE(
     "a malformed or negative deadline is treated as not given, a huge one is capped at a day") {
     CHECK_FALSE(platform::decode_caller_headers({}).deadline.has_value());
