--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -57,6 +57,11 @@
     return counters.failed;
 }
 
+/// Names the incarnation of a target in crash reports.
+std::string incarnation_name(const TargetEntry& entry) {
+    return entry.id + "/" + std::to_string(entry.started_at_ms);
+}
+
 bool is_success(int status) {
     return status >= http::OK && status < http::MULTIPLE_CHOICES;
 }
@@ -396,7 +401,8 @@
                 on_connection_rejected(target, now);
             }
             if (call_status == CallStatus::broken || call_status == CallStatus::rejected) {
-                const Crash crash{m_fingerprint, service_name(service), m_state.answered > 0};
+                const Crash crash{m_fingerprint, service_name(service), m_state.answered > 0,
+                                  incarnation_name(target.entry)};
                 detect_crash(m_front, {attempt.target, crash, now}, m_caller_headers.request_id,
                              call_status);
             }
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -93,7 +93,11 @@
     }
     std::int64_t in_service = 0;
     std::int64_t unanswered = 0;
+    std::set<std::string_view> counted;
     const auto count = [&](const Crash& crash) {
+        if (!crash.target.empty() && !counted.insert(crash.target).second) {
+            return;
+        }
         in_service += crash.service == service ? 1 : 0;
         unanswered += crash.others_answered ? 0 : 1;
     };
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -38,6 +38,9 @@
     /// Targets of other services answered the same request, so it crashes only some targets, or the
     /// crash had another cause.
     bool others_answered = false;
+    /// Identifies the incarnation of the target that crashed: its crash counts once, however many
+    /// connections broke and however many nodes saw it. Empty if not known.
+    std::string target{};
 
     friend bool operator==(const Crash&, const Crash&) = default;
 };
--- a/test/correctness/test_crash_quarantine.cpp
+++ b/test/correctness/test_crash_quarantine.cpp
@@ -115,6 +115,21 @@
     CHECK(suspicion_of(quarantine, 77, "a", START) == Suspicion::none);
 }
 
+// Guards against review case 4: each connection that broke counted as a crash, so one target that
+// crashed with several slots quarantined the request that ran in them.
+TEST_CASE("the crash of one target counts once, however many connections and nodes saw it") {
+    CrashQuarantine quarantine;
+    for (const char* report : {"1", "2", "3", "4"}) {
+        add_crash(quarantine, report, {77, "a", false, "a-0/1700"}, START);
+    }
+    CHECK_FALSE(is_quarantined(quarantine, 77));
+    record_broken_connection(quarantine, {1, {77, "a", false, "a-0/1700"}, START});
+    CHECK(suspicion_of(quarantine, 77, "a", START) == Suspicion::none);
+    add_crash(quarantine, "5", {77, "a", false, "a-0/1900"}, START);
+    add_crash(quarantine, "6", {77, "a", false, "a-1/1700"}, START);
+    CHECK(is_quarantined(quarantine, 77));
+}
+
 TEST_CASE("a withdrawn report no longer counts, and a repeated one counts once") {
     CrashQuarantine quarantine;
     for (const char* report : {"1", "2", "2", "2"}) {
