--- a/src/front/crash_detector.cpp
+++ b/src/front/crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "front/crash_detector.h"
 
+#include "front/trial_claims.h"
 #include "io/log_event.h"
 
 namespace ebonymount {
@@ -53,7 +54,11 @@
     if (!is_suspected(front.quarantine, request)) {
         return;
     }
-    for (const std::string& report : refute_request(front.quarantine, request, service)) {
+    const std::vector<std::string> refuted = refute_request(front.quarantine, request, service);
+    if (!refuted.empty()) {
+        withdraw_claims(front, request);
+    }
+    for (const std::string& report : refuted) {
         LogEvent(LogLevel::info, "quarantine", "crash_refuted")
             .add("report", report)
             .add("service", service)
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -34,6 +34,9 @@
     m_state.on_crash = [this](const Crash& crash) {
         report_crash(crash);
     };
+    m_state.on_trial_due = [this](const TrialClaim& claim) {
+        claim_trial(claim);
+    };
     m_state.on_crash_refuted = [this](const std::string& report) {
         m_counted_reports.erase(report);
         m_reporter.withdraw(report);
@@ -232,6 +235,12 @@
     const Time now = monotonic_now();
     std::set<std::string> listed;
     for (const platform::StoredObject& object : objects) {
+        const std::optional<TrialClaim> claim = parse_trial_claim(object.name);
+        if (claim.has_value()) {
+            listed.insert(object.name);
+            apply_trial_claim(object, *claim);
+            continue;
+        }
         const std::optional<Crash> crash = platform::decode_crash_report(object);
         if (!crash.has_value()) {
             continue;
@@ -251,6 +260,17 @@
     }
 }
 
+void FleetWatcher::apply_trial_claim(const platform::StoredObject& object,
+                                     const TrialClaim& claim) {
+    const Time now = monotonic_now();
+    if (object.removed) {
+        m_counted_reports.erase(object.name);
+        remove_claim(m_state.trials, claim);
+    } else if (m_counted_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
+        add_claim(m_state.trials, claim, now);
+    }
+}
+
 void FleetWatcher::forget_report(const std::string& name, std::uint64_t request) {
     m_counted_reports.erase(name);
     remove_crash(m_state.quarantine, name, request);
@@ -258,7 +278,12 @@
 
 void FleetWatcher::forget_unlisted_reports(const std::set<std::string>& listed) {
     std::vector<CrashReport> withdrawn;
+    std::vector<TrialClaim> withdrawn_claims;
     for (const auto& [name, expires] : m_counted_reports) {
+        const std::optional<TrialClaim> claim = parse_trial_claim(name);
+        if (claim.has_value() && listed.count(name) == 0) {
+            withdrawn_claims.push_back(*claim);
+        }
         const std::optional<CrashReport> report = parse_crash_report(name);
         // A report of this node may still be on its way to the store.
         if (report.has_value() && report->node != m_options.feed.self.node &&
@@ -269,6 +294,10 @@
     for (const CrashReport& report : withdrawn) {
         forget_report(crash_report_name(report), report.request);
     }
+    for (const TrialClaim& claim : withdrawn_claims) {
+        m_counted_reports.erase(trial_claim_name(claim));
+        remove_claim(m_state.trials, claim);
+    }
 }
 
 void FleetWatcher::report_crash(const Crash& crash) {
@@ -280,6 +309,30 @@
     m_reporter.add(name, crash);
 }
 
+void FleetWatcher::claim_trial(const TrialClaim& claim) {
+    const std::string name = trial_claim_name(claim);
+    call_store("POST", platform::create_path(platform::Kind::quarantine),
+               platform::trial_claim_body(claim, m_options.feed.self.node),
+               [this, claim, name](CallStatus status, const HttpResponseMessage& response) {
+                   const bool is_granted =
+                       status == CallStatus::answered &&
+                       (response.status == http::OK || response.status == http::CREATED);
+                   if (is_granted || response.status == http::CONFLICT) {
+                       const Time now = monotonic_now();
+                       m_counted_reports.emplace(name, now + SUSPECT_TTL);
+                       add_claim(m_state.trials, claim, now);
+                   }
+                   end_claim(m_state.trials, claim, is_granted);
+                   LogEvent(LogLevel::info, "quarantine", "trial_claim")
+                       .add("fingerprint", std::to_string(claim.request))
+                       .add("number", claim.number)
+                       .add("granted", is_granted ? "yes" : "no")
+                       .add("outcome", name_of(status))
+                       .add("status", response.status)
+                       .write();
+               });
+}
+
 void FleetWatcher::remove_old_reports(Time now) {
     for (auto report = m_counted_reports.begin(); report != m_counted_reports.end();) {
         if (now < report->second) {
@@ -290,6 +343,10 @@
         // report later, after `ABANDONED_REPORT_TIME`.
         call_store("DELETE", platform::object_path(platform::Kind::quarantine, report->first), "",
                    [](CallStatus, const HttpResponseMessage&) {});
+        const std::optional<TrialClaim> claim = parse_trial_claim(report->first);
+        if (claim.has_value()) {
+            remove_claim(m_state.trials, *claim);
+        }
         report = m_counted_reports.erase(report);
     }
 }
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -63,10 +63,12 @@
     void apply_evacuations(const Objects& objects, bool is_list);
     void apply_nodes(const Objects& objects);
     void apply_crash_reports(const Objects& objects, bool is_list);
+    void apply_trial_claim(const platform::StoredObject& object, const TrialClaim& claim);
     void forget_report(const std::string& name, std::uint64_t request);
     /// Reports of other nodes that are no longer in the store were withdrawn.
     void forget_unlisted_reports(const std::set<std::string>& listed);
     void report_crash(const Crash& crash);
+    void claim_trial(const TrialClaim& claim);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -32,6 +32,7 @@
       unknown_route(ended_counter(metrics, "unknown_route")),
       not_ready(ended_counter(metrics, "not_ready")),
       quarantined(ended_counter(metrics, "quarantined")),
+      quarantine_trials(metrics.counter("ebonymount_front_quarantine_trials_total")),
       attempts(metrics.counter("ebonymount_front_tries_total")),
       hedges(metrics.counter("ebonymount_front_hedges_total")),
       retries(metrics.counter("ebonymount_front_retries_total")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -15,6 +15,7 @@
 #include "io/metrics.h"
 #include "policy/crash_quarantine.h"
 #include "policy/fleet_view.h"
+#include "policy/quarantine_trial.h"
 #include "policy/retry_budget.h"
 
 namespace ebonymount {
@@ -34,6 +35,8 @@
     Counter& unknown_route;
     Counter& not_ready;
     Counter& quarantined;
+    /// Trials of quarantined requests that this node has made.
+    Counter& quarantine_trials;
     Counter& attempts;
     Counter& hedges;
     Counter& retries;
@@ -81,11 +84,15 @@
     /// Time that this node needs to process a part that arrives near the end of a request.
     Duration part_cpu_time{};
     CrashQuarantine quarantine;
+    QuarantineTrials trials;
     TargetPool pool;
     Random random;
     /// Called when a target has crashed while running a request.
     std::function<void(const Crash&)> on_crash;
-    /// Called with the name of a crash report when a target has answered the request.
+    /// Called when this node is to claim the trial of a quarantined request.
+    std::function<void(const TrialClaim&)> on_trial_due;
+    /// Called with the name of a crash report, or of the claim of a trial, when a target has
+    /// answered the request.
     std::function<void(const std::string& report)> on_crash_refuted;
 };
 
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -6,6 +6,7 @@
 #include "front/crash_detector.h"
 #include "front/request_log.h"
 #include "front/target_reports.h"
+#include "front/trial_claims.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 #include "policy/record_merge.h"
@@ -31,9 +32,6 @@
 /// Retry-After of a request that arrives before the node has its configuration.
 constexpr Duration NOT_READY_RETRY = from_ms(300);
 
-/// Retry-After of a quarantined request; the quarantine lasts for minutes.
-constexpr Duration QUARANTINE_RETRY = from_ms(60000);
-
 /// A connection that has been idle for longer may have been closed without notice, so requests that
 /// must not be sent twice do not use it.
 constexpr Duration MAX_IDLE_NON_IDEMPOTENT = from_ms(1000);
@@ -137,19 +135,25 @@
     if (!is_fan_out(route)) {
         services = {services[choose_service(route, uniform(m_front.random))]};
     }
-    if (is_quarantined(services)) {
+    const bool has_trial = is_trial(services);
+    if (!has_trial && is_quarantined(services)) {
         ++m_front.counters.quarantined;
         respond_at_once(http::UNAVAILABLE, "the request is quarantined: it crashed several targets",
-                        QUARANTINE_RETRY);
+                        quarantine_retry_after(m_front, m_fingerprint));
         return;
     }
     m_parts.resize(services.size());
     m_prepared = platform::prepare_for_targets(m_request);
-    m_state = begin_request(fan_out_parameters(route), services);
+    FanOutParameters parameters = fan_out_parameters(route);
+    parameters.is_trial = has_trial;
+    m_state = begin_request(parameters, services);
     const std::shared_ptr<RequestHandler> self = shared_from_this();
     // The connection holds a reference to the request while the caller waits.
     m_connection->on_caller_gone([self] { self->on_caller_gone(); });
     advance(BeginRequest{});
+    if (has_trial && !m_trial_started) {
+        report_trial_end(m_front, m_fingerprint, TrialEnd::not_sent);
+    }
     if (m_state.failed > 0) {
         log_shards_without_target(log_context());
     }
@@ -221,6 +225,12 @@
     attempt.target = action.target;
     attempt.sent_at = monotonic_now();
     attempt.is_hedge = action.hedge;
+    attempt.is_trial = action.is_trial;
+    if (action.is_trial) {
+        m_trial_started = true;
+        ++m_front.counters.quarantine_trials;
+        log_attempt(log_context(), {"trial", "", attempt.id, attempt.shard, attempt.target});
+    }
     if (action.hedge) {
         ++m_front.counters.hedges;
         log_attempt(log_context(), {"hedge", "", attempt.id, attempt.shard, attempt.target});
@@ -238,8 +248,9 @@
     call.call.is_head = m_request.method == "HEAD";
     call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
     call.call.may_send = [self, index = action.target,
-                          service = m_state.shards[action.shard].service] {
-        return self->may_still_send(index, service);
+                          service = m_state.shards[action.shard].service,
+                          is_trial = action.is_trial] {
+        return self->may_still_send(index, service, is_trial);
     };
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
@@ -262,15 +273,15 @@
     }
 }
 
-bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service) const {
+bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service, bool is_trial) const {
     const TargetState& state = m_front.targets.states[target];
     const Time now = monotonic_now();
     const bool is_turned_away =
         state.turned_away_until.has_value() && now < *state.turned_away_until;
     return now < m_state.parameters.final_deadline && state.accepts_work && !state.leaving &&
            !is_turned_away &&
-           suspicion_of(m_front.quarantine, m_fingerprint, service_name(service), now) ==
-               Suspicion::none;
+           (is_trial || suspicion_of(m_front.quarantine, m_fingerprint, service_name(service),
+                                     now) == Suspicion::none);
 }
 
 const std::string& RequestHandler::service_name(ServiceIndex service) const {
@@ -292,10 +303,30 @@
     return static_cast<double>(usable) < needed * static_cast<double>(services.size());
 }
 
+bool RequestHandler::is_trial(const std::vector<ServiceIndex>& services) const {
+    if (!is_suspected(m_front.quarantine, m_fingerprint)) {
+        return false;
+    }
+    const Time now = monotonic_now();
+    return std::any_of(services.begin(), services.end(),
+                       [this, now](ServiceIndex service) {
+                           return suspicion_of(m_front.quarantine, m_fingerprint,
+                                               service_name(service),
+                                               now) == Suspicion::quarantined;
+                       }) &&
+           take_or_claim_trial(m_front, m_fingerprint);
+}
+
+bool RequestHandler::has_open_trial() const {
+    return std::any_of(m_open_attempts.begin(), m_open_attempts.end(),
+                       [](const OpenAttempt& attempt) { return attempt.is_trial; });
+}
+
 void RequestHandler::withdraw_attempt(const WithdrawAttempt& action) {
     for (std::size_t i = 0; i < m_open_attempts.size(); ++i) {
         if (m_open_attempts[i].id == action.id && m_front.pool.withdraw(m_open_attempts[i].call)) {
             on_not_sent(m_open_attempts[i].target);
+            report_if_trial(m_open_attempts[i], TrialEnd::not_sent);
             m_open_attempts.erase(m_open_attempts.begin() + static_cast<std::ptrdiff_t>(i));
             return;
         }
@@ -330,9 +361,18 @@
                     {"try_failed", name_of(outcome), attempt.id, attempt.shard, attempt.target});
     }
     keep_part(attempt, outcome, std::move(response));
+    report_if_trial(attempt, outcome == FanOutAttemptStatus::not_connected ? TrialEnd::not_sent
+                             : is_not_run(outcome)                         ? TrialEnd::refused
+                                                                           : TrialEnd::done);
     advance(AttemptEnded{id, outcome});
 }
 
+void RequestHandler::report_if_trial(const OpenAttempt& attempt, TrialEnd end) {
+    if (attempt.is_trial) {
+        report_trial_end(m_front, m_fingerprint, end);
+    }
+}
+
 FanOutAttemptStatus RequestHandler::classify_outcome(const OpenAttempt& attempt,
                                                      CallStatus call_status,
                                                      HttpResponseMessage& response) {
@@ -386,7 +426,7 @@
             on_refusal(target, now);
             return;
         case FanOutAttemptStatus::not_connected:
-            if (!may_still_send(attempt.target, service)) {
+            if (!may_still_send(attempt.target, service, attempt.is_trial)) {
                 // Not sent for another reason than the connection.
                 on_not_sent(attempt.target);
                 return;
@@ -484,7 +524,8 @@
         m_connection->respond(std::move(response));
     }
     m_connection.reset();
-    if (!m_open_attempts.empty() && is_suspected(m_front.quarantine, m_fingerprint)) {
+    if (!m_open_attempts.empty() && !has_open_trial() &&
+        is_suspected(m_front.quarantine, m_fingerprint)) {
         cancel_attempts_if_quarantined();
     }
 }
@@ -538,6 +579,7 @@
             m_front.pool.abort(attempt.call);
         } else {
             on_not_sent(attempt.target);
+            report_if_trial(attempt, TrialEnd::not_sent);
         }
     }
 }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -41,6 +41,7 @@
         std::int64_t ahead = 0;
         bool was_sent = false;
         bool is_hedge = false;
+        bool is_trial = false;
     };
 
     RequestHandler(FrontState& front, std::shared_ptr<HttpServerConnection> connection,
@@ -54,12 +55,16 @@
     void start_attempt(const StartAttempt& action);
     /// False if, since the target was chosen, it was withdrawn, is leaving or turned this node
     /// away, or the request ran out of time or became suspected.
-    bool may_still_send(TargetIndex target, ServiceIndex service) const;
+    bool may_still_send(TargetIndex target, ServiceIndex service, bool is_trial) const;
     const std::string& service_name(ServiceIndex service) const;
     /// True if the request has crashed targets of so many of the services that the others cannot
     /// serve it.
     bool is_quarantined(const std::vector<ServiceIndex>& services) const;
+    /// True if the request is quarantined for one of the services, and this node may try it.
+    bool is_trial(const std::vector<ServiceIndex>& services) const;
+    bool has_open_trial() const;
     void withdraw_attempt(const WithdrawAttempt& action);
+    void report_if_trial(const OpenAttempt& attempt, TrialEnd end);
     void on_attempt_sent(std::uint32_t id);
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
     FanOutAttemptStatus classify_outcome(const OpenAttempt& attempt, CallStatus call_status,
@@ -93,6 +98,7 @@
     std::vector<std::optional<Part>> m_parts;
     std::deque<FanOutEvent> m_events;
     bool m_advancing = false;
+    bool m_trial_started = false;
     bool m_caller_gone = false;
     std::optional<TimerId> m_timer;
     Time m_timer_due{};
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -83,11 +83,8 @@
                         service_of(s, shard).limits.name, s.context.now);
 }
 
-/// The untried candidate with the shortest expected time; empty for a request that may crash it.
-std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
-    if (suspicion(s, shard) != Suspicion::none) {
-        return std::nullopt;
-    }
+/// The untried candidate with the shortest expected time.
+std::optional<TargetIndex> choose_untried(Step& s, const ShardState& shard) {
     const ServiceView& service = service_of(s, shard);
     const AttemptCosts costs = costs_at(s, shard.service);
     std::optional<TargetIndex> best;
@@ -109,6 +106,11 @@
     return best;
 }
 
+/// The same; empty for a request that may crash the target.
+std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
+    return suspicion(s, shard) == Suspicion::none ? choose_untried(s, shard) : std::nullopt;
+}
+
 std::int64_t total_shards(const FanOutState& state) {
     return static_cast<std::int64_t>(state.shards.size());
 }
@@ -220,14 +222,18 @@
     return false;
 }
 
-void start_attempt(Step& s, std::uint32_t shard_index, TargetIndex target, bool hedge) {
+/// What an attempt is for.
+enum class AttemptPurpose : std::uint8_t { serve, hedge, trial };
+
+void start_attempt(Step& s, std::uint32_t shard_index, TargetIndex target, AttemptPurpose purpose) {
     ShardState& shard = s.state.shards[shard_index];
     TargetState& state = s.context.targets.states[target];
     FanOutAttempt attempt;
     attempt.id = s.state.next_attempt++;
     attempt.shard = shard_index;
     attempt.target = target;
-    attempt.hedge = hedge;
+    attempt.hedge = purpose == AttemptPurpose::hedge;
+    attempt.is_trial = purpose == AttemptPurpose::trial;
     s.state.live.push_back(attempt);
     shard.tried.push_back(target);
     ++shard.live_attempts;
@@ -236,8 +242,9 @@
         shard.hedge_at = s.context.now + hedge_delay(s, shard, state);
     }
     count_request(state, s.context.now);
-    s.actions.emplace_back(
-        StartAttempt{attempt.id, shard_index, target, s.state.parameters.final_deadline, hedge});
+    s.actions.emplace_back(StartAttempt{attempt.id, shard_index, target,
+                                        s.state.parameters.final_deadline, attempt.hedge,
+                                        attempt.is_trial});
 }
 
 /// True if the request may be sent to another target.
@@ -264,7 +271,7 @@
     const std::optional<TargetIndex> choice = choose_target(s, shard);
     if (choice.has_value() && spend_token(s, shard)) {
         s.state.retries += shard.tried.empty() ? 0 : 1;
-        start_attempt(s, shard_index, *choice, false);
+        start_attempt(s, shard_index, *choice, AttemptPurpose::serve);
         return;
     }
     const bool may_wait = s.context.now + REFUSAL_PAUSE < s.state.parameters.objective_deadline &&
@@ -312,7 +319,7 @@
     withdraw_unsent(s, shard_index);
     if (spend_token(s, shard)) {
         ++s.state.hedges;
-        start_attempt(s, shard_index, *choice, true);
+        start_attempt(s, shard_index, *choice, AttemptPurpose::hedge);
     } else if (shard.live_attempts == 0) {
         retry_or_fail_shard(s, shard_index);
     } else {
@@ -369,6 +376,12 @@
     s.actions.emplace_back(EndRequest{status, expected_retry_after(s)});
 }
 
+/// A trial goes on after its request has failed, as its outcome is of use to others.
+bool has_live_trial(const FanOutState& state) {
+    return std::any_of(state.live.begin(), state.live.end(),
+                       [](const FanOutAttempt& attempt) { return attempt.is_trial; });
+}
+
 void end_request_if_done(Step& s) {
     FanOutState& state = s.state;
     if (state.finished) {
@@ -384,13 +397,20 @@
         end_request(s, FanOutStatus::complete);
     } else if (state.answered >= needed && (all_settled || is_objective_near)) {
         end_request(s, FanOutStatus::partial);
-    } else if (total - state.failed < needed) {
+    } else if (total - state.failed < needed && !has_live_trial(state)) {
         end_request(s, FanOutStatus::failed);
     } else if (is_out_of_time(s)) {
         end_request(s, FanOutStatus::out_of_time);
     }
 }
 
+/// The first attempt for a shard, before it is known whether the request is refused.
+struct FirstAttempt {
+    std::uint32_t shard = 0;
+    TargetIndex target = 0;
+    AttemptPurpose purpose = AttemptPurpose::serve;
+};
+
 void begin(Step& s) {
     if (is_out_of_time(s)) {
         // The deadline has passed before anything was sent.
@@ -401,21 +421,33 @@
         add_tokens(s.context.budgets[shard.service], 1, s.context.retry_budget.permille,
                    s.context.retry_budget.max_tokens);
     }
-    std::vector<std::optional<TargetIndex>> choices;
-    for (ShardState& shard : s.state.shards) {
-        choices.push_back(choose_target(s, shard));
-        if (!choices.back().has_value()) {
+    bool has_trial = false;
+    std::vector<FirstAttempt> attempts;
+    for (std::uint32_t shard_index = 0; shard_index < s.state.shards.size(); ++shard_index) {
+        ShardState& shard = s.state.shards[shard_index];
+        const bool is_trial = s.state.parameters.is_trial && !has_trial &&
+                              suspicion(s, shard) == Suspicion::quarantined;
+        const std::optional<TargetIndex> choice =
+            is_trial ? choose_untried(s, shard) : choose_target(s, shard);
+        if (!choice.has_value()) {
             fail_shard(s, shard);
+            continue;
         }
+        has_trial = has_trial || is_trial;
+        attempts.push_back(
+            {shard_index, *choice, is_trial ? AttemptPurpose::trial : AttemptPurpose::serve});
     }
     // Refuses the request before anything is sent if too few shards have an available target.
-    if (total_shards(s.state) - s.state.failed < needed_shards(s.state)) {
+    const bool has_too_few = total_shards(s.state) - s.state.failed < needed_shards(s.state);
+    if (has_too_few && !has_trial) {
         end_request(s, FanOutStatus::not_run);
         return;
     }
-    for (std::uint32_t shard_index = 0; shard_index < s.state.shards.size(); ++shard_index) {
-        if (choices[shard_index].has_value()) {
-            start_attempt(s, shard_index, *choices[shard_index], false);
+    for (const FirstAttempt& attempt : attempts) {
+        if (!has_too_few || attempt.purpose == AttemptPurpose::trial) {
+            start_attempt(s, attempt.shard, attempt.target, attempt.purpose);
+        } else {
+            fail_shard(s, s.state.shards[attempt.shard]);
         }
     }
 }
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -57,6 +57,8 @@
     std::vector<std::string> allowed_regions;
     /// Identifies equal requests in the crash quarantine.
     std::uint64_t fingerprint = 0;
+    /// One attempt may be sent although the request is quarantined; see `quarantine_trial.h`.
+    bool is_trial = false;
 };
 
 /// One attempt at one target.
@@ -67,6 +69,7 @@
     /// Set once the request's bytes were passed to a connection.
     bool sent = false;
     bool hedge = false;
+    bool is_trial = false;
 };
 
 /// Progress of one shard.
@@ -145,6 +148,8 @@
     /// When the target may stop working on it.
     Time deadline{};
     bool hedge = false;
+    /// The trial of a quarantined request.
+    bool is_trial = false;
 };
 /// Withdraws an attempt that has not been sent.
 struct WithdrawAttempt {
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -414,6 +414,43 @@
     CHECK(ended(actions)->status == FanOutStatus::not_run);
 }
 
+// Guards against review case 4: a quarantined request was sent to no target, so nothing could show
+// that it crashes none.
+TEST_CASE("the trial of a quarantined request is one attempt at one target") {
+    FleetFixture fleet(4, 3);
+    add_three_crashes(fleet.quarantine, START);
+    FanOutParameters parameters = fleet.parameters(START);
+    parameters.is_trial = true;
+    Request request(fleet, parameters);
+    const std::vector<FanOutAction> actions = request.begin();
+    const std::vector<StartAttempt> attempts = started(actions);
+    REQUIRE(attempts.size() == 1);
+    CHECK(attempts[0].is_trial);
+    CHECK_FALSE(ended(actions));
+    request.sent(attempts[0].id, START);
+    CHECK(started(request.tick(START + from_ms(100))).empty());
+    const std::vector<FanOutAction> last =
+        request.end(attempts[0].id, FanOutAttemptStatus::broken, START + from_ms(101));
+    CHECK(started(last).empty());
+    REQUIRE(ended(last));
+    CHECK(ended(last)->status == FanOutStatus::failed);
+}
+
+TEST_CASE("the trial at the quarantined shard of a fan-out completes its response") {
+    FleetFixture fleet(4, 3);
+    for (const char* report : {"1", "2", "3"}) {
+        add_crash(fleet.quarantine, report, {0, "s2", true}, START);
+    }
+    FanOutParameters parameters = fleet.parameters(START);
+    parameters.is_trial = true;
+    Request request(fleet, parameters);
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    REQUIRE(attempts.size() == 4);
+    for (const StartAttempt& attempt : attempts) {
+        CHECK(attempt.is_trial == (attempt.shard == 2));
+    }
+}
+
 // Guards against review case 1: a node that woke after the deadline sent a refused request to
 // another target, and answered in the same step that it had not run.
 TEST_CASE("a refused request is not sent again once its deadline has passed") {
--- /dev/null
+++ b/test/correctness/test_quarantine_trial.cpp
@@ -0,0 +1,107 @@
+// Trials of quarantined requests: when one is due, and how many nodes may make.
+#include <catch2/catch.hpp>
+
+#include "policy/quarantine_trial.h"
+
+namespace ebonymount {
+namespace {
+
+const Time START = Time{} + from_ms(1000000);
+constexpr std::uint64_t REQUEST = 77;
+
+CrashQuarantine quarantine_with_crashes(int crashes) {
+    CrashQuarantine quarantine;
+    for (int i = 0; i < crashes; ++i) {
+        add_crash(quarantine, "report-" + std::to_string(i), {REQUEST, "a"}, START);
+    }
+    return quarantine;
+}
+
+}  // namespace
+
+TEST_CASE("a trial is due some seconds after the last crash, and not before") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    CHECK_FALSE(begin_claim(trials, {}, REQUEST, START + TRIAL_DELAY).has_value());
+    CHECK_FALSE(
+        begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY - from_ms(1)).has_value());
+    CHECK(begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY) == TrialClaim{REQUEST, 1});
+    // The store has not answered the first claim yet.
+    CHECK_FALSE(begin_claim(trials, quarantine, REQUEST, START + 2 * TRIAL_DELAY).has_value());
+}
+
+TEST_CASE("only a granted claim lets one request through") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    const Time now = START + TRIAL_DELAY;
+    const TrialClaim claim = *begin_claim(trials, quarantine, REQUEST, now);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    end_claim(trials, claim, true);
+    CHECK(take_trial(trials, REQUEST));
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    end_trial(trials, REQUEST, TrialEnd::done);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+}
+
+TEST_CASE("a claim that another node has, or that failed, lets nothing through") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    Time now = START + TRIAL_DELAY;
+    const TrialClaim first = *begin_claim(trials, quarantine, REQUEST, now);
+    add_claim(trials, first, now);
+    end_claim(trials, first, false);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    CHECK(next_trial_at(trials, quarantine, REQUEST) == now + TRIAL_DELAY);
+    now += TRIAL_DELAY;
+    CHECK(begin_claim(trials, quarantine, REQUEST, now) == TrialClaim{REQUEST, 2});
+}
+
+TEST_CASE("after the last trial a request stays quarantined") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    for (std::int64_t number = 1; number <= MAX_TRIALS; ++number) {
+        add_claim(trials, {REQUEST, number}, START);
+    }
+    CHECK_FALSE(next_trial_at(trials, quarantine, REQUEST).has_value());
+    remove_claim(trials, {REQUEST, 1});
+    CHECK(begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY) == TrialClaim{REQUEST, 1});
+}
+
+TEST_CASE("a trial that reached no target is made again, one that was refused only once") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    end_claim(trials, *begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY), true);
+    for (int i = 0; i < 5; ++i) {
+        REQUIRE(take_trial(trials, REQUEST));
+        end_trial(trials, REQUEST, TrialEnd::not_sent);
+    }
+    REQUIRE(take_trial(trials, REQUEST));
+    end_trial(trials, REQUEST, TrialEnd::refused);
+    REQUIRE(take_trial(trials, REQUEST));
+    end_trial(trials, REQUEST, TrialEnd::refused);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+}
+
+TEST_CASE("a claim that is removed takes back the trial that it granted") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    const TrialClaim claim = *begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY);
+    add_claim(trials, claim, START + TRIAL_DELAY);
+    end_claim(trials, claim, true);
+    remove_claim(trials, claim);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    CHECK(trials.claims.empty());
+}
+
+TEST_CASE("a claim is parsed from its name, and other names are not claims") {
+    const TrialClaim claim{18446744073709551615U, 2};
+    CHECK(parse_trial_claim(trial_claim_name(claim)) == claim);
+    for (const char* name :
+         {"", "trial", "trial.", "trial.5", "trial.5.", "trial.5.x", "trial.5.1.x", "trial. 5.1",
+          "trial.-5.1", "trial.05.1", "5.1", "77.5.3.node"}) {
+        CHECK_FALSE(parse_trial_claim(name).has_value());
+    }
+    CHECK_FALSE(parse_crash_report(trial_claim_name(claim)).has_value());
+}
+
+}  // namespace ebonymount
--- a/test/error/test_platform_fuzz.cpp
+++ b/test/error/test_platform_fuzz.cpp
@@ -164,6 +164,13 @@
     });
 }
 
+TEST_CASE("mutated names of trial claims are parsed consistently or rejected") {
+    fuzz({trial_claim_name({77, 2})}, [](const std::string& text) {
+        const std::optional<TrialClaim> claim = parse_trial_claim(text);
+        CHECK((!claim.has_value() || trial_claim_name(*claim) == text));
+    });
+}
+
 TEST_CASE("mutated requests and responses stay within the limits, however they are split") {
     const HttpLimits limits{400, 100};
     const std::vector<std::string> samples = {
--- a/test/failure/test_crashing_requests.cpp
+++ b/test/failure/test_crashing_requests.cpp
@@ -16,17 +16,18 @@
 const std::string CRASHING = "/book/crash";
 
 /// Sends a crashing request to one node after the other: until three targets have crashed, and
-/// `RETRIES_AFTER` times more once the store has been sound for the stable window.
+/// a number of times more once the store has been sound for the stable window.
 class CrashingCaller {
 public:
-    CrashingCaller(FrontFleet& fleet, std::size_t nodes) : m_fleet(fleet), m_nodes(nodes) {}
+    CrashingCaller(FrontFleet& fleet, std::size_t nodes, std::size_t retries = RETRIES_AFTER)
+        : m_fleet(fleet), m_nodes(nodes), m_max_retries(retries) {}
 
     void begin() {
         send();
     }
 
     bool is_done() const {
-        return m_retries == RETRIES_AFTER;
+        return m_retries == m_max_retries;
     }
 
     /// Requests that reached targets later than the stable window after the third crash.
@@ -57,17 +58,18 @@
     FrontFleet& m_fleet;
     std::size_t m_nodes;
     std::size_t m_node = 0;
+    std::size_t m_max_retries;
     std::size_t m_retries = 0;
     Time m_window_end = Time::max();
 };
 
 /// Requests that reached targets too late, if the store has that outage until the third crash.
-std::size_t requests_after_third_crash(FrontFleet& fleet, std::size_t nodes,
-                                       standin::Outage outage) {
+std::size_t requests_after_third_crash(FrontFleet& fleet, std::size_t nodes, standin::Outage outage,
+                                       std::size_t retries = RETRIES_AFTER) {
     standin::TargetBehaviour behaviour;
     behaviour.crashing_path = CRASHING;
     fleet.set_behaviour(behaviour);
-    CrashingCaller caller(fleet, nodes);
+    CrashingCaller caller(fleet, nodes, retries);
     const auto begin = [&] {
         standin::PlatformFaults faults;
         faults.outage = outage;
@@ -127,4 +129,52 @@
     CHECK(fleet.crashed() <= SHARDS + CRASHES - 1);
 }
 
+// Guards against trials that let a request that does crash its targets reach more of them than the
+// platform allows. The retries take longer than all trials that are made.
+TEST_CASE("the trials of a request that crashes its targets keep the bound") {
+    constexpr std::size_t RETRIES = 400;
+    FrontFleet fleet(3);
+    fleet.add_targets("booking", 45);
+    fleet.start({{"book", {"booking"}}});
+    const std::size_t after = requests_after_third_crash(fleet, 3, standin::Outage::none, RETRIES);
+    CHECK(after >= 1);
+    CHECK(after <= MAX_REQUESTS_AFTER);
+}
+
+// Guards against review case 4: a common request that ran when all targets of its service crashed
+// was refused for ten minutes, at all nodes, although the targets were back and sound.
+TEST_CASE("a common request is served again after all targets that ran it have crashed") {
+    constexpr std::size_t NODES = 3;
+    constexpr std::size_t SERVED = 100;
+    const std::string common = "/book/start";
+    FrontFleet fleet(NODES);
+    fleet.set_service_time(from_ms(40));
+    fleet.add_targets("booking", 6);
+    fleet.start({{"book", {"booking"}}});
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    const std::function<void()> send = [&] {
+        fleet.send(sent++ % NODES, common, [&](int status, const std::string&) {
+            served += status == 200 ? 1 : 0;
+            refused += status == 503 ? 1 : 0;
+        });
+        fleet.run_after(from_ms(10), send);
+    };
+    const auto crash = [&] {
+        fleet.crash_targets();
+        refused = 0;
+    };
+    const auto restart = [&] {
+        fleet.restart_targets();
+        served = 0;
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, send},
+                             {[&] { return served >= SERVED; }, crash},
+                             {[&] { return refused >= SERVED; }, restart},
+                             {[&] { return served >= SERVED; },
+                              [] {
+                              }}}));
+}
+
 }  // namespace ebonymount
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -34,9 +34,14 @@
                                                      const PlatformTargetParameters& parameters,
                                                      const PlatformTargetObserver& observer) {
     const std::shared_ptr<PlatformTarget> target(new PlatformTarget(loop, parameters, observer));
-    const std::weak_ptr<PlatformTarget> weak = target;
+    target->listen();
+    return target;
+}
+
+void PlatformTarget::listen() {
+    const std::weak_ptr<PlatformTarget> weak = weak_from_this();
     ebonymount::HttpListenerOptions options;
-    options.max_connections = parameters.max_connections;
+    options.max_connections = m_parameters.max_connections;
     const auto handler = [weak](const Connection& connection, const HttpRequestMessage& request) {
         const std::shared_ptr<PlatformTarget> self = weak.lock();
         if (self != nullptr && !self->m_down) {
@@ -46,12 +51,19 @@
         }
     };
     ebonymount::Result<std::shared_ptr<ebonymount::HttpListener>> listener =
-        ebonymount::HttpListener::listen(loop, parameters.address, options, handler);
+        ebonymount::HttpListener::listen(m_loop, m_parameters.address, options, handler);
     if (!has_value(listener)) {
         throw std::runtime_error(describe(error_of(listener)));
     }
-    target->m_listener = value_of(listener);
-    return target;
+    m_listener = value_of(listener);
+}
+
+void PlatformTarget::restart() {
+    if (m_down) {
+        m_down = false;
+        m_running = 0;
+        listen();
+    }
 }
 
 void PlatformTarget::crash() {
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -75,6 +75,9 @@
     /// Simulates a crash: connections are reset and no more requests are served.
     void crash();
 
+    /// Starts again after a crash, at the same address.
+    void restart();
+
     void set_behaviour(const TargetBehaviour& behaviour);
     const TargetBehaviour& behaviour() const;
     const PlatformTargetParameters& parameters() const;
@@ -93,6 +96,7 @@
     PlatformTarget(ebonymount::EventLoop& loop, const PlatformTargetParameters& parameters,
                    const PlatformTargetObserver& observer);
     void on_request(const Connection& connection, const ebonymount::HttpRequestMessage& request);
+    void listen();
     void run(const std::shared_ptr<Work>& work);
     void finish(const std::shared_ptr<Work>& work);
     void start_queued();
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -58,6 +58,10 @@
     }
 }
 
+void FrontFleet::set_service_time(Duration time) {
+    m_service_time = time;
+}
+
 void FrontFleet::add_targets(const std::string& service, std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
         const std::size_t number = m_services[service]++;
@@ -66,7 +70,7 @@
         parameters.service = service;
         parameters.data_centre = DATA_CENTRES.at(number % DATA_CENTRES.size());
         parameters.address = free_address();
-        parameters.service_time = from_ms(2);
+        parameters.service_time = m_service_time;
         standin::PlatformTargetObserver observer;
         observer.on_arrival = [this](const standin::PlatformTarget& target,
                                      const HttpRequestMessage& request) {
@@ -109,6 +113,18 @@
     }
 }
 
+void FrontFleet::crash_targets() {
+    for (const std::shared_ptr<standin::PlatformTarget>& target : m_targets) {
+        target->crash();
+    }
+}
+
+void FrontFleet::restart_targets() {
+    for (const std::shared_ptr<standin::PlatformTarget>& target : m_targets) {
+        target->restart();
+    }
+}
+
 void FrontFleet::publish_config(const std::vector<FleetRoute>& routes) {
     nlohmann::json rows = nlohmann::json::array();
     for (const FleetRoute& route : routes) {
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -47,12 +47,17 @@
     FrontFleet(FrontFleet&&) = delete;
     FrontFleet& operator=(FrontFleet&&) = delete;
 
+    /// Mean service time of targets that are added later.
+    void set_service_time(Duration time);
     /// Adds targets of a service, one data centre after the other. Before `start`.
     void add_targets(const std::string& service, std::size_t count);
     /// Changes the behaviour of one target.
     void set_behaviour(const std::string& target, const standin::TargetBehaviour& behaviour);
     /// Changes the behaviour of all targets.
     void set_behaviour(const standin::TargetBehaviour& behaviour);
+    /// All targets crash at once, or start again.
+    void crash_targets();
+    void restart_targets();
     /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
     void start(const std::vector<FleetRoute>& routes);
 
@@ -104,6 +109,7 @@
     std::vector<FleetArrival> m_arrivals;
     std::vector<TestStep> m_steps;
     std::int64_t m_next_request = 1;
+    Duration m_service_time = from_ms(2);
 };
 
 }  // namespace ebonymount
