--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -25,8 +25,14 @@
 /// removes a node after two failed checks.
 constexpr Duration BALANCER_REACTION_TIME = from_ms(2500);
 
-/// The process exits this long before the grace period ends, even if requests are still open.
-constexpr Duration STOP_MARGIN = from_ms(500);
+/// A stopping node accepts connections for this part of the grace period, as the load balancer may
+/// have no better node to send them to. The rest is left for the requests that it has read.
+constexpr double ACCEPTING_SHARE = 0.5;
+
+/// Requests that are still open this long before the grace period ends are answered then, and the
+/// process exits soon after, so that the responses leave before it is killed.
+constexpr Duration ANSWER_MARGIN = from_ms(500);
+constexpr Duration EXIT_MARGIN = from_ms(300);
 
 /// CPU time on a full core to process a part that arrives near the end of a request: most of the 54
 /// us that a sub-request costs in total (docs/MEASUREMENTS.md).
@@ -256,6 +262,7 @@
 void Front::begin_stop() {
     m_stopping_since = monotonic_now();
     m_caller_listener->close_after_responses();
+    RequestHandler::end_all_by(m_state, *m_stopping_since + m_settings.grace - ANSWER_MARGIN);
     LogEvent(LogLevel::info, "front", "stopping")
         .add("connections", static_cast<std::int64_t>(m_caller_listener->connections()))
         .add("busy", static_cast<std::int64_t>(m_caller_listener->busy_connections()))
@@ -264,11 +271,14 @@
 
 void Front::continue_stop(Time now) {
     const Duration stopping = now - *m_stopping_since;
+    if (stopping >= scaled(m_settings.grace, ACCEPTING_SHARE)) {
+        m_caller_listener->stop_accepting();
+    }
     if (stopping < BALANCER_REACTION_TIME) {
         return;
     }
     m_caller_listener->close_idle();
-    const bool out_of_time = stopping >= m_settings.grace - STOP_MARGIN;
+    const bool out_of_time = stopping >= m_settings.grace - EXIT_MARGIN;
     if (m_caller_listener->connections() == 0 || out_of_time) {
         LogEvent(LogLevel::info, "front", "stopped")
             .add("busy", static_cast<std::int64_t>(m_caller_listener->busy_connections()))
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "base/random.h"
@@ -62,6 +64,8 @@
     Histogram& attempt_time;
 };
 
+class RequestHandler;
+
 /// State of one front node, used by all its requests.
 struct FrontState {
     FrontState(EventLoop& loop, Metrics& metrics_registry);
@@ -85,6 +89,10 @@
     Duration part_cpu_time{};
     CrashQuarantine quarantine;
     QuarantineTrials trials;
+    /// Requests whose callers wait for a response.
+    std::unordered_set<RequestHandler*> open_requests;
+    /// Set when the node stops: when it answers the requests that are still open.
+    std::optional<Time> answers_by;
     TargetPool pool;
     Random random;
     /// Called when a target has crashed while running a request.
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -85,6 +85,19 @@
     }
 }
 
+void RequestHandler::end_all_by(FrontState& front, Time time) {
+    front.answers_by = time;
+    for (RequestHandler* request : front.open_requests) {
+        Time& deadline = request->m_state.parameters.final_deadline;
+        deadline = request->last_possible_response(deadline);
+        request->schedule_tick();
+    }
+}
+
+Time RequestHandler::last_possible_response(Time deadline) const {
+    return std::min(deadline, m_front.answers_by.value_or(deadline));
+}
+
 bool RequestHandler::route_or_refuse() {
     if (m_view == nullptr) {
         ++m_front.counters.not_ready;
@@ -117,8 +130,8 @@
     parameters.objective_deadline = parameters.started + route.latency_objective;
     const Duration time_limit =
         std::min(route.timeout, m_caller_headers.deadline.value_or(route.timeout));
-    parameters.final_deadline =
-        parameters.started + std::max(time_limit - RESPONSE_MARGIN, Duration::zero());
+    parameters.final_deadline = last_possible_response(
+        parameters.started + std::max(time_limit - RESPONSE_MARGIN, Duration::zero()));
     const std::int64_t parts = static_cast<std::int64_t>(route.shards.size());
     const Duration connect = m_connection->is_first_request() ? CONNECT_MARGIN : Duration::zero();
     parameters.response_margin =
@@ -150,6 +163,7 @@
     const std::shared_ptr<RequestHandler> self = shared_from_this();
     // The connection holds a reference to the request while the caller waits.
     m_connection->on_caller_gone([self] { self->on_caller_gone(); });
+    m_front.open_requests.insert(this);
     advance(BeginRequest{});
     if (has_trial && !m_trial_started) {
         report_trial_end(m_front, m_fingerprint, TrialEnd::not_sent);
@@ -514,6 +528,7 @@
 }
 
 void RequestHandler::finish(const EndRequest& action) {
+    m_front.open_requests.erase(this);
     ++counter_for(m_front.counters, action.status);
     m_front.counters.retries += m_state.retries;
     m_front.counters.attempts_without_token += m_state.attempts_without_token;
@@ -558,6 +573,7 @@
     }
     m_caller_gone = true;
     m_state.finished = true;
+    m_front.open_requests.erase(this);
     ++m_front.counters.caller_gone;
     log_request_end(log_context(), "caller_gone", 0);
     cancel_attempts();
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -25,6 +25,11 @@
     static void serve(FrontState& front, const std::shared_ptr<HttpServerConnection>& connection,
                       HttpRequestMessage request);
 
+    /// The node stops: ends all requests by that time, also those that arrive later. A caller gets
+    /// a response that says truly whether the request may have run, rather than a closed
+    /// connection.
+    static void end_all_by(FrontState& front, Time time);
+
 private:
     /// One shard's part of the response, or the whole response of a request with one shard.
     struct Part {
@@ -49,6 +54,7 @@
     bool route_or_refuse();
     void begin();
     FanOutParameters fan_out_parameters(const Route& route) const;
+    Time last_possible_response(Time deadline) const;
     void advance(const FanOutEvent& event);
     FanOutContext fan_out_context() const;
     void execute(const FanOutAction& action);
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -49,12 +49,16 @@
 }
 
 void HttpListener::on_ready(int /*modes*/) {
+    accept_one();
+}
+
+bool HttpListener::accept_one() {
     try {
         TcpStream stream(m_socket.acceptConnection());
         if (m_connections.size() >= m_options.max_connections) {
             ++m_counts.refused_over_limit;
             stream.close();
-            return;
+            return true;
         }
         ++m_counts.accepted;
         stream.detect_dead_peer();
@@ -62,9 +66,10 @@
             new HttpServerConnection(shared_from_this(), std::move(stream)));
         m_connections.emplace(connection.get(), connection);
         connection->watch();
+        return true;
     } catch (const Poco::Exception&) {
-        // The caller disconnected before the accept.
-        return;
+        // None is waiting, or the caller disconnected before the accept.
+        return false;
     }
 }
 
@@ -88,6 +93,9 @@
 void HttpListener::stop_accepting() {
     if (m_accepting) {
         m_accepting = false;
+        // Closing the socket would reset connections that are already established.
+        for (int waiting = 0; waiting < BACKLOG && accept_one(); ++waiting) {
+        }
         m_loop.unwatch(m_socket);
         m_socket.close();
     }
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -60,7 +60,8 @@
     /// Closes every connection after its next response, including connections accepted later.
     void close_after_responses();
 
-    /// Stops accepting connections.
+    /// Accepts the connections that are already established, and then no more: callers that connect
+    /// later are refused.
     void stop_accepting();
 
     /// Closes the connections that serve no request and have not read part of one, including those
@@ -88,6 +89,8 @@
 
     HttpListener(EventLoop& loop, const Poco::Net::ServerSocket& socket,
                  const HttpListenerOptions& options, HttpRequestHandler handler);
+    /// False if no connection was accepted.
+    bool accept_one();
     void remove_connection(HttpServerConnection& connection);
 
     EventLoop& m_loop;
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -62,6 +62,10 @@
     m_service_time = time;
 }
 
+void FrontFleet::set_route_timeout(Duration time) {
+    m_route_timeout = time;
+}
+
 void FrontFleet::add_targets(const std::string& service, std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
         const std::size_t number = m_services[service]++;
@@ -132,7 +136,7 @@
                               {"hostname", HOST},
                               {"path_prefix", "/" + route.name + "/"},
                               {"type", route.idempotent ? "idempotent" : "non_idempotent"},
-                              {"timeout_ms", 2000},
+                              {"timeout_ms", m_route_timeout.count() / 1000},
                               {"target_latency_ms", 500},
                               {"priority", 1},
                               {"max_attempts", route.max_attempts},
@@ -178,7 +182,11 @@
         throw std::runtime_error(describe(error_of(front)));
     }
     node.front = std::move(std::get<std::unique_ptr<Front>>(front));
-    node.thread = std::thread([&node] { node.front->run(); });
+    node.thread = std::thread([&node] {
+        node.front->run();
+        node.front.reset();
+        node.stopped = true;
+    });
     check_readiness(node);
 }
 
@@ -192,6 +200,14 @@
          });
 }
 
+void FrontFleet::stop_node(std::size_t node) {
+    m_nodes.at(node)->signals.stop = true;
+}
+
+bool FrontFleet::has_stopped(std::size_t node) const {
+    return m_nodes.at(node)->stopped;
+}
+
 bool FrontFleet::is_ready() const {
     return std::all_of(m_nodes.begin(), m_nodes.end(),
                        [](const std::unique_ptr<Node>& node) { return node->ready; });
@@ -216,13 +232,14 @@
     }
     const std::string id = "r" + std::to_string(m_next_request++);
     ChannelCall request;
-    request.make_request = [path, id] {
-        return encode(
-            HttpRequestMessage{"GET",
-                               path,
-                               {{"Host", HOST}, {names::REQUEST_ID, id}, {names::DEADLINE, "2000"}},
-                               "",
-                               false});
+    const std::string deadline = std::to_string(m_route_timeout.count() / 1000);
+    request.make_request = [path, id, deadline] {
+        return encode(HttpRequestMessage{
+            "GET",
+            path,
+            {{"Host", HOST}, {names::REQUEST_ID, id}, {names::DEADLINE, deadline}},
+            "",
+            false});
     };
     request.is_own_response = [](const HttpResponseMessage&) {
         return true;
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -5,6 +5,7 @@
 // no check depends on how fast the machine is.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,8 @@
 
     /// Mean service time of targets that are added later.
     void set_service_time(Duration time);
+    /// Time limit of all routes and callers. Before `start`.
+    void set_route_timeout(Duration time);
     /// Adds targets of a service, one data centre after the other. Before `start`.
     void add_targets(const std::string& service, std::size_t count);
     /// Changes the behaviour of one target.
@@ -61,6 +64,10 @@
     /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
     void start(const std::vector<FleetRoute>& routes);
 
+    /// Tells a node to stop, as SIGTERM does. Its sockets close when it has ended.
+    void stop_node(std::size_t node);
+    bool has_stopped(std::size_t node) const;
+
     /// True once each node has said that it is ready.
     bool is_ready() const;
 
@@ -92,6 +99,7 @@
         std::unique_ptr<Front> front;
         std::thread thread;
         bool ready = false;
+        std::atomic<bool> stopped{false};
     };
 
     void publish_config(const std::vector<FleetRoute>& routes);
@@ -110,6 +118,7 @@
     std::vector<TestStep> m_steps;
     std::int64_t m_next_request = 1;
     Duration m_service_time = from_ms(2);
+    Duration m_route_timeout = from_ms(2000);
 };
 
 }  // namespace ebonymount
