Front: the start of a process waits for its settings and its address

Callers saw, in the users' own runs on real machines: "the system didn't start, or its processes ended by themselves", rarely. Cause, reproduced with real processes: a process that starts while its settings file is being rewritten reads half of it and exits with 2; one whose port is held by another socket, such as the end of a kept connection or its last minute, exits with 1. Which of these the users met is not known: their record of this is not among what they sent. Ruled out: TIME_WAIT of the node's own callers (the address is bound for reuse). Change: the settings file is read again for up to 3 s, a used address is tried again for up to 90 s; handlers of signals are installed first, and a stop meanwhile ends the process with 0. Other errors end it at once, as before. Why it works: what passes by itself is waited for, by a process that obeys its signals.

--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <cerrno>
 #include <vector>
 
 #include "io/http_status.h"
@@ -40,7 +41,9 @@
         loop.watch(socket, Poco::Net::PollSet::POLL_READ, listener);
         return listener;
     } catch (const Poco::Exception& error) {
-        return Error{ErrorCode::unavailable, "cannot listen: " + error.displayText(), address};
+        const ErrorCode code =
+            error.code() == EADDRINUSE ? ErrorCode::conflict : ErrorCode::unavailable;
+        return Error{code, "cannot listen: " + error.displayText(), address};
     }
 }
 
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -49,7 +49,7 @@
 class HttpListener : public SocketOwner, public std::enable_shared_from_this<HttpListener> {
 public:
     /// Listens on an IPv4 address and port. `handler` is called on the loop's thread. The error
-    /// names the address that cannot be bound.
+    /// names the address that cannot be bound; its code is `conflict` if another socket holds it.
     static Result<std::shared_ptr<HttpListener>> listen(EventLoop& loop, const std::string& address,
                                                         const HttpListenerOptions& options,
                                                         HttpRequestHandler handler);
--- a/src/program/ebonymount_front.cpp
+++ b/src/program/ebonymount_front.cpp
@@ -5,11 +5,9 @@
 // settings.
 #include <csignal>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
-#include "front/front.h"
+#include "front/startup.h"
 #include "io/log.h"
 #include "platform/settings.h"
 
@@ -32,41 +30,40 @@
     signals().reload = true;
 }
 
-ebonymount::Result<ebonymount::platform::ParsedSettings> read_settings(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) {
-        return ebonymount::Error{ebonymount::ErrorCode::not_found, "cannot read the settings file",
-                                 path};
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return ebonymount::platform::parse_settings(text.str(), path);
+/// A signal that comes before its handler is installed ends the process.
+void install_signal_handlers() {
+    // Constructs the flags before a signal handler can use them.
+    signals();
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, on_stop);
+    std::signal(SIGINT, on_stop);
+    std::signal(SIGHUP, on_reload);
+}
+
+/// Exit code for a start that failed; none is owed if a stop was requested meanwhile.
+int start_failed(int code) {
+    return signals().stop ? 0 : code;
 }
 
 int run(const std::string& path, std::int64_t metrics_port) {
-    const ebonymount::Result<ebonymount::platform::ParsedSettings> parsed = read_settings(path);
+    const ebonymount::Result<ebonymount::platform::ParsedSettings> parsed =
+        ebonymount::wait_for_front_settings(path, signals());
     if (!ebonymount::has_value(parsed)) {
         std::cerr << "ebonymount_front: " << describe(error_of(parsed)) << "\n";
-        return EXIT_BAD_INPUT;
+        return start_failed(EXIT_BAD_INPUT);
     }
     const ebonymount::platform::Settings& settings = value_of(parsed).settings;
-    // Constructs the flags before a signal handler can use them.
-    signals();
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGTERM, on_stop);
-    std::signal(SIGINT, on_stop);
-    std::signal(SIGHUP, on_reload);
     ebonymount::start_logging(ebonymount::LogLevel::info, ebonymount::LogFormat::json,
                               settings.node, ebonymount::LogFlush::manual);
     for (const std::string& warning : value_of(parsed).warnings) {
         ebonymount::log_warning("front", warning);
     }
     const ebonymount::Result<std::unique_ptr<ebonymount::Front>> front =
-        ebonymount::Front::start(settings, path, metrics_port, signals());
+        ebonymount::start_when_address_is_free(settings, path, metrics_port, signals());
     if (!ebonymount::has_value(front)) {
         ebonymount::log_error("front", describe(error_of(front)));
         ebonymount::flush_log();
-        return EXIT_CANNOT_START;
+        return start_failed(EXIT_CANNOT_START);
     }
     value_of(front)->run();
     return 0;
@@ -75,6 +72,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    install_signal_handlers();
     cxxopts::Options options("ebonymount_front",
                              "Entry host of the ebonymount query tier on the users' platform");
     options.add_options()("settings", "settings file; default: the path in EBONYMOUNT_BOOT",
@@ -96,7 +94,7 @@
         }
         if (arguments.count("check-settings") > 0) {
             const ebonymount::Result<ebonymount::platform::ParsedSettings> parsed =
-                read_settings(path);
+                ebonymount::read_front_settings(path);
             if (!has_value(parsed)) {
                 std::cerr << describe(error_of(parsed)) << "\n";
                 return EXIT_BAD_INPUT;
