--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -148,7 +148,7 @@
     if (!is_fan_out(route)) {
         services = {services[choose_service(route, uniform(m_front.random))]};
     }
-    const bool has_trial = is_trial(services);
+    const bool has_trial = take_trial_if_quarantined(services);
     if (!has_trial && is_quarantined(services)) {
         ++m_front.counters.quarantined;
         respond_at_once(http::UNAVAILABLE, "the request is quarantined: it crashed several targets",
@@ -317,7 +317,7 @@
     return static_cast<double>(usable) < needed * static_cast<double>(services.size());
 }
 
-bool RequestHandler::is_trial(const std::vector<ServiceIndex>& services) const {
+bool RequestHandler::take_trial_if_quarantined(const std::vector<ServiceIndex>& services) {
     if (!is_suspected(m_front.quarantine, m_fingerprint)) {
         return false;
     }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -66,8 +66,9 @@
     /// True if the request has crashed targets of so many of the services that the others cannot
     /// serve it.
     bool is_quarantined(const std::vector<ServiceIndex>& services) const;
-    /// True if the request is quarantined for one of the services, and this node may try it.
-    bool is_trial(const std::vector<ServiceIndex>& services) const;
+    /// Takes the trial of a request that is quarantined for one of the services. False if it is not
+    /// quarantined, or this node has no trial yet, which it then claims if one is due.
+    bool take_trial_if_quarantined(const std::vector<ServiceIndex>& services);
     bool has_open_trial() const;
     void withdraw_attempt(const WithdrawAttempt& action);
     void report_if_trial(const OpenAttempt& attempt, TrialEnd end);
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -83,7 +83,7 @@
                         service_of(s, shard).limits.name, s.context.now);
 }
 
-/// The untried candidate with the shortest expected time.
+/// The untried candidate with the shortest expected time, also for a suspected request.
 std::optional<TargetIndex> choose_untried(Step& s, const ShardState& shard) {
     const ServiceView& service = service_of(s, shard);
     const AttemptCosts costs = costs_at(s, shard.service);
@@ -106,7 +106,7 @@
     return best;
 }
 
-/// The same; empty for a request that may crash the target.
+/// The untried candidate with the shortest expected time; empty for a request that may crash it.
 std::optional<TargetIndex> choose_target(Step& s, const ShardState& shard) {
     return suspicion(s, shard) == Suspicion::none ? choose_untried(s, shard) : std::nullopt;
 }
