--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -84,6 +84,8 @@
         /// A graceful stop was requested; stays set until the node is started again.
         bool stopping = false;
         bool killed = false;
+        /// End of the latest pause of the process.
+        Time paused_until{};
         /// Number of graceful stops so far.
         int stops = 0;
         Time started_at{};
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -1,4 +1,5 @@
 // Applies the steps of a plan to the soak environment.
+#include <algorithm>
 #include <csignal>
 
 #include "platform/names.h"
@@ -77,9 +78,10 @@
     m_checker.on_planned_stop(node.name, monotonic_now());
     node.process.signal(SIGTERM);
     // A process that is still running after the grace period is killed. The checker reports that as
-    // an unexpected end.
+    // an unexpected end, unless the process is paused and so cannot end by itself.
     run_after(m_bounds.grace, [&node, stop = ++node.stops] {
         if (node.stopping && node.stops == stop) {
+            node.killed = node.killed || monotonic_now() < node.paused_until;
             node.process.signal(SIGKILL);
         }
     });
@@ -105,6 +107,7 @@
             return;
         case StepKind::pause_node:
             mark_disturbed(node, step.length);
+            node.paused_until = std::max(node.paused_until, monotonic_now() + step.length);
             node.process.signal(SIGSTOP);
             run_after(step.length, [&node] { node.process.signal(SIGCONT); });
             return;
