Logs: source and age of the configuration, kinds that fall behind, stalls

Added: 'accepted' and 'ended' lines name the reader and the age; 'kind_behind' and 'kind_again', and a gauge for each kind, at nodes that read (hypothesis 1: a kind without a response beside a small age); 'stalled' with how long the event loop did not run (hypothesis 3: messages that waited). Hypothesis 2 shows as a small age at the reader beside a late 'accepted', hypothesis 4 as a large age. No decision is changed.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -51,6 +51,8 @@
 
 void FleetWatcher::sweep(Time now) {
     m_feed.sweep(now);
+    m_state.store_source = m_feed.report(now);
+    m_state.store_source_at = now;
     for (const std::string& id : expire_missing(m_registry, now)) {
         LogEvent(LogLevel::info, "targets", "gone").add("target", id).write();
         rebuild_view();
@@ -112,6 +114,9 @@
             .add("before", m_table.has_value() ? m_table->version : -1)
             .add("routes", static_cast<std::int64_t>(value_of(table).routes.size()))
             .add("revision", object.revision)
+            .add("reader", m_state.store_source.reader)
+            .add("reads", m_state.store_source.reads_itself ? "yes" : "no")
+            .add_ms("age_ms", m_state.store_source.age)
             .write();
         m_table = std::move(std::get<RouteTable>(table));
         m_handlers.on_table(*m_table);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -14,6 +14,10 @@
 /// Interval between checks of timeouts, signals and the progress of a shutdown.
 constexpr Duration HOUSEKEEPING_INTERVAL = from_ms(100);
 
+/// A housekeeping that is later than this is logged: the process was not running, or its loop was
+/// busy with something else.
+constexpr Duration REPORTED_STALL = from_ms(250);
+
 /// How often the settings file is checked for changes, as it may change without a signal.
 constexpr Duration SETTINGS_CHECK_INTERVAL = from_ms(2000);
 
@@ -206,6 +210,7 @@
 
 void Front::housekeep() {
     const Time now = monotonic_now();
+    report_stall(now);
     m_caller_listener->sweep(now);
     m_ready_listener->sweep(now);
     if (m_metrics_listener != nullptr) {
@@ -225,7 +230,17 @@
         continue_stop(now);
     }
     flush_log();
-    m_loop.run_at(now + HOUSEKEEPING_INTERVAL, [this] { housekeep(); });
+    m_next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+    m_loop.run_at(m_next_housekeeping, [this] { housekeep(); });
+}
+
+void Front::report_stall(Time now) {
+    if (m_next_housekeeping != Time{} && now > m_next_housekeeping + REPORTED_STALL) {
+        ++m_metrics.counter("ebonymount_front_stalls_total");
+        LogEvent(LogLevel::warning, "front", "stalled")
+            .add_ms("ms", now - m_next_housekeeping)
+            .write();
+    }
 }
 
 void Front::reload_settings(bool requested) {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -55,6 +55,7 @@
     void serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
                        const HttpRequestMessage& request);
     void housekeep();
+    void report_stall(Time now);
     void reload_settings(bool requested);
     void begin_stop();
     void continue_stop(Time now);
@@ -74,6 +75,7 @@
     std::vector<std::string> m_node_names;
     std::optional<Time> m_stopping_since;
     Time m_next_settings_check{};
+    Time m_next_housekeeping{};
     std::string m_settings_text;
 };
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -19,6 +19,7 @@
 #include "policy/fleet_view.h"
 #include "policy/quarantine_trial.h"
 #include "policy/retry_budget.h"
+#include "policy/store_source.h"
 
 namespace ebonymount {
 
@@ -81,6 +82,9 @@
     std::int64_t registry_generation = 0;
     /// When the last update about targets arrived, from the store or from a reader.
     Time targets_updated_at{};
+    /// Source and age of the store's data, as of the last sweep.
+    SourceReport store_source;
+    Time store_source_at{};
     /// Retry budgets of the services, by service index.
     std::vector<RetryBudget> budgets;
     /// This node's share of the retry budget that the platform allows each service.
--- a/src/front/request_log.cpp
+++ b/src/front/request_log.cpp
@@ -21,6 +21,9 @@
         .add("config_version", context.view.table.version)
         .add("registry", context.front.registry_generation)
         .add_ms("targets_heard_ms_ago", monotonic_now() - context.front.targets_updated_at)
+        .add("reader", context.front.store_source.reader)
+        .add_ms("store_age_ms",
+                context.front.store_source.age + monotonic_now() - context.front.store_source_at)
         .write();
 }
 
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -232,6 +232,7 @@
         execute(action, now);
     }
     report_source(now);
+    report_kinds(now);
     send_due_lists(now);
     // Followers learn at once that this node's data is recent again.
     const bool is_recent_again = !was_recent && age(now) <= m_timing.stale_age;
@@ -264,6 +265,37 @@
         .write();
 }
 
+void StoreFeed::report_kinds(Time now) {
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        const Time contact = std::max(watcher->last_contact(), m_source.reading_since);
+        const Duration kind_age = m_source.reading ? now - contact : Duration::zero();
+        m_metrics.counter(std::string("ebonymount_store_kind_age_ms{kind=\"") +
+                          platform::name_of(watcher->kind()) + "\"}") = kind_age.count() / 1000;
+        const bool is_polled = watcher->kind() == platform::Kind::nodes;
+        const bool is_behind = !is_polled && kind_age > m_timing.watch_wait + STORE_CALL_TIMEOUT +
+                                                            m_timing.change_pause;
+        if (is_behind == (m_kinds_behind.count(watcher->kind()) > 0)) {
+            continue;
+        }
+        if (is_behind) {
+            m_kinds_behind.insert(watcher->kind());
+        } else {
+            m_kinds_behind.erase(watcher->kind());
+        }
+        LogEvent(is_behind ? LogLevel::warning : LogLevel::info, "store",
+                 is_behind ? "kind_behind" : "kind_again")
+            .add("kind", platform::name_of(watcher->kind()))
+            .add_ms("kind_age_ms", kind_age)
+            .add_ms("age_ms", age(now))
+            .add("followers", static_cast<std::int64_t>(m_followers.size()))
+            .write();
+    }
+}
+
+SourceReport StoreFeed::report(Time now) const {
+    return {m_upstream == nullptr ? "" : m_upstream->link.reader.node, m_source.reading, age(now)};
+}
+
 bool StoreFeed::is_following() const {
     return ebonymount::is_following(m_source, source_inputs(monotonic_now()));
 }
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
     /// True while the node follows another one.
     bool is_following() const;
 
+    SourceReport report(Time now) const;
+
 private:
     /// A stream of updates from a reader that this node follows or may follow next.
     struct Upstream {
@@ -91,6 +94,9 @@
     SourceInputs source_inputs(Time now) const;
     /// Sets the gauges, and logs when the state becomes old or recent again.
     void report_source(Time now);
+    /// Sets the gauge of each kind that this node reads, and logs when one of them falls behind
+    /// while the node's data as a whole counts as recent.
+    void report_kinds(Time now);
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
@@ -138,6 +144,8 @@
     Time m_next_heartbeat{};
     /// The state is recent, from whatever source.
     bool m_has_source = false;
+    /// Kinds that this node reads and that have fallen behind.
+    std::set<platform::Kind> m_kinds_behind;
 };
 
 }  // namespace ebonymount
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -38,6 +39,16 @@
     bool ended = false;
 };
 
+/// Where a node's store data comes from and how old it is; written to log lines.
+struct SourceReport {
+    /// The reader that the node follows; empty if there is none.
+    std::string reader;
+    bool reads_itself = false;
+    Duration age{};
+
+    friend bool operator==(const SourceReport&, const SourceReport&) = default;
+};
+
 /// State of a node's choice of source.
 struct StoreSource {
     bool members_known = false;
