Test: a configuration that only some readers cannot read must reach all nodes

Guards against one age for all kinds of data: a reader whose calls for the configuration get no answer (or 503) counts as recent by its calls for targets, so that none of its followers leaves it.

PlatformStore has further addresses, so that callers can be told apart, and an outage of one kind at one address.

--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "io/http_status.h"
@@ -36,16 +37,40 @@
 PlatformStore::PlatformStore(ebonymount::EventLoop& loop, const std::string& address,
                              std::uint64_t seed)
     : m_loop(loop), m_random(seed) {
-    const auto handler = [this](const Connection& connection, const HttpRequestMessage& request) {
-        on_request(connection, request);
+    listen(address);
+    poll_watches();
+}
+
+std::string PlatformStore::listen(const std::string& address) {
+    // The handler runs after this function has returned.
+    const std::shared_ptr<std::string> own_address = std::make_shared<std::string>();
+    const auto handler = [this, own_address](const Connection& connection,
+                                             const HttpRequestMessage& request) {
+        on_request(connection, request, *own_address);
     };
     ebonymount::Result<std::shared_ptr<ebonymount::HttpListener>> listener =
-        ebonymount::HttpListener::listen(loop, address, {}, handler);
+        ebonymount::HttpListener::listen(m_loop, address, {}, handler);
     if (!has_value(listener)) {
         throw std::runtime_error(describe(error_of(listener)));
     }
-    m_listener = value_of(listener);
-    poll_watches();
+    m_listeners.push_back(value_of(listener));
+    *own_address = m_listeners.back()->address();
+    return *own_address;
+}
+
+std::string PlatformStore::open_address() {
+    return listen("127.0.0.1:0");
+}
+
+void PlatformStore::set_kind_outage(const std::string& address, const std::string& kind,
+                                    Outage outage) {
+    m_kind_outages[{address, kind}] = outage;
+    respond_to_watches();
+}
+
+Outage PlatformStore::kind_outage(const std::string& address, const std::string& kind) const {
+    const auto found = m_kind_outages.find({address, kind});
+    return found == m_kind_outages.end() ? Outage::none : found->second;
 }
 
 void PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) {
@@ -73,35 +98,44 @@
 }
 
 std::string PlatformStore::address() const {
-    return m_listener->address();
+    return m_listeners.front()->address();
 }
 
 std::int64_t PlatformStore::calls() const {
     return m_calls;
 }
 
-void PlatformStore::on_request(const Connection& connection, const HttpRequestMessage& request) {
-    ++m_calls;
-    switch (m_faults.outage) {
+void PlatformStore::fail(const Connection& connection, Outage outage) {
+    switch (outage) {
         case Outage::silent:
             // Keeps the connection open without a response, as a network partition does.
             connection->on_caller_gone([connection] {});
-            return;
+            break;
         case Outage::reset:
             connection->drop();
-            return;
+            break;
         case Outage::busy:
             respond(connection, ebonymount::http::UNAVAILABLE, Json::object());
-            return;
+            break;
         case Outage::none:
             break;
     }
+}
+
+void PlatformStore::on_request(const Connection& connection, const HttpRequestMessage& request,
+                               const std::string& address) {
+    ++m_calls;
+    if (m_faults.outage != Outage::none) {
+        fail(connection, m_faults.outage);
+        return;
+    }
     connection->on_caller_gone([] {});
     m_loop.run_at(monotonic_now() + m_faults.response_time,
-                  [this, connection, request] { serve(connection, request); });
+                  [this, connection, request, address] { serve(connection, request, address); });
 }
 
-void PlatformStore::serve(const Connection& connection, const HttpRequestMessage& request) {
+void PlatformStore::serve(const Connection& connection, const HttpRequestMessage& request,
+                          const std::string& address) {
     const Poco::URI uri(request.target);
     Query query;
     for (const auto& [key, value] : uri.getQueryParameters()) {
@@ -114,9 +148,14 @@
     const std::string rest = uri.getPath().substr(PREFIX.size());
     const std::size_t slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
+    const Outage outage = kind_outage(address, kind);
+    if (outage != Outage::none) {
+        fail(connection, outage);
+        return;
+    }
     if (request.method == "GET") {
         if (query.count("watch") > 0) {
-            watch(connection, kind, query);
+            watch(connection, address, kind, query);
         } else {
             list(connection, kind, query);
         }
@@ -130,7 +169,9 @@
 }
 
 std::size_t PlatformStore::visible_changes(bool stale) const {
-    const ebonymount::Time until = monotonic_now() - (stale ? m_faults.stale_by : from_ms(0));
+    const ebonymount::Time now = monotonic_now();
+    const ebonymount::Time until =
+        stale ? std::min(now - m_faults.stale_by, m_faults.stale_until) : now;
     std::size_t count = m_changes.size();
     while (count > 0 && m_changes[count - 1].at > until) {
         --count;
@@ -169,9 +210,12 @@
             {{"items", items}, {"has_more", next != objects.end()}, {"store_revision", revision}});
 }
 
-void PlatformStore::watch(const Connection& connection, const std::string& kind,
-                          const Query& query) {
-    const Watch waiting{connection, kind, std::stoll(query.at("watch")),
+void PlatformStore::watch(const Connection& connection, const std::string& address,
+                          const std::string& kind, const Query& query) {
+    const Watch waiting{connection,
+                        address,
+                        kind,
+                        std::stoll(query.at("watch")),
                         query.count("allow_stale") > 0,
                         monotonic_now() + from_ms(std::stoll(query.at("wait_ms")))};
     if (!try_respond(waiting)) {
@@ -204,10 +248,14 @@
 
 void PlatformStore::respond_to_watches() {
     for (auto watch = m_watches.begin(); watch != m_watches.end();) {
-        if (m_faults.outage == Outage::silent) {
-            return;
+        const Outage outage = m_faults.outage != Outage::none
+                                  ? m_faults.outage
+                                  : kind_outage(watch->address, watch->kind);
+        if (outage == Outage::silent) {
+            ++watch;
+            continue;
         }
-        const bool disconnect = m_faults.outage != Outage::none;
+        const bool disconnect = outage != Outage::none;
         if (disconnect) {
             watch->connection->drop();
         }
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -28,6 +29,8 @@
     double lost_response_share = 0.0;
     /// Age of the data that stale reads return.
     ebonymount::Duration stale_by = ebonymount::from_ms(500);
+    /// Stale reads return nothing that was written later.
+    ebonymount::Time stale_until = ebonymount::Time::max();
 };
 
 class PlatformStore {
@@ -42,6 +45,12 @@
     void set_faults(const PlatformFaults& faults);
     const PlatformFaults& faults() const;
 
+    /// Opens one more address of the store, so that its callers can be told from others.
+    std::string open_address();
+    /// Outage of calls for one kind that arrive at an address from `open_address`; other calls are
+    /// answered.
+    void set_kind_outage(const std::string& address, const std::string& kind, Outage outage);
+
     /// Drops the history, so that watches from an older revision get status 410 (Gone).
     void compact();
 
@@ -63,6 +72,8 @@
     };
     struct Watch {
         Connection connection;
+        /// The address at which the call arrived.
+        std::string address;
         std::string kind;
         std::int64_t after = 0;
         bool stale = false;
@@ -70,10 +81,18 @@
     };
     using Query = std::map<std::string, std::string>;
 
-    void on_request(const Connection& connection, const ebonymount::HttpRequestMessage& request);
-    void serve(const Connection& connection, const ebonymount::HttpRequestMessage& request);
+    /// Listens at an address and returns it, with the port that the system chose if that was 0.
+    std::string listen(const std::string& address);
+    void on_request(const Connection& connection, const ebonymount::HttpRequestMessage& request,
+                    const std::string& address);
+    void serve(const Connection& connection, const ebonymount::HttpRequestMessage& request,
+               const std::string& address);
+    Outage kind_outage(const std::string& address, const std::string& kind) const;
+    /// Does to a call what an outage does: leaves it open, drops it or refuses it.
+    void fail(const Connection& connection, Outage outage);
     void list(const Connection& connection, const std::string& kind, const Query& query);
-    void watch(const Connection& connection, const std::string& kind, const Query& query);
+    void watch(const Connection& connection, const std::string& address, const std::string& kind,
+               const Query& query);
     void write(const Connection& connection, const std::string& method, const std::string& kind,
                const std::string& name, const nlohmann::json& spec);
     /// Responds to the watches that have events or have timed out. During an outage, leaves them
@@ -90,7 +109,8 @@
     void poll_watches();
 
     ebonymount::EventLoop& m_loop;
-    std::shared_ptr<ebonymount::HttpListener> m_listener;
+    std::vector<std::shared_ptr<ebonymount::HttpListener>> m_listeners;
+    std::map<std::pair<std::string, std::string>, Outage> m_kind_outages;
     ebonymount::Random m_random;
     PlatformFaults m_faults;
     std::vector<Change> m_changes;
