Store: a node's data is as old as its oldest kind, not its newest

Cause: the age of a node's data was the time since the latest response to any of its watchers. A reader whose calls for the configuration failed or stayed silent, while those for targets were answered, was recent to itself and, by its heartbeats, to its followers. Nobody left it.

Change: policy/kind_contact: configuration, targets and data centres out of service must all be complete. The configuration is confirmed by frequent calls of a node that others follow, also of one that has taken over reading; before, that node's watches waited for longer than its followers took its data for recent. The first watch after a switch of source returns at once, so that a node that takes over is known to be current soon. A watch without changes confirms the end of its wait, not the moment at which its response is read.

Why it works: a kind that fails or was never answered lowers the age that followers see, and they leave the reader as they leave one that is gone.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -80,7 +80,7 @@
         return;
     }
     m_revision = revision;
-    m_next_watch_is_current = true;
+    m_next_watch_is_first = true;
     if (store_failed_recently) {
         m_last_failure = monotonic_now();
     }
@@ -95,8 +95,8 @@
     m_options.timing = timing;
 }
 
-Time KindWatcher::last_contact() const {
-    return m_last_contact;
+Time KindWatcher::complete_at() const {
+    return m_complete_at;
 }
 
 void KindWatcher::stop() {
@@ -159,6 +159,9 @@
     const platform::Freshness freshness = m_options.poll_interval > Duration::zero()
                                               ? platform::Freshness::recent
                                               : platform::Freshness::current;
+    if (m_listed_objects.empty()) {
+        m_called_at = monotonic_now();
+    }
     call(platform::list_path(m_options.kind, after, freshness), STORE_CALL_TIMEOUT,
          [this](CallStatus status, const HttpResponseMessage& response) {
              on_page(status, response);
@@ -192,7 +195,7 @@
     }
     const Time now = monotonic_now();
     const bool after_outage = m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
-    on_success();
+    on_success(m_called_at);
     std::vector<platform::StoredObject> objects;
     objects.swap(m_listed_objects);
     m_handlers.on_update({m_options.kind, true, after_outage, m_revision, std::move(objects)});
@@ -205,9 +208,10 @@
 }
 
 void KindWatcher::wait_for_changes() {
-    call(platform::watch_path(m_options.kind, m_revision, m_options.timing.watch_wait,
-                              watch_freshness()),
-         m_options.timing.watch_wait + STORE_CALL_TIMEOUT,
+    m_called_at = monotonic_now();
+    m_call_wait = m_next_watch_is_first ? Duration::zero() : m_options.timing.watch_wait;
+    call(platform::watch_path(m_options.kind, m_revision, m_call_wait, watch_freshness()),
+         m_call_wait + STORE_CALL_TIMEOUT,
          [this](CallStatus status, const HttpResponseMessage& response) {
              on_watch_end(status, response);
          });
@@ -217,7 +221,7 @@
     if (status == CallStatus::answered && response.status == http::GONE) {
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": the store's history is gone, reading the list again");
-        on_success();
+        on_success(m_complete_at);
         m_last_failure = monotonic_now();
         read_list();
         return;
@@ -232,9 +236,10 @@
         on_failure("watch: " + describe(error_of(changes)));
         return;
     }
-    on_success();
-    m_next_watch_is_current = false;
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
+    const Time now = monotonic_now();
+    on_success(decoded.objects.empty() ? std::min(now, m_called_at + m_call_wait) : now);
+    m_next_watch_is_first = false;
     log_objects_without_name(decoded);
     m_revision = std::max(m_revision, decoded.store_revision);
     if (decoded.objects.empty()) {
@@ -257,8 +262,8 @@
     }
 }
 
-void KindWatcher::on_success() {
-    m_last_contact = monotonic_now();
+void KindWatcher::on_success(Time complete_at) {
+    m_complete_at = std::max(m_complete_at, complete_at);
     if (m_consecutive_failures > 0) {
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": answers again after " + std::to_string(m_consecutive_failures) +
@@ -316,8 +321,8 @@
 }
 
 platform::Freshness KindWatcher::watch_freshness() const {
-    return has_recent_store_failure() || m_next_watch_is_current ? platform::Freshness::current
-                                                                 : platform::Freshness::recent;
+    return has_recent_store_failure() || m_next_watch_is_first ? platform::Freshness::current
+                                                               : platform::Freshness::recent;
 }
 
 void KindWatcher::run_later(Duration delay, void (KindWatcher::*next)()) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -88,8 +88,10 @@
     /// Takes effect with the next call.
     void set_timing(const WatcherTiming& timing);
 
-    /// When the store last responded to this watcher.
-    Time last_contact() const;
+    /// As of when the data is complete, apart from the lag of recent data; `Time{}` if no call has
+    /// been answered. A watch without changes says so as of the end of its wait, however late its
+    /// response is read.
+    Time complete_at() const;
 
     /// True if the watcher is not paused and its last call failed.
     bool is_failing() const;
@@ -108,7 +110,7 @@
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
     void log_objects_without_name(const platform::ObjectPage& page) const;
-    void on_success();
+    void on_success(Time complete_at);
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
@@ -130,9 +132,13 @@
     std::uint64_t m_call_number = 0;
     std::optional<TimerId> m_pause_timer;
     std::int64_t m_polls = 0;
-    Time m_last_contact{};
-    /// The next watch asks for current data, as its revision comes from another source.
-    bool m_next_watch_is_current = false;
+    Time m_complete_at{};
+    /// The call in progress or the last one, and for a list of several pages its first one: when it
+    /// was made, and its wait.
+    Time m_called_at{};
+    Duration m_call_wait{};
+    /// The next watch asks for current data at once, as its revision comes from another source.
+    bool m_next_watch_is_first = false;
     bool m_paused = false;
     bool m_stopped = false;
 };
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -36,6 +36,12 @@
 /// would be wrong in a list that is encoded once for several followers.
 constexpr Duration LIST_AGE = from_ms(86400000);
 
+/// True for a kind whose changes must be in force within a stated time.
+bool is_time_bound(platform::Kind kind) {
+    return kind == platform::Kind::config || kind == platform::Kind::targets ||
+           kind == platform::Kind::evacuations;
+}
+
 }  // namespace
 
 StoreFeed::StoreFeed(EventLoop& loop, Metrics& metrics, StoreFeedOptions options,
@@ -143,7 +149,8 @@
 }
 
 void StoreFeed::update_watcher_timing() {
-    const bool is_reader = has_followers(m_options.self, m_members);
+    const bool is_reader = reads_for_others();
+    m_reads_for_others = is_reader;
     WatcherTiming timing;
     timing.watch_wait = m_timing.watch_wait;
     timing.pause_after_changes = is_reader ? m_timing.reader_pause : m_timing.change_pause;
@@ -157,6 +164,10 @@
     }
 }
 
+bool StoreFeed::reads_for_others() const {
+    return has_followers(m_options.self, m_members) || (m_source.reading && !m_followers.empty());
+}
+
 void StoreFeed::start_watching() {
     const bool store_failed_recently = has_recent_store_failure();
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
@@ -192,14 +203,31 @@
     set_members(m_source, m_options.self, m_members, monotonic_now());
 }
 
+KindContact StoreFeed::contact_of(const KindWatcher& watcher) const {
+    // What an earlier spell of reading has shown says nothing about the calls of this one.
+    const bool is_answered = watcher.complete_at() >= m_source.reading_since;
+    return {is_answered ? watcher.complete_at() : Time{}, watcher.is_failing()};
+}
+
 Time StoreFeed::own_contact() const {
-    Time latest{};
-    if (m_source.reading) {
-        for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-            latest = std::max(latest, watcher->last_contact());
+    if (!m_source.reading) {
+        return Time{};
+    }
+    std::vector<KindContact> others;
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        if (is_time_bound(watcher->kind())) {
+            others.push_back(contact_of(*watcher));
         }
     }
-    return latest;
+    return complete_at(contact_of(*m_watchers.front()), others);
+}
+
+bool StoreFeed::own_reads_fail() const {
+    return m_source.reading && std::any_of(m_watchers.begin(), m_watchers.end(),
+                                           [](const std::shared_ptr<KindWatcher>& watcher) {
+                                               return is_time_bound(watcher->kind()) &&
+                                                      watcher->is_failing();
+                                           });
 }
 
 Duration StoreFeed::age(Time now) const {
@@ -221,7 +249,7 @@
             m_upstream == nullptr ? nullptr : &m_upstream->link,
             m_candidate == nullptr ? nullptr : &m_candidate->link,
             own_contact(),
-            m_source.reading && m_watchers.front()->is_failing(),
+            own_reads_fail(),
             is_complete(m_mirror),
             now};
 }
@@ -231,6 +259,9 @@
     for (const SourceAction& action : decide(m_source, source_inputs(now), m_random)) {
         execute(action, now);
     }
+    if (reads_for_others() != m_reads_for_others) {
+        update_watcher_timing();
+    }
     report_source(now);
     report_kinds(now);
     send_due_lists(now);
@@ -267,7 +298,7 @@
 
 void StoreFeed::report_kinds(Time now) {
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-        const Time contact = std::max(watcher->last_contact(), m_source.reading_since);
+        const Time contact = std::max(watcher->complete_at(), m_source.reading_since);
         const Duration kind_age = m_source.reading ? now - contact : Duration::zero();
         m_metrics.counter(std::string("ebonymount_store_kind_age_ms{kind=\"") +
                           platform::name_of(watcher->kind()) + "\"}") = kind_age.count() / 1000;
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -18,6 +18,7 @@
 #include "front/kind_watcher.h"
 #include "front/store_mirror.h"
 #include "io/peer_sessions.h"
+#include "policy/kind_contact.h"
 #include "policy/store_source.h"
 
 namespace ebonymount {
@@ -88,7 +89,13 @@
     void apply_update(KindUpdate update);
     void apply_members(const KindUpdate& update);
     void update_watcher_timing();
+    /// As of when the data that this node reads itself is complete; `Time{}` if it reads none.
     Time own_contact() const;
+    /// A kind that must be complete for the node's data to count as such.
+    KindContact contact_of(const KindWatcher& watcher) const;
+    bool own_reads_fail() const;
+    /// Other nodes rely on what this node reads.
+    bool reads_for_others() const;
     Duration age(Time now) const;
 
     SourceInputs source_inputs(Time now) const;
@@ -142,6 +149,7 @@
     std::shared_ptr<Upstream> m_candidate;
     std::map<platform::Kind, EncodedList> m_encoded_lists;
     Time m_next_heartbeat{};
+    bool m_reads_for_others = false;
     /// The state is recent, from whatever source.
     bool m_has_source = false;
     /// Kinds that this node reads and that have fallen behind.
--- /dev/null
+++ b/src/policy/kind_contact.cpp
@@ -0,0 +1,17 @@
+#include "policy/kind_contact.h"
+
+#include <algorithm>
+
+namespace ebonymount {
+
+Time complete_at(const KindContact& frequent, const std::vector<KindContact>& others) {
+    Time complete = frequent.complete_at;
+    for (const KindContact& kind : others) {
+        if (kind.is_failing || kind.complete_at == Time{}) {
+            complete = std::min(complete, kind.complete_at);
+        }
+    }
+    return complete;
+}
+
+}  // namespace ebonymount
