Tests: an address that a test gets for a listener is given to no other

Cause: free_address closed its socket at once, so the system could give the same address again, to another node or target of the test. Listeners are bound with SO_REUSEPORT (Poco sets it with the reuse of addresses), so both bind without an error and the system deals the connections out between them. Change: free_address keeps a socket bound to each address that it gives, without SO_REUSEPORT. Listeners can still bind there, as both sides allow the reuse of addresses. An address held against a process in test_startup is one that the system chose, as those of free_address can't be held; what the tests check is unchanged. Why it works: the system gives no port that a socket is bound to, neither to listeners nor to connections, of any process.

--- a/test/failure/test_http_server.cpp
+++ b/test/failure/test_http_server.cpp
@@ -1,4 +1,4 @@
-// The HTTP server stops while callers connect to it. Guards against a stop that never returns.
+// The HTTP server stops while callers connect to it, and the addresses that servers listen at.
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -6,9 +6,11 @@
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <set>
 #include <thread>
 
 #include "io/http_server.h"
+#include "loopback.h"
 
 using namespace ebonymount;
 
@@ -39,6 +41,7 @@
 
 }  // namespace
 
+// Guards against a stop that never returns.
 TEST_CASE("a server stops although callers are connecting and keep their connections open") {
     constexpr int ROUNDS = 80;
     constexpr int CALLERS = 4;
@@ -61,3 +64,17 @@
         }
     }
 }
+
+// Guards against nodes of a test that listen at the same address, because the system gave it to
+// both.
+TEST_CASE("an address is given once, and a server can listen at it") {
+    constexpr std::size_t ADDRESSES = 500;
+    std::set<std::string> addresses;
+    for (std::size_t i = 0; i < ADDRESSES; ++i) {
+        addresses.insert(free_address());
+    }
+    CHECK(addresses.size() == ADDRESSES);
+    const Result<std::unique_ptr<HttpServer>> server = HttpServer::start(
+        {*addresses.begin(), 1}, [](const HandlerRequest&) { return make_response(200, "{}"); });
+    CHECK(has_value(server));
+}
--- a/test/failure/test_startup.cpp
+++ b/test/failure/test_startup.cpp
@@ -4,7 +4,6 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocket.h>
-#include <fcntl.h>
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
@@ -86,16 +85,12 @@
     return true;
 }
 
-/// The process under test must not inherit the socket.
-void close_on_exec(const Poco::Net::Socket& socket) {
-    fcntl(socket.impl()->sockfd(), F_SETFD, FD_CLOEXEC);
-}
-
 /// An established connection whose own end has the address.
 class AddressHolder {
 public:
-    explicit AddressHolder(const std::string& address) : m_server(SocketAddress(free_address())) {
-        m_socket.impl()->bind(SocketAddress(address));
+    AddressHolder() : m_server(SocketAddress("127.0.0.1", 0)) {
+        // An address of `free_address` allows reuse, so it could not be held against the process.
+        m_socket.impl()->bind(SocketAddress("127.0.0.1", 0));
         m_socket.connect(m_server.address());
         // Frees the address at once, instead of a minute after the end.
         m_socket.setLinger(true, 0);
@@ -103,6 +98,10 @@
         close_on_exec(m_socket);
     }
 
+    std::string address() const {
+        return m_socket.address().toString();
+    }
+
 private:
     Poco::Net::ServerSocket m_server;
     Poco::Net::StreamSocket m_socket;
@@ -132,8 +131,9 @@
 // Guards against a process that ends by itself when another socket holds its address for a while.
 TEST_CASE("a process whose address is in use listens once it is free") {
     FrontProcess front;
+    std::unique_ptr<AddressHolder> holder = std::make_unique<AddressHolder>();
+    front.caller_address = holder->address();
     front.write_settings();
-    std::unique_ptr<AddressHolder> holder = std::make_unique<AddressHolder>(front.caller_address);
     front.start();
     std::optional<int> status;
     CHECK(wait_until([&] {
@@ -151,8 +151,9 @@
 
 TEST_CASE("a process that waits for its address ends at SIGTERM without an error") {
     FrontProcess front;
+    const AddressHolder holder;
+    front.caller_address = holder.address();
     front.write_settings();
-    const AddressHolder holder(front.caller_address);
     front.start();
     REQUIRE(wait_until([&] { return front.has_logged("Address already in use"); }));
     front.process.signal(SIGTERM);
--- a/test/support/loopback.h
+++ b/test/support/loopback.h
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
+#include <fcntl.h>
 
 #include <functional>
 #include <string>
@@ -10,9 +12,20 @@
 
 namespace ebonymount {
 
-/// An address on the loopback interface at which nothing listens now.
+/// Processes that a test starts must not inherit the socket.
+inline void close_on_exec(const Poco::Net::Socket& socket) {
+    fcntl(socket.impl()->sockfd(), F_SETFD, FD_CLOEXEC);
+}
+
+/// An address on the loopback interface at which nothing listens. A socket of this process stays
+/// bound to it, so that the system gives the address to no other socket that asks for a free one;
+/// sockets that allow reuse can listen at it.
 inline std::string free_address() {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    static std::vector<Poco::Net::ServerSocket> reserved;
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+    close_on_exec(socket);
+    reserved.push_back(socket);
     return socket.address().toString();
 }
 
