Direct path: a request that no target can accept in time is refused at once

Cause: after the refusals, retry_or_fail_shard waited 10 ms at a time until the objective whenever no target was available, no matter for how long. That wait is meant for full targets, which may have a slot soon. Change: a shard without an available target waits only if one of its targets, tried or not, may accept the request before the wait would end: the objective, or the final deadline while crashes of the request are being checked. Otherwise the shard fails, and the request ends if it needs the shard. A target counts as unavailable until its Retry-After, its next request within its limit, or its pause as unreachable; and without end if it is leaving, replaced, out of service or in a region that the route doesn't allow. New requests were already refused at once in all of these states. A wait that has begun is checked at each of its ticks. Requests refused without Retry-After wait as before, also when other targets have turned the node away. A fan-out that has failed this way while parts of it are at targets, and has run nowhere as far as is known, would end as 502 where it ended as 503 not_run before: it sends nothing more, withdraws what waits for a connection, and ends when those parts have shown whether it ran, at the objective at the latest. Evidence, new tests on the code before, 6 of 35 cases of test_fan_out failed: a request is refused at once when its last target turns the node away: REQUIRE( ended(actions) ) a waiting request is refused at once when its targets become unavailable meanwhile: REQUIRE( ended(actions) ), all 6 sections a fan-out ends at once when a shard that it needs cannot be served in time: REQUIRE( ended(actions) ) a fan-out that all targets turn away ends as not run, and sends nothing meanwhile: REQUIRE( actions.size() == 1 ) with 0 == 1 a partial response does not wait for a shard that cannot be served in time: REQUIRE( ended(actions) ) a suspected request does not wait for a check if no target could run it afterwards: REQUIRE( ended(request.end(...)) ) The cases of a target that returns in time and of a full target passed before and pass now. The random test has a second run of 3,000 requests, at targets that turn the node away; it passed before and passes now. Why it works: what can't change the answer within the time left isn't waited for; what may change it still is.

--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -111,10 +111,55 @@
     return suspicion(s, shard) == Suspicion::none ? choose_untried(s, shard) : std::nullopt;
 }
 
+/// When a target of the shard, tried or not, can accept the request at the earliest; empty if each
+/// is known to be unavailable for an unknown time.
+std::optional<Time> expected_available_at(const Step& s, const ShardState& shard) {
+    std::optional<Time> earliest;
+    for (const TargetIndex index : service_of(s, shard).targets) {
+        const TargetState& target = s.context.targets.states[index];
+        if (is_region_allowed(s.state.parameters, target) && is_expected_back(target)) {
+            const Time at = available_at(target, s.context.now);
+            earliest = std::min(earliest.value_or(at), at);
+        }
+    }
+    return earliest;
+}
+
+/// False only if it is known that no target of the shard can accept the request before `end`.
+bool may_accept_before(const Step& s, const ShardState& shard, Time end) {
+    const std::optional<Time> earliest = expected_available_at(s, shard);
+    return earliest.has_value() && *earliest < end;
+}
+
 std::int64_t total_shards(const FanOutState& state) {
     return static_cast<std::int64_t>(state.shards.size());
 }
 
+/// Minimum number of answered shards in a successful response.
+std::int64_t needed_shards(const FanOutState& state) {
+    const double share = state.parameters.fan_out ? state.parameters.min_coverage : 1.0;
+    const double needed = std::ceil(share * static_cast<double>(total_shards(state)) - 1e-9);
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(needed));
+}
+
+bool can_succeed(const FanOutState& state) {
+    return total_shards(state) - state.failed >= needed_shards(state);
+}
+
+/// A trial goes on after its request has failed, as its outcome is of use to others.
+bool has_live_trial(const FanOutState& state) {
+    return std::any_of(state.live.begin(), state.live.end(),
+                       [](const FanOutAttempt& attempt) { return attempt.is_trial; });
+}
+
+/// True for a request that has failed and runs nowhere as far as is known, while attempts that were
+/// sent can still show that it has not run at all.
+bool awaits_verdict(const FanOutState& state) {
+    return !can_succeed(state) && !has_live_trial(state) && state.verdict == Verdict::not_run &&
+           std::any_of(state.live.begin(), state.live.end(),
+                       [](const FanOutAttempt& attempt) { return attempt.sent; });
+}
+
 /// When a partial response is due while `awaited` parts are missing.
 Time partial_response_time(const FanOutParameters& parameters, std::int64_t awaited) {
     return parameters.objective_deadline - parameters.response_margin -
@@ -254,18 +299,23 @@
 }
 
 /// After an attempt has ended: sends the shard's request to another target, or schedules a retry,
-/// or fails the shard.
+/// or fails the shard if no target can accept it in time.
 void retry_or_fail_shard(Step& s, std::uint32_t shard_index) {
     ShardState& shard = s.state.shards[shard_index];
     if (shard.answered || shard.failed || shard.live_attempts > 0 || is_out_of_time(s)) {
         return;
     }
-    if (!may_send_again(s, shard) || suspicion(s, shard) == Suspicion::quarantined) {
+    if (!can_succeed(s.state) || !may_send_again(s, shard) ||
+        suspicion(s, shard) == Suspicion::quarantined) {
         fail_shard(s, shard);
         return;
     }
     if (suspicion(s, shard) == Suspicion::unconfirmed) {
-        shard.retry_at = s.context.now + REFUSAL_PAUSE;
+        if (may_accept_before(s, shard, s.state.parameters.final_deadline)) {
+            shard.retry_at = s.context.now + REFUSAL_PAUSE;
+        } else {
+            fail_shard(s, shard);
+        }
         return;
     }
     const std::optional<TargetIndex> choice = choose_target(s, shard);
@@ -274,8 +324,11 @@
         start_attempt(s, shard_index, *choice, AttemptPurpose::serve);
         return;
     }
-    const bool may_wait = s.context.now + REFUSAL_PAUSE < s.state.parameters.objective_deadline &&
-                          (shard.arrivals > 0 || !shard.tried.empty());
+    // Nothing is sent after waiting beyond the objective.
+    const Time wait_end = s.state.parameters.objective_deadline;
+    const bool may_wait = s.context.now + REFUSAL_PAUSE < wait_end &&
+                          (shard.arrivals > 0 || !shard.tried.empty()) &&
+                          (choice.has_value() || may_accept_before(s, shard, wait_end));
     if (!may_wait) {
         fail_shard(s, shard);
         return;
@@ -289,7 +342,7 @@
 void hedge_shard(Step& s, std::uint32_t shard_index) {
     ShardState& shard = s.state.shards[shard_index];
     shard.hedge_at.reset();
-    if (shard.answered || shard.failed || shard.live_attempts == 0) {
+    if (shard.answered || shard.failed || shard.live_attempts == 0 || !can_succeed(s.state)) {
         return;
     }
     const auto is_unsent = [shard_index](const FanOutAttempt& attempt) {
@@ -327,13 +380,6 @@
     }
 }
 
-/// Minimum number of answered shards in a successful response.
-std::int64_t needed_shards(const FanOutState& state) {
-    const double share = state.parameters.fan_out ? state.parameters.min_coverage : 1.0;
-    const double needed = std::ceil(share * static_cast<double>(total_shards(state)) - 1e-9);
-    return std::max<std::int64_t>(1, static_cast<std::int64_t>(needed));
-}
-
 /// Expected time until a target of an unanswered shard accepts requests again, within the
 /// retry-after bounds and with 25 percent jitter.
 Duration expected_retry_after(const Step& s) {
@@ -354,6 +400,12 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) * jitter));
 }
 
+void withdraw_all_unsent(Step& s) {
+    for (std::uint32_t shard = 0; shard < s.state.shards.size(); ++shard) {
+        withdraw_unsent(s, shard);
+    }
+}
+
 void end_request(Step& s, FanOutStatus status) {
     FanOutState& state = s.state;
     const auto was_sent = [](const FanOutAttempt& attempt) {
@@ -369,19 +421,11 @@
     if (is_failure && state.verdict == Verdict::not_run) {
         status = FanOutStatus::not_run;
     }
-    for (std::uint32_t shard = 0; shard < state.shards.size(); ++shard) {
-        withdraw_unsent(s, shard);
-    }
+    withdraw_all_unsent(s);
     state.finished = true;
     s.actions.emplace_back(EndRequest{status, expected_retry_after(s)});
 }
 
-/// A trial goes on after its request has failed, as its outcome is of use to others.
-bool has_live_trial(const FanOutState& state) {
-    return std::any_of(state.live.begin(), state.live.end(),
-                       [](const FanOutAttempt& attempt) { return attempt.is_trial; });
-}
-
 void end_request_if_done(Step& s) {
     FanOutState& state = s.state;
     if (state.finished) {
@@ -397,7 +441,9 @@
         end_request(s, FanOutStatus::complete);
     } else if (state.answered >= needed && (all_settled || is_objective_near)) {
         end_request(s, FanOutStatus::partial);
-    } else if (total - state.failed < needed && !has_live_trial(state)) {
+    } else if (awaits_verdict(state) && s.context.now < state.parameters.objective_deadline) {
+        withdraw_all_unsent(s);
+    } else if (!can_succeed(state) && !has_live_trial(state)) {
         end_request(s, FanOutStatus::failed);
     } else if (is_out_of_time(s)) {
         end_request(s, FanOutStatus::out_of_time);
@@ -438,7 +484,7 @@
             {shard_index, *choice, is_trial ? AttemptPurpose::trial : AttemptPurpose::serve});
     }
     // Refuses the request before anything is sent if too few shards have an available target.
-    const bool has_too_few = total_shards(s.state) - s.state.failed < needed_shards(s.state);
+    const bool has_too_few = !can_succeed(s.state);
     if (has_too_few && !has_trial) {
         end_request(s, FanOutStatus::not_run);
         return;
@@ -602,6 +648,9 @@
             next = std::min(next, *shard.retry_at);
         }
     }
+    if (awaits_verdict(state)) {
+        next = std::min(next, state.parameters.objective_deadline);
+    }
     return state.answered >= needed_shards(state) ? std::min(next, partial_response_at) : next;
 }
 
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -371,6 +371,10 @@
     return hash % IDLE_HASH_RANGE < IDLE_HASH_RANGE / 3;
 }
 
+bool is_expected_back(const TargetState& state) {
+    return state.accepts_work && !state.leaving && !state.replaced;
+}
+
 Time available_at(const TargetState& state, Time now) {
     const Time reachable =
         std::max({now, state.unreachable_until, state.turned_away_until.value_or(now)});
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -185,6 +185,10 @@
 /// it, so that connections left open at the target by a power loss still leave room.
 bool may_keep_idle(const TargetTable& table, const TargetState& state);
 
+/// False for a target that is out of service, leaving or replaced: nothing says when it accepts
+/// requests again.
+bool is_expected_back(const TargetState& state);
+
 /// When a target that is unreachable, has turned this node away, or whose limit is used up, can be
 /// tried again; `now` for any other.
 Time available_at(const TargetState& state, Time now);
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+/// The target of the attempt refuses it, and turns the node away for that long.
+std::vector<FanOutAction> turn_away(Request& request, const StartAttempt& attempt,
+                                    Duration duration, Time now) {
+    FleetFixture& fleet = request.fleet;
+    request.sent(attempt.id, now);
+    on_turned_away(fleet.targets.states[attempt.target], duration, fleet.random, now);
+    return request.end(attempt.id, FanOutAttemptStatus::refused, now);
+}
+
 /// True if an attempt that reached a target may have run there.
 bool may_have_run(const FanOutState& state) {
     return state.verdict != Verdict::not_run ||
@@ -57,8 +66,8 @@
 }
 
 /// Drives one request by random events at random times, also long after its deadline, as after a
-/// freeze of the node, until it ends. Checks each step.
-void check_random_request(std::uint64_t seed) {
+/// freeze of the node, until it ends. Checks each step. Targets that refuse may turn the node away.
+void check_random_request(std::uint64_t seed, bool turns_away) {
     INFO("seed " << seed);
     FleetFixture fleet(1 + seed % 4, 3);
     fleet.random = Random{seed};
@@ -94,6 +103,10 @@
         const StartAttempt ending = open.back();
         open.pop_back();
         const double outcome = uniform(random);
+        if (turns_away && outcome < 0.6) {
+            const Duration duration = from_ms(uniform(random) < 0.5 ? 30 : 30000);
+            on_turned_away(fleet.targets.states[ending.target], duration, fleet.random, now);
+        }
         actions = request.end(ending.id,
                               outcome < 0.6   ? FanOutAttemptStatus::refused
                               : outcome < 0.8 ? FanOutAttemptStatus::not_connected
@@ -489,7 +502,14 @@
 TEST_CASE("no step both starts an attempt and ends the request, and not run is true") {
     constexpr std::uint64_t SEEDS = 3000;
     for (std::uint64_t seed = 0; seed < SEEDS; ++seed) {
-        check_random_request(seed);
+        check_random_request(seed, false);
+    }
+}
+
+TEST_CASE("the same holds for requests at targets that turn the node away") {
+    constexpr std::uint64_t SEEDS = 3000;
+    for (std::uint64_t seed = 0; seed < SEEDS; ++seed) {
+        check_random_request(seed, true);
     }
 }
 
@@ -505,4 +525,196 @@
     CHECK(ended(actions)->status == FanOutStatus::out_of_time);
 }
 
+// Guards against issue 32: a request that all targets had turned away was answered only at the end
+// of its objective.
+TEST_CASE("a request is refused at once when its last target turns the node away") {
+    FleetFixture fleet(1, 3);
+    fleet.budgets[0].milli_tokens = 5000;
+    Request request(fleet, single_shard_parameters(fleet, false));
+    std::vector<FanOutAction> actions = request.begin();
+    for (std::int64_t refusal = 1; refusal <= 3; ++refusal) {
+        const std::vector<StartAttempt> attempts = started(actions);
+        REQUIRE(attempts.size() == 1);
+        REQUIRE_FALSE(ended(actions));
+        actions = turn_away(request, attempts[0], from_ms(30000),
+                            START + from_ms(static_cast<int>(refusal)));
+    }
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::not_run);
+    CHECK(ended(actions)->retry_after > from_ms(700));
+}
+
+TEST_CASE("a request waits for a target that returns in time, and is then served by it") {
+    FleetFixture fleet(1, 2);
+    fleet.budgets[0].milli_tokens = 5000;
+    FanOutParameters parameters = single_shard_parameters(fleet, false);
+    Request request(fleet, parameters);
+    std::vector<FanOutAction> actions =
+        turn_away(request, started(request.begin())[0], from_ms(30000), START + from_ms(1));
+    REQUIRE(started(actions).size() == 1);
+    const TargetIndex returning = started(actions)[0].target;
+    actions = turn_away(request, started(actions)[0], from_ms(50), START + from_ms(2));
+    Time now = START;
+    while (started(actions).empty()) {
+        REQUIRE_FALSE(ended(actions));
+        now = next_tick(request.state);
+        actions = request.tick(now);
+    }
+    CHECK(now >= START + from_ms(52));
+    CHECK(now < parameters.objective_deadline);
+    CHECK(started(actions)[0].target == returning);
+}
+
+// A target without Retry-After is full, and may have a slot soon.
+TEST_CASE("a request waits for a full target while the others have turned the node away") {
+    FleetFixture fleet(1, 2);
+    fleet.budgets[0].milli_tokens = 5000;
+    Request request(fleet, single_shard_parameters(fleet, false));
+    std::vector<FanOutAction> actions =
+        turn_away(request, started(request.begin())[0], from_ms(30000), START + from_ms(1));
+    REQUIRE(started(actions).size() == 1);
+    const StartAttempt full = started(actions)[0];
+    request.sent(full.id, START + from_ms(1));
+    actions = request.end(full.id, FanOutAttemptStatus::refused, START + from_ms(2));
+    REQUIRE_FALSE(ended(actions));
+    const Time retry = next_tick(request.state);
+    CHECK(retry <= START + from_ms(12));
+    actions = request.tick(retry);
+    REQUIRE(started(actions).size() == 1);
+    CHECK(started(actions)[0].target == full.target);
+}
+
+TEST_CASE("a waiting request is refused at once when its targets become unavailable meanwhile") {
+    FleetFixture fleet(1, 2);
+    fleet.budgets[0].milli_tokens = 5000;
+    Request request(fleet, single_shard_parameters(fleet, false));
+    std::vector<FanOutAction> actions = request.begin();
+    for (std::int64_t refusal = 1; refusal <= 2; ++refusal) {
+        const std::uint32_t id = started(actions)[0].id;
+        request.sent(id, START);
+        actions = request.end(id, FanOutAttemptStatus::refused, START + from_ms(1));
+    }
+    REQUIRE_FALSE(ended(actions));
+    // Other requests learn of it.
+    on_turned_away(fleet.state(0, 0), from_ms(30000), fleet.random, START + from_ms(2));
+    SECTION("leaving") {
+        fleet.state(0, 1).leaving = true;
+    }
+    SECTION("over its limit") {
+        RateLimit limit;
+        limit.share.check_interval = from_ms(10000);
+        limit.next_check = START + from_ms(9000);
+        fleet.state(0, 1).limit = limit;
+    }
+    SECTION("unreachable") {
+        fleet.state(0, 1).unreachable_until = START + from_ms(2000);
+    }
+    SECTION("replaced") {
+        fleet.state(0, 1).replaced = true;
+    }
+    SECTION("out of service") {
+        fleet.state(0, 1).accepts_work = false;
+    }
+    SECTION("in a region that the route does not allow") {
+        fleet.state(0, 0).region = "south";
+        request.state.parameters.allowed_regions = {"south"};
+    }
+    actions = request.tick(next_tick(request.state));
+    CHECK(started(actions).empty());
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::not_run);
+}
+
+TEST_CASE("a fan-out ends at once when a shard that it needs cannot be served in time") {
+    FleetFixture fleet(4, 1);
+    FanOutParameters parameters = fleet.parameters(START);
+    Request request(fleet, parameters);
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    REQUIRE(attempts.size() == 4);
+    request.sent(attempts[2].id, START);
+    request.end(attempts[2].id, FanOutAttemptStatus::answered, START + from_ms(2));
+    // Three of four shards are enough.
+    CHECK_FALSE(ended(turn_away(request, attempts[0], from_ms(30000), START + from_ms(3))));
+    const std::vector<FanOutAction> actions =
+        turn_away(request, attempts[1], from_ms(30000), START + from_ms(4));
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::failed);
+}
+
+// Whether a fan-out has run depends on the attempts that are still at targets.
+TEST_CASE("a fan-out that all targets turn away ends as not run, and sends nothing meanwhile") {
+    FleetFixture fleet(4, 2);
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+        fleet.state(shard, 1).leaving = true;
+    }
+    FanOutParameters parameters = fleet.parameters(START);
+    Request request(fleet, parameters);
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    REQUIRE(attempts.size() == 4);
+    for (std::size_t i = 1; i < 4; ++i) {
+        request.sent(attempts[i].id, START);
+    }
+    turn_away(request, attempts[1], from_ms(30000), START + from_ms(1));
+    std::vector<FanOutAction> actions =
+        turn_away(request, attempts[2], from_ms(30000), START + from_ms(2));
+    // Three of four shards are needed, so the attempt that waits for a connection is withdrawn.
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::holds_alternative<WithdrawAttempt>(actions[0]));
+    CHECK(std::get<WithdrawAttempt>(actions[0]).id == attempts[0].id);
+    const Time end_at = START + from_ms(3);
+    FanOutStatus expected = FanOutStatus::not_run;
+    SECTION("the last attempt is refused") {
+        actions = turn_away(request, attempts[3], from_ms(30000), end_at);
+    }
+    SECTION("the last attempt runs") {
+        expected = FanOutStatus::failed;
+        actions = request.end(attempts[3].id, FanOutAttemptStatus::answered, end_at);
+    }
+    SECTION("the last attempt takes too long") {
+        expected = FanOutStatus::failed;
+        fleet.state(3, 1).leaving = false;
+        Time now = START;
+        while (now < parameters.objective_deadline) {
+            REQUIRE_FALSE(ended(actions));
+            now = next_tick(request.state);
+            actions = request.tick(now);
+            CHECK(started(actions).empty());
+        }
+    }
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == expected);
+}
+
+TEST_CASE("a partial response does not wait for a shard that cannot be served in time") {
+    FleetFixture fleet(4, 1);
+    Request request(fleet, fleet.parameters(START));
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    REQUIRE(attempts.size() == 4);
+    turn_away(request, attempts[0], from_ms(30000), START + from_ms(1));
+    std::vector<FanOutAction> actions;
+    for (std::size_t i = 1; i < 4; ++i) {
+        REQUIRE_FALSE(ended(actions));
+        request.sent(attempts[i].id, START);
+        actions = request.end(attempts[i].id, FanOutAttemptStatus::answered, START + from_ms(9));
+    }
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::partial);
+}
+
+TEST_CASE("a suspected request does not wait for a check if no target could run it afterwards") {
+    FleetFixture fleet(1, 2);
+    Request request(fleet, single_shard_parameters(fleet, true));
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    const Time now = START + from_ms(5);
+    request.sent(attempts[0].id, START);
+    for (std::size_t replica = 0; replica < 2; ++replica) {
+        on_turned_away(fleet.state(0, replica), from_ms(30000), fleet.random, now);
+    }
+    for (TargetIndex target = 0; target < 3; ++target) {
+        record_broken_connection(fleet.quarantine, {target, crash_of(0), now});
+    }
+    REQUIRE(ended(request.end(attempts[0].id, FanOutAttemptStatus::broken, now)));
+}
+
 }  // namespace ebonymount
