Listeners: an address belongs to one process

Cause: listeners were bound with the reuse of ports, which the library sets together with that of addresses. Two processes at one address both started without an error, and the system dealt the connections out between them.

Callers saw: nothing yet that is traced to it outside of tests; found while a test was traced in which two listeners had one address. A node started beside a process that is about to end would share its callers and its followers with it.

Change: listen_at binds without the reuse of ports, so the second process waits for the address as it was meant to. A node whose address for followers is in use tries again, every half second; before, nobody could have followed it until its next start.

Evidence: 'a second server at an address is an error' and 'nodes whose addresses are in use at their start are followed once they are free' failed before (the first without an error, the second never), and pass.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -12,6 +12,10 @@
 /// Path of the call that starts to follow a reader; the number is the version of the messages.
 constexpr const char* FEED_PATH = "/store-news/1";
 
+/// How often a node that cannot listen for followers tries again: a process that ends may still
+/// hold the address.
+constexpr Duration LISTEN_RETRY = from_ms(500);
+
 /// How often the list of nodes is read; it only changes when nodes are added.
 constexpr Duration NODE_LIST_INTERVAL = from_ms(10000);
 
@@ -62,26 +66,7 @@
       m_peers(loop, m_traffic) {
     const Time now = monotonic_now();
     m_source.waits_until = now + NODE_LIST_WAIT;
-    if (!m_options.self.address.empty()) {
-        const std::weak_ptr<bool> alive = m_alive;
-        const StreamHandler handler = [this, alive](const std::shared_ptr<ServerStream>& stream,
-                                                    const std::string& path,
-                                                    const std::string& body) {
-            if (path == FEED_PATH && !alive.expired()) {
-                add_follower(stream, body);
-            } else {
-                stream->finish();
-            }
-        };
-        Result<std::shared_ptr<PeerServer>> server =
-            PeerServer::listen(loop, m_options.self.address, handler, m_traffic);
-        if (has_value(server)) {
-            m_server = value_of(server);
-        } else {
-            // Other nodes follow another reader; this node works without the server.
-            log_warning("store", describe(error_of(server)));
-        }
-    }
+    listen_for_followers(now);
     create_watchers();
     const std::shared_ptr<KindWatcher>& nodes = m_watchers.back();
     if (m_options.first_start) {
@@ -98,6 +83,31 @@
     }
 }
 
+void StoreFeed::listen_for_followers(Time now) {
+    if (m_options.self.address.empty() || m_server != nullptr || now < m_next_listen) {
+        return;
+    }
+    const bool is_first_time = m_next_listen == Time{};
+    m_next_listen = now + LISTEN_RETRY;
+    const std::weak_ptr<bool> alive = m_alive;
+    const StreamHandler handler = [this, alive](const std::shared_ptr<ServerStream>& stream,
+                                                const std::string& path, const std::string& body) {
+        if (path == FEED_PATH && !alive.expired()) {
+            add_follower(stream, body);
+        } else {
+            stream->finish();
+        }
+    };
+    Result<std::shared_ptr<PeerServer>> server =
+        PeerServer::listen(m_loop, m_options.self.address, handler, m_traffic);
+    if (has_value(server)) {
+        m_server = value_of(server);
+    } else if (is_first_time) {
+        // Other nodes follow another reader meanwhile.
+        log_warning("store", describe(error_of(server)));
+    }
+}
+
 StoreFeed::~StoreFeed() {
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->stop();
@@ -255,6 +265,7 @@
 }
 
 void StoreFeed::sweep(Time now) {
+    listen_for_followers(now);
     const bool was_recent = age(now) <= m_timing.stale_age;
     for (const SourceAction& action : decide(m_source, source_inputs(now), m_random)) {
         execute(action, now);
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -83,6 +83,7 @@
         std::string compressed_line;
     };
 
+    void listen_for_followers(Time now);
     void create_watchers();
     void start_watching();
     void stop_watching();
@@ -136,6 +137,7 @@
     TrafficCounters m_traffic;
     PeerPool m_peers;
     std::shared_ptr<PeerServer> m_server;
+    Time m_next_listen{};
     std::vector<Follower> m_followers;
     StoreMirror m_mirror;
     std::vector<Member> m_members;
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "io/http_status.h"
+#include "io/server_socket.h"
 
 namespace ebonymount {
 namespace {
@@ -32,10 +33,7 @@
                                                            const HttpListenerOptions& options,
                                                            HttpRequestHandler handler) {
     try {
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(address), true);
-        socket.listen(BACKLOG);
-        socket.setBlocking(false);
+        const Poco::Net::ServerSocket socket = listen_at(address, BACKLOG);
         std::shared_ptr<HttpListener> listener(
             new HttpListener(loop, socket, options, std::move(handler)));
         loop.watch(socket, Poco::Net::PollSet::POLL_READ, listener);
--- a/src/io/peer_sessions.cpp
+++ b/src/io/peer_sessions.cpp
@@ -3,7 +3,15 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include "io/server_socket.h"
+
 namespace ebonymount {
+namespace {
+
+/// Maximum sessions waiting to be accepted.
+constexpr int BACKLOG = 1024;
+
+}  // namespace
 
 void PeerCall::cancel(const std::shared_ptr<PeerCall>& call) {
     call->m_loop.post([call] {
@@ -63,9 +71,7 @@
                                                        TrafficCounters& traffic) {
     const std::shared_ptr<PeerServer> server(new PeerServer(loop, std::move(handler), traffic));
     try {
-        server->m_socket.bind(Poco::Net::SocketAddress(address), true);
-        server->m_socket.listen(1024);
-        server->m_socket.setBlocking(false);
+        server->m_socket = listen_at(address, BACKLOG);
     } catch (const Poco::Exception& error) {
         return Error{ErrorCode::unavailable, "cannot listen for peers: " + error.displayText(),
                      address};
--- a/test/failure/test_http_server.cpp
+++ b/test/failure/test_http_server.cpp
@@ -78,3 +78,18 @@
         {*addresses.begin(), 1}, [](const HandlerRequest&) { return make_response(200, "{}"); });
     CHECK(has_value(server));
 }
+
+// Guards against two processes that share an address, so that the system deals the connections out
+// between them.
+TEST_CASE("a second server at an address is an error") {
+    const HttpHandler handler = [](const HandlerRequest&) {
+        return make_response(200, "{}");
+    };
+    const Result<std::unique_ptr<HttpServer>> first =
+        HttpServer::start({"127.0.0.1:0", 1}, handler);
+    REQUIRE(has_value(first));
+    const Result<std::unique_ptr<HttpServer>> second =
+        HttpServer::start({value_of(first)->address(), 1}, handler);
+    REQUIRE_FALSE(has_value(second));
+    CHECK(error_of(second).code == ErrorCode::conflict);
+}
--- a/test/failure/test_store_feed.cpp
+++ b/test/failure/test_store_feed.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "feed_fleet.h"
+#include "io/server_socket.h"
 
 namespace ebonymount {
 TEST_CASE("two nodes read the store, and all nodes receive a change") {
@@ -65,4 +66,22 @@
                            {[&fleet] { return fleet.all_have_target("t1"); }, nullptr}}));
 }
 
+// Guards against nodes that nobody can follow because another process held their address when they
+// started.
+TEST_CASE("nodes whose addresses are in use at their start are followed once they are free") {
+    FeedFleet fleet(NODES);
+    std::vector<Poco::Net::ServerSocket> holders;
+    for (const std::unique_ptr<FeedFleet::Node>& node : fleet.nodes) {
+        holders.push_back(listen_at(node->self.address, 1));
+        fleet.start(*node);
+    }
+    CHECK(fleet.run_steps({{[&fleet] { return fleet.all_have_target("t0"); },
+                            [&holders] {
+                                for (Poco::Net::ServerSocket& holder : holders) {
+                                    holder.close();
+                                }
+                            }},
+                           {[&fleet] { return fleet.follower_count() == FOLLOWERS; }, nullptr}}));
+}
+
 }  // namespace ebonymount
