Test: changes must reach all nodes while the store's recent data lags

Guards against reads that may be old: no node has seen a failure, the store is well but its recent data shows nothing written since a moment. Nodes started during the lag, nodes that ran when it began, and a reader that was restarted during it; for configuration, targets (draining), evacuations and quarantine. PlatformFaults has stale_until, so that no timing decides what recent reads show.

--- a/test/failure/test_store_currency.cpp
+++ b/test/failure/test_store_currency.cpp
@@ -10,6 +10,53 @@
 
 const nlohmann::json NEW_CONFIGURATION = {{"version", 2}};
 
+/// An object that is added or replaced while recent data lags.
+struct ChangedObject {
+    platform::Kind kind;
+    const char* name;
+    nlohmann::json spec;
+};
+
+const std::vector<ChangedObject> CHANGED_OBJECTS = {
+    {platform::Kind::config, platform::names::CONFIG_NAME, NEW_CONFIGURATION},
+    {platform::Kind::targets, "t0", {{"service", "s"}, {"state", "draining"}}},
+    {platform::Kind::evacuations, "east", nlohmann::json::object()},
+    {platform::Kind::quarantine, "r0", nlohmann::json::object()}};
+
+/// Recent data of the store shows nothing that is written from now on.
+void stop_recent_data(standin::PlatformStore& store) {
+    standin::PlatformFaults faults;
+    faults.stale_until = monotonic_now();
+    store.set_faults(faults);
+}
+
+/// Runs the fleet until the nodes follow each other, starts the lag with `start_lag`, writes all
+/// `CHANGED_OBJECTS` once they follow each other again, and checks that all nodes receive them.
+void check_changes_arrive(FeedFleet& fleet, const std::function<void()>& start_lag) {
+    const auto missing = [&fleet] {
+        std::vector<std::string> found;
+        for (const ChangedObject& object : CHANGED_OBJECTS) {
+            for (const std::string& node :
+                 fleet.nodes_without(object.kind, object.name, object.spec)) {
+                found.push_back(std::string(platform::name_of(object.kind)) + " at " + node);
+            }
+        }
+        return found;
+    };
+    const auto is_settled = [&fleet] {
+        return fleet.is_settled() && fleet.all_have_target("t0");
+    };
+    const auto write = [&fleet] {
+        for (const ChangedObject& object : CHANGED_OBJECTS) {
+            fleet.store.put(platform::name_of(object.kind), object.name, object.spec);
+        }
+    };
+    CHECK(fleet.run_steps({{is_settled, start_lag},
+                           {is_settled, write},
+                           {[&missing] { return missing().empty(); }, nullptr}}));
+    CHECK_THAT(missing(), Catch::Matchers::Equals(std::vector<std::string>{}));
+}
+
 }  // namespace
 
 // Guards against one age for all kinds of data: a reader whose calls for the configuration fail is
@@ -42,9 +89,38 @@
                                       NEW_CONFIGURATION);
                   }},
                  {[&nodes_without] { return nodes_without().empty(); }, nullptr}}));
-            CHECK(nodes_without() == std::vector<std::string>{});
+            CHECK_THAT(nodes_without(), Catch::Matchers::Equals(std::vector<std::string>{}));
         }
     }
 }
 
+// Guards against reads that may be old: the store lags and no node has seen a failure of it, so
+// recent data, which never shows these changes, is all that a node asks for.
+TEST_CASE("changes reach nodes that were started while the store's recent data lags") {
+    FeedFleet fleet(NODES);
+    stop_recent_data(fleet.store);
+    for (const std::unique_ptr<FeedFleet::Node>& node : fleet.nodes) {
+        fleet.start(*node);
+    }
+    check_changes_arrive(fleet, nullptr);
+}
+
+// Guards against the same where the lag begins while the nodes run and nothing fails.
+TEST_CASE("changes reach nodes that saw no failure when the store's recent data began to lag") {
+    FeedFleet fleet;
+    check_changes_arrive(fleet, [&fleet] { stop_recent_data(fleet.store); });
+}
+
+// Guards against the same where a reader is started during the lag: it has read current lists, and
+// goes on with recent data.
+TEST_CASE("changes reach all nodes when a reader was restarted while recent data lags") {
+    FeedFleet fleet;
+    check_changes_arrive(fleet, [&fleet] {
+        stop_recent_data(fleet.store);
+        FeedFleet::Node& restarted = fleet.reader();
+        restarted.feed.reset();
+        fleet.start(restarted);
+    });
+}
+
 }  // namespace ebonymount
--- a/test/support/feed_fleet.cpp
+++ b/test/support/feed_fleet.cpp
@@ -10,6 +10,10 @@
 /// Ends a test that hangs.
 constexpr Duration HANG_LIMIT = from_ms(30000);
 
+/// Just after nodes have begun to follow, the readers' first watches may still be longer than the
+/// age at which followers leave.
+constexpr std::size_t SETTLED_SWEEPS = 50;
+
 }  // namespace
 
 FeedFleet::FeedFleet(std::size_t late_nodes)
@@ -46,6 +50,10 @@
     return count;
 }
 
+bool FeedFleet::is_settled() const {
+    return m_settled_sweeps >= SETTLED_SWEEPS;
+}
+
 bool FeedFleet::all_have_target(const std::string& target) const {
     return std::all_of(nodes.begin(), nodes.end(), [&target](const std::unique_ptr<Node>& node) {
         return node->feed == nullptr || node->objects.count({platform::Kind::targets, target}) > 0;
@@ -73,6 +81,8 @@
 }
 
 void FeedFleet::start(Node& node) {
+    node.objects.clear();
+    m_settled_sweeps = 0;
     StoreFeedOptions options;
     options.self = node.self;
     options.store_address = node.store_address;
@@ -108,6 +118,7 @@
             node->feed->sweep(monotonic_now());
         }
     }
+    m_settled_sweeps = follower_count() == FOLLOWERS ? m_settled_sweeps + 1 : 0;
     if (on_sweep) {
         on_sweep();
     }
--- a/test/support/feed_fleet.h
+++ b/test/support/feed_fleet.h
@@ -40,6 +40,9 @@
 
     std::size_t follower_count() const;
 
+    /// True when the expected number of nodes has followed others for a number of sweeps.
+    bool is_settled() const;
+
     /// True when every running node has received the target.
     bool all_have_target(const std::string& target) const;
 
@@ -50,6 +53,7 @@
     /// Runs the loop until each condition has held in turn; false if one never did.
     bool run_steps(std::vector<TestStep> steps);
 
+    /// Starts a node, without any state.
     void start(Node& node);
 
     /// Running nodes that read the store themselves.
@@ -71,6 +75,8 @@
     void sweep();
 
     std::vector<TestStep> m_steps;
+    /// Consecutive sweeps with the expected number of followers.
+    std::size_t m_settled_sweeps = 0;
 };
 
 }  // namespace ebonymount
