Store: the configuration is read current, and the lag of other recent reads is measured

Cause: watches took data that may be seconds old, except for 20 s after a failure that the same watcher had seen. A process started after the failure, a watcher that had no call open at that moment, and a node that took over reading from a stream that had ended knew nothing of it, and nothing showed how old recent data was.

Callers saw: after a change everything behind such a reader was late by the lag of the store's recent data: CONFIG and HOME by the configuration, requests to targets that were leaving or out of service by the other kinds.

Change: the configuration, whose changes are rare, is always watched current. Its responses show which revision the store had and when (policy/store_progress); a recent response with a lower one is that far behind, and beyond 0.4 of the time for a change all kinds are read current for 20 s ('recent_data_behind'). A failure that one watcher has seen, or a reader has told of, holds for all watchers of the node.

Why it works: what a node takes for recent no longer rests on its memory of failures but on revisions that it can compare.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -25,10 +25,6 @@
 /// three missed heartbeats of about a second each; during a shorter failure it removes none.
 constexpr Duration OUTAGE_TIME = from_ms(1500);
 
-/// How long after a failure only current data is read: recent data may lag until the store has
-/// recovered, which takes at most 13 s according to its documentation.
-constexpr Duration CURRENT_READS_TIME = from_ms(20000);
-
 }  // namespace
 
 KindWatcher::KindWatcher(EventLoop& loop, const KindWatcherOptions& options,
@@ -82,7 +78,7 @@
     m_revision = revision;
     m_next_watch_is_first = true;
     if (store_failed_recently) {
-        m_last_failure = monotonic_now();
+        m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
     }
     wait_for_changes();
 }
@@ -159,6 +155,8 @@
     const platform::Freshness freshness = m_options.poll_interval > Duration::zero()
                                               ? platform::Freshness::recent
                                               : platform::Freshness::current;
+    m_is_watching = false;
+    m_call_is_current = freshness == platform::Freshness::current;
     if (m_listed_objects.empty()) {
         m_called_at = monotonic_now();
     }
@@ -196,6 +194,7 @@
     const Time now = monotonic_now();
     const bool after_outage = m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
     on_success(m_called_at);
+    report_revision(m_revision);
     std::vector<platform::StoredObject> objects;
     objects.swap(m_listed_objects);
     m_handlers.on_update({m_options.kind, true, after_outage, m_revision, std::move(objects)});
@@ -208,8 +207,10 @@
 }
 
 void KindWatcher::wait_for_changes() {
+    m_is_watching = true;
     m_called_at = monotonic_now();
     m_call_wait = m_next_watch_is_first ? Duration::zero() : m_options.timing.watch_wait;
+    m_call_is_current = watch_freshness() == platform::Freshness::current;
     call(platform::watch_path(m_options.kind, m_revision, m_call_wait, watch_freshness()),
          m_call_wait + STORE_CALL_TIMEOUT,
          [this](CallStatus status, const HttpResponseMessage& response) {
@@ -222,7 +223,7 @@
         log_info("store", std::string(platform::name_of(m_options.kind)) +
                               ": the store's history is gone, reading the list again");
         on_success(m_complete_at);
-        m_last_failure = monotonic_now();
+        m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
         read_list();
         return;
     }
@@ -239,6 +240,7 @@
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
     const Time now = monotonic_now();
     on_success(decoded.objects.empty() ? std::min(now, m_called_at + m_call_wait) : now);
+    report_revision(decoded.store_revision);
     m_next_watch_is_first = false;
     log_objects_without_name(decoded);
     m_revision = std::max(m_revision, decoded.store_revision);
@@ -248,9 +250,10 @@
     }
     m_handlers.on_update({m_options.kind, false, false, m_revision, std::move(decoded.objects)});
     // A watch for current data costs ten times as much and reports changes a second earlier, so the
-    // pause after it is twice as long.
-    const bool is_current = watch_freshness() == platform::Freshness::current;
-    run_later(m_options.timing.pause_after_changes * (is_current ? 2 : 1),
+    // pause after it is twice as long, unless the kind is one whose changes are rare.
+    const bool is_costly =
+        watch_freshness() == platform::Freshness::current && !m_options.is_always_current;
+    run_later(m_options.timing.pause_after_changes * (is_costly ? 2 : 1),
               &KindWatcher::wait_for_changes);
 }
 
@@ -262,6 +265,12 @@
     }
 }
 
+void KindWatcher::report_revision(std::int64_t revision) const {
+    if (m_handlers.on_revision) {
+        m_handlers.on_revision(revision, m_call_is_current);
+    }
+}
+
 void KindWatcher::on_success(Time complete_at) {
     m_complete_at = std::max(m_complete_at, complete_at);
     if (m_consecutive_failures > 0) {
@@ -278,7 +287,7 @@
 
 void KindWatcher::on_failure(const std::string& reason) {
     ++m_failures;
-    m_last_failure = monotonic_now();
+    m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
     if (m_consecutive_failures == 0) {
         m_failing_since = monotonic_now();
         log_warning("store", std::string(platform::name_of(m_options.kind)) + ": lost, " + reason);
@@ -317,12 +326,27 @@
 }
 
 bool KindWatcher::has_recent_store_failure() const {
-    return m_last_failure != Time{} && monotonic_now() - m_last_failure < CURRENT_READS_TIME;
+    return monotonic_now() < m_reads_current_until;
+}
+
+void KindWatcher::require_current_data() {
+    m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
+    const bool waits_for_recent_data =
+        m_is_watching && !m_call_is_current && !m_pause_timer.has_value();
+    if (m_paused || m_stopped || !waits_for_recent_data || m_channel == nullptr) {
+        return;
+    }
+    ++m_call_number;
+    m_channel->close();
+    m_channel.reset();
+    wait_for_changes();
 }
 
 platform::Freshness KindWatcher::watch_freshness() const {
-    return has_recent_store_failure() || m_next_watch_is_first ? platform::Freshness::current
-                                                               : platform::Freshness::recent;
+    const bool is_current = m_options.is_always_current || m_next_watch_is_first ||
+                            has_recent_store_failure() ||
+                            (m_handlers.must_read_current && m_handlers.must_read_current());
+    return is_current ? platform::Freshness::current : platform::Freshness::recent;
 }
 
 void KindWatcher::run_later(Duration delay, void (KindWatcher::*next)()) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -4,8 +4,8 @@
 // When the store does not respond, refuses a call or has lost its history, the watcher reads the
 // list again. It reports whether the store was unreachable before that, because entries may have
 // expired in the meantime. Lists ask for current data, except those that are polled. Watches allow
-// recent data, which costs a tenth, except for a while after a failure: a store that has just
-// failed may serve "recent" data that is many seconds old.
+// recent data, which costs a tenth, unless the kind is always read current, and except for a while
+// after a failure or after recent data was found to be far behind.
 #pragma once
 
 #include <functional>
@@ -36,6 +36,10 @@
     friend bool operator==(const WatcherTiming&, const WatcherTiming&) = default;
 };
 
+/// How long only current data is read after a failure of the store: recent data may lag until the
+/// store has recovered, which takes at most 13 s according to its documentation.
+constexpr Duration CURRENT_READS_TIME = from_ms(20000);
+
 /// Options of a `KindWatcher`.
 struct KindWatcherOptions {
     platform::Kind kind = platform::Kind::config;
@@ -46,6 +50,8 @@
     /// True for the one watcher of a node that probes an unavailable store. The others wait until a
     /// probe succeeds, as calls to an unavailable store cost as much as any other call.
     bool is_probe = false;
+    /// All watches ask for current data.
+    bool is_always_current = false;
     /// Starts paused: makes no call before `resume`.
     bool is_paused = false;
     /// Added to the pauses after failures, as a fraction of them, so that nodes that fail together
@@ -62,6 +68,11 @@
     /// For a watcher that is not the probe: true while the probe fails, when this watcher makes no
     /// calls. May be empty.
     std::function<bool()> is_store_failing;
+    /// Receives the revision of the store that each list or watch reflects, and whether the call
+    /// asked for current data. May be empty.
+    std::function<void(std::int64_t revision, bool is_current)> on_revision{};
+    /// True while recent data may be too old, as another watcher has found. May be empty.
+    std::function<bool()> must_read_current{};
 };
 
 class KindWatcher : public std::enable_shared_from_this<KindWatcher> {
@@ -99,6 +110,10 @@
     /// True for a while after a failure, when only current data is read.
     bool has_recent_store_failure() const;
 
+    /// Reads only current data for a while, and begins again with a watch that waits for recent
+    /// data.
+    void require_current_data();
+
 private:
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
@@ -111,6 +126,7 @@
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
     void log_objects_without_name(const platform::ObjectPage& page) const;
     void on_success(Time complete_at);
+    void report_revision(std::int64_t revision) const;
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
@@ -127,16 +143,18 @@
     std::int64_t m_revision = 0;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
-    Time m_last_failure{};
+    Time m_reads_current_until{};
     /// Distinguishes calls, so that a late timeout does not end another call.
     std::uint64_t m_call_number = 0;
     std::optional<TimerId> m_pause_timer;
     std::int64_t m_polls = 0;
     Time m_complete_at{};
     /// The call in progress or the last one, and for a list of several pages its first one: when it
-    /// was made, and its wait.
+    /// was made, its wait and whether it asked for current data.
     Time m_called_at{};
     Duration m_call_wait{};
+    bool m_call_is_current = false;
+    bool m_is_watching = false;
     /// The next watch asks for current data at once, as its revision comes from another source.
     bool m_next_watch_is_first = false;
     bool m_paused = false;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -136,12 +136,20 @@
         options.poll_interval =
             kind == platform::Kind::nodes ? NODE_LIST_INTERVAL : Duration::zero();
         options.is_probe = is_probe;
+        // Its changes are rare and must be in force everywhere in time.
+        options.is_always_current = kind == platform::Kind::config;
         options.is_paused = true;
         options.pause_jitter = MAX_PAUSE_JITTER * uniform(m_random);
         KindWatcherHandlers handlers;
         handlers.on_update = [this](KindUpdate update) {
             apply_update(std::move(update));
         };
+        handlers.on_revision = [this, kind](std::int64_t revision, bool is_current) {
+            on_store_revision(kind, revision, is_current);
+        };
+        handlers.must_read_current = [this] {
+            return has_recent_store_failure();
+        };
         if (!is_probe) {
             handlers.is_store_failing = [this] {
                 return m_watchers.front()->is_failing();
@@ -179,7 +187,10 @@
 }
 
 void StoreFeed::start_watching() {
-    const bool store_failed_recently = has_recent_store_failure();
+    // The stream that said so may have ended meanwhile.
+    const bool heard_of_failure = m_store_failure_heard_at.has_value() &&
+                                  monotonic_now() - *m_store_failure_heard_at < CURRENT_READS_TIME;
+    const bool store_failed_recently = heard_of_failure || has_recent_store_failure();
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         watcher->resume(revision_of(m_mirror, watcher->kind()), store_failed_recently);
     }
@@ -240,6 +251,31 @@
                                            });
 }
 
+void StoreFeed::on_store_revision(platform::Kind kind, std::int64_t revision, bool is_current) {
+    const Time now = monotonic_now();
+    if (is_current) {
+        on_current_read(m_progress, revision, now);
+        return;
+    }
+    const Duration lag = lag_of(m_progress, revision, now);
+    if (!is_time_bound(kind) || lag <= m_timing.max_lag) {
+        return;
+    }
+    LogEvent(LogLevel::warning, "store", "recent_data_behind")
+        .add("kind", platform::name_of(kind))
+        .add("revision", revision)
+        .add_ms("lag_ms", lag)
+        .write();
+    // The watcher that reports this is about to make its next call.
+    m_loop.post([this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired()) {
+            for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+                watcher->require_current_data();
+            }
+        }
+    });
+}
+
 Duration StoreFeed::age(Time now) const {
     return now - std::max(m_source.last_contact, own_contact());
 }
@@ -409,6 +445,9 @@
         upstream->link.last_message = now;
         upstream->link.as_of = std::max(upstream->link.as_of.value_or(as_of), as_of);
         upstream->store_failed_recently = value_of(update).store_failed_recently;
+        if (upstream->store_failed_recently) {
+            m_store_failure_heard_at = now;
+        }
         if (value_of(update).change.has_value()) {
             ++m_updates_received;
             apply_update(*value_of(update).change);
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -19,6 +19,7 @@
 #include "front/store_mirror.h"
 #include "io/peer_sessions.h"
 #include "policy/kind_contact.h"
+#include "policy/store_progress.h"
 #include "policy/store_source.h"
 
 namespace ebonymount {
@@ -95,6 +96,7 @@
     /// A kind that must be complete for the node's data to count as such.
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
+    void on_store_revision(platform::Kind kind, std::int64_t revision, bool is_current);
     /// Other nodes rely on what this node reads.
     bool reads_for_others() const;
     Duration age(Time now) const;
@@ -140,6 +142,7 @@
     Time m_next_listen{};
     std::vector<Follower> m_followers;
     StoreMirror m_mirror;
+    StoreProgress m_progress;
     std::vector<Member> m_members;
     StoreSource m_source;
     Random m_random{process_seed()};
@@ -151,6 +154,8 @@
     std::shared_ptr<Upstream> m_candidate;
     std::map<platform::Kind, EncodedList> m_encoded_lists;
     Time m_next_heartbeat{};
+    /// When a reader last said that the store had failed a short time ago.
+    std::optional<Time> m_store_failure_heard_at;
     bool m_reads_for_others = false;
     /// The state is recent, from whatever source.
     bool m_has_source = false;
--- a/src/policy/store_readers.cpp
+++ b/src/policy/store_readers.cpp
@@ -17,6 +17,8 @@
 constexpr double HEARTBEAT_SHARE = 0.1;
 constexpr double STALE_AGE_SHARE = 0.38;
 constexpr double MAX_AGE_SHARE = 0.5;
+// The rest of that time is left for a pause and a watch that waits.
+constexpr double MAX_LAG_SHARE = 0.4;
 constexpr double MIN_READING_TIME_SHARE = 0.6;
 // The steps of 77 nodes, the wait for a reader and one read fit between the maximum age and the end
 // of that time.
@@ -69,6 +71,7 @@
     timing.heartbeat = scaled(config_apply, HEARTBEAT_SHARE);
     timing.stale_age = scaled(config_apply, STALE_AGE_SHARE);
     timing.max_age = scaled(config_apply, MAX_AGE_SHARE);
+    timing.max_lag = scaled(config_apply, MAX_LAG_SHARE);
     timing.min_reading_time = scaled(config_apply, MIN_READING_TIME_SHARE);
     timing.takeover_step = scaled(config_apply, TAKEOVER_STEP_SHARE);
     timing.recovery_wait = scaled(config_apply, RECOVERY_WAIT_SHARE);
--- a/src/policy/store_readers.h
+++ b/src/policy/store_readers.h
@@ -53,6 +53,8 @@
     /// it reads the store itself.
     Duration stale_age{};
     Duration max_age{};
+    /// Lag of the store's recent data from which only current data is read.
+    Duration max_lag{};
     /// Minimum time for which a node reads the store itself once it has started to.
     Duration min_reading_time{};
     /// Delay between the groups of nodes that probe the store when their updates are too old, and
