Store: a node that reads for others gives that back only to one that reads too

Cause: a node that has taken over reading stops as soon as a reader before it has recent updates. A reader that cannot reach the store follows the node that took over, so it has recent updates - those of that very node. Both then follow each other and nobody reads, until the data is half of the time for a change old and the nodes probe again.

Callers saw: at all nodes of a data centre whose readers the store turns away, changes up to four seconds late, again and again (CONFIG, HOME and DENIED where more delay comes on top).

Evidence: the new case 'while the readers cannot reach the store, others go on reading it' failed with 146 of 300 ticks of 100 ms without a node that reads, at 10, 16 and 49 nodes a data centre. It passes, 0 of 300.

Change: messages name the node that reads the store ('origin'). A node gives reading back only for data of a node before it in the common order, so two nodes never give it to each other. Messages of an older release name none and count as the sender's own.

Why it works: the order of origins has no circle. Calls are as before: the counts of test_store_source hold.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -211,7 +211,7 @@
     if (fresh->kind == platform::Kind::nodes) {
         apply_members(*fresh);
     }
-    send_to_followers({fresh, age(now), has_recent_store_failure()});
+    send_to_followers(message(fresh, now));
     m_on_update(*fresh);
 }
 
@@ -280,6 +280,11 @@
     return now - std::max(m_source.last_contact, own_contact());
 }
 
+StoreUpdate StoreFeed::message(std::optional<KindUpdate> change, Time now) const {
+    return {std::move(change), age(now), has_recent_store_failure(),
+            data_origin(m_source, source_inputs(now))};
+}
+
 bool StoreFeed::has_recent_store_failure() const {
     const auto store_failed_recently = [](const std::shared_ptr<KindWatcher>& watcher) {
         return watcher->has_recent_store_failure();
@@ -316,7 +321,7 @@
     const bool is_recent_again = !was_recent && age(now) <= m_timing.stale_age;
     if (now >= m_next_heartbeat || is_recent_again) {
         m_next_heartbeat = now + m_timing.heartbeat;
-        send_to_followers({std::nullopt, age(now), has_recent_store_failure()});
+        send_to_followers(message(std::nullopt, now));
     }
 }
 
@@ -444,6 +449,7 @@
         const Time as_of = now - value_of(update).age;
         upstream->link.last_message = now;
         upstream->link.as_of = std::max(upstream->link.as_of.value_or(as_of), as_of);
+        upstream->link.origin = value_of(update).origin;
         upstream->store_failed_recently = value_of(update).store_failed_recently;
         if (upstream->store_failed_recently) {
             m_store_failure_heard_at = now;
@@ -521,7 +527,7 @@
     if (lacks_state || age(now) <= m_timing.stale_age) {
         send_lists(follower, now);
     }
-    stream->write(encode(StoreUpdate{std::nullopt, age(now), has_recent_store_failure()}));
+    stream->write(encode(message(std::nullopt, now)));
 }
 
 const std::string& StoreFeed::encoded_list(const KindUpdate& list, bool compressed) {
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -100,6 +100,8 @@
     /// Other nodes rely on what this node reads.
     bool reads_for_others() const;
     Duration age(Time now) const;
+    /// A message to followers.
+    StoreUpdate message(std::optional<KindUpdate> change, Time now) const;
 
     SourceInputs source_inputs(Time now) const;
     /// Sets the gauges, and logs when the state becomes old or recent again.
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -80,6 +80,9 @@
 
 std::string encode(const StoreUpdate& update) {
     Json message = {{"age_us", update.age.count()}, {"trouble", update.store_failed_recently}};
+    if (!update.origin.empty()) {
+        message["origin"] = update.origin;
+    }
     if (update.change.has_value()) {
         Json objects = Json::array();
         for (const StoredObject& object : update.change->objects) {
@@ -118,6 +121,7 @@
         StoreUpdate update;
         update.age = Duration(message.at("age_us").get<std::int64_t>());
         update.store_failed_recently = message.at("trouble").get<bool>();
+        update.origin = message.value("origin", std::string());
         if (message.contains("kind")) {
             KindUpdate change;
             const int kind = message.at("kind").get<int>();
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -37,6 +37,8 @@
     Duration age{};
     /// The store failed a short time ago, so its recent data may be many seconds old.
     bool store_failed_recently = false;
+    /// The node that reads the store and from which the sender's data comes; empty if unknown.
+    std::string origin{};
 
     friend bool operator==(const StoreUpdate&, const StoreUpdate&) = default;
 };
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -93,6 +93,14 @@
     return std::nullopt;
 }
 
+/// True if the node may follow that reader's data instead of reading the store itself.
+bool may_hand_over_to(const ReaderLink& link, const StoreSource& source) {
+    const std::string& origin = link.origin.empty() ? link.reader.node : link.origin;
+    return source.is_reader ||
+           std::any_of(source.readers.begin(), source.readers.end(),
+                       [&origin](const Member& preceding) { return preceding.node == origin; });
+}
+
 void open_candidate(StoreSource& source, const SourceInputs& inputs,
                     std::vector<SourceAction>& actions) {
     const bool is_paced = source.reading || source.stale_candidates >= TAKEOVER_NODES;
@@ -108,7 +116,8 @@
                      std::vector<SourceAction>& actions) {
     const Time now = inputs.now;
     const ReaderLink& candidate = *inputs.candidate;
-    const bool may_follow = !source.reading || source.is_reader || now >= source.may_follow_at;
+    const bool may_follow = !source.reading || source.is_reader ||
+                            (now >= source.may_follow_at && may_hand_over_to(candidate, source));
     const bool is_sending = is_connected(&candidate, inputs);
     const Duration wait = inputs.has_state || is_sending ? READER_WAIT : FIRST_READER_WAIT;
     const bool has_timed_out = candidate.ended || now > candidate.opened + wait;
@@ -125,7 +134,7 @@
         source.reading = source.reading && source.is_reader;
         source.stale_candidates = 0;
         actions.emplace_back(FollowCandidate{});
-    } else if (!is_usable && has_timed_out) {
+    } else if (has_timed_out && (!is_usable || !may_follow)) {
         ++source.stale_candidates;
         source.avoided[candidate.reader.node] =
             now + (inputs.has_state ? AVOID_TIME : FIRST_AVOID_TIME);
@@ -250,6 +259,15 @@
     }
 }
 
+std::string data_origin(const StoreSource& source, const SourceInputs& inputs) {
+    const Time upstream_as_of =
+        inputs.upstream == nullptr ? Time{} : inputs.upstream->as_of.value_or(Time{});
+    if (source.reading && inputs.own_contact != Time{} && inputs.own_contact >= upstream_as_of) {
+        return inputs.self.node;
+    }
+    return inputs.upstream == nullptr ? "" : inputs.upstream->origin;
+}
+
 bool is_following(const StoreSource& source, const SourceInputs& inputs) {
     return !source.reading && inputs.upstream != nullptr && !inputs.upstream->ended &&
            age_of(*inputs.upstream, inputs.now) <= inputs.timing.max_age;
@@ -269,7 +287,8 @@
         return actions;
     }
     const bool upstream_is_recent = is_recent(inputs.upstream, inputs);
-    if (source.reading && !source.is_reader && upstream_is_recent) {
+    if (source.reading && !source.is_reader && upstream_is_recent &&
+        may_hand_over_to(*inputs.upstream, source)) {
         source.reading = false;
         actions.emplace_back(StopReading{});
         return actions;
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -12,6 +12,9 @@
 // Nodes never wait for each other in a circle. A node that does not know the others follows nobody,
 // and calls the store for their list until it has it, from the store or from a node that has state.
 // A node that knows the others probes the store whatever its reader sends, as long as that is old.
+// A node that has taken over reading gives it back only for data that a node before it in the
+// common order reads. Otherwise it could give it to a reader that is recent because it follows this
+// very node, and nobody would read.
 //
 // `decide` is a step function: it reads no clock and does no I/O.
 #pragma once
@@ -37,6 +40,9 @@
     /// When the reader's last message arrived.
     std::optional<Time> last_message;
     bool ended = false;
+    /// The node that reads the store and from which the reader's data comes, as its last message
+    /// said; empty if it did not say.
+    std::string origin{};
 };
 
 /// Where a node's store data comes from and how old it is; written to log lines.
@@ -124,6 +130,9 @@
 using SourceAction = std::variant<OpenCandidate, DropCandidate, DropUpstream, FollowCandidate,
                                   ProbeStore, StartReading, StopReading>;
 
+/// The node that reads the store and from which this node's data comes; empty if it has none.
+std::string data_origin(const StoreSource& source, const SourceInputs& inputs);
+
 /// Applies a list of the registered nodes.
 void set_members(StoreSource& source, const Member& self, const std::vector<Member>& members,
                  Time now);
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -96,6 +96,7 @@
     StoreUpdate update;
     update.age = from_ms(120);
     update.store_failed_recently = true;
+    update.origin = "node-1";
     update.change = changes(12, {object("a", 11), object("b", 12, true)});
     const std::string line = encode(update);
     CHECK(line.back() == '\n');
--- a/test/correctness/test_store_source_cuts.cpp
+++ b/test/correctness/test_store_source_cuts.cpp
@@ -1,6 +1,7 @@
 // Ages of a fleet's data while some nodes of each data centre cannot reach the store, in virtual
 // time without network.
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "store_source_model.h"
 
@@ -38,4 +39,30 @@
     }
 }
 
+// Guards against nodes that have taken over reading and give it back to a reader that is recent
+// only because it follows them, so that nobody reads.
+TEST_CASE("while the readers cannot reach the store, others go on reading it") {
+    for (const std::size_t size : NODES_PER_DATA_CENTRE) {
+        CAPTURE(size);
+        ModelFleet fleet(DATA_CENTRES, size);
+        fleet.run_for(from_ms(5000));
+        for (ModelNode& node : fleet.nodes) {
+            node.cut_from_store = node.source.is_reader;
+        }
+        fleet.run_for(CONFIG_APPLY);
+        std::size_t ticks_without_reader = 0;
+        for (int tick = 0; tick < 300; ++tick) {
+            fleet.run_for(TICK);
+            std::set<std::string> read;
+            for (const ModelNode& node : fleet.nodes) {
+                if (node.source.reading && !node.cut_from_store) {
+                    read.insert(node.self.data_centre);
+                }
+            }
+            ticks_without_reader += read.size() < DATA_CENTRES ? 1 : 0;
+        }
+        CHECK(ticks_without_reader == 0);
+    }
+}
+
 }  // namespace ebonymount
--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -31,6 +31,7 @@
     /// message.
     Time true_contact{};
     bool has_state = false;
+    std::string origin;
 };
 
 /// The receiver's time of the data of a message, as `StoreFeed::on_upstream_data` determines it.
@@ -196,9 +197,21 @@
         return has_data ? node.source.last_contact - node.true_contact : Duration::zero();
     }
 
+    SourceInputs inputs_of(const ModelNode& node, bool reaches_store) const {
+        return {node.self,
+                m_initial_peers,
+                m_timing,
+                node.upstream.has_value() ? &node.upstream->link : nullptr,
+                node.candidate.has_value() ? &node.candidate->link : nullptr,
+                node.source.reading ? node.own_contact : Time{},
+                node.source.reading && !reaches_store,
+                node.has_state,
+                now};
+    }
+
     ModelMessage message_of(const ModelNode& sender) const {
         return {now + message_delay, now - sender.source.last_contact, sender.true_contact,
-                sender.has_state};
+                sender.has_state, data_origin(sender.source, inputs_of(sender, true))};
     }
 
     void send_heartbeat(std::optional<ModelLink>& stream) {
@@ -216,6 +229,7 @@
         ReaderLink& link = stream.link;
         link.last_message = now;
         link.as_of = std::max(link.as_of.value_or(Time{}), received_as_of(message, now));
+        link.origin = message.origin;
         receiver.true_contact = std::max(receiver.true_contact, message.true_contact);
         receiver.has_state = receiver.has_state || message.has_state;
         if (message.has_state && !receiver.source.members_known) {
@@ -261,15 +275,7 @@
         }
         receive(node.upstream, node);
         receive(node.candidate, node);
-        const SourceInputs inputs = {node.self,
-                                     m_initial_peers,
-                                     m_timing,
-                                     node.upstream.has_value() ? &node.upstream->link : nullptr,
-                                     node.candidate.has_value() ? &node.candidate->link : nullptr,
-                                     node.source.reading ? node.own_contact : Time{},
-                                     node.source.reading && !reaches_store,
-                                     node.has_state,
-                                     now};
+        const SourceInputs inputs = inputs_of(node, reaches_store);
         for (const SourceAction& action : decide(node.source, inputs, node.random)) {
             if (const OpenCandidate* open = std::get_if<OpenCandidate>(&action)) {
                 node.candidate = ModelLink{{open->reader, now, std::nullopt, std::nullopt, false},
