Store: the age of a reader's data is measured by the reader's clock

Cause: a follower took the age in a message as of its arrival. All time on the way - in a socket, behind a longer message, while either process did not run - made the data newer than it was, at each hop again. Nodes that cannot reach the store follow each other, so their data aged slowly.

Callers saw: changes late at nodes that could have had them: they stayed with readers that had nothing new (CONFIG, HOME, DENIED).

Change: messages carry when they were written, by the sender's clock. The first one of a stream cannot have been written before the follower asked for it; that ties the two clocks together so that a follower's time is never later than the true one (policy/reader_clock). A message without it, from an older release, is taken as before. The model's clocks differ from node to node now, and a message that takes no time is read when the stream is opened.

Why it works: the bound rests on the order of events, not on how fast a message is. A stream that was slow to open makes data look older, never newer.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -281,7 +281,9 @@
 }
 
 StoreUpdate StoreFeed::message(std::optional<KindUpdate> change, Time now) const {
-    return {std::move(change), age(now), has_recent_store_failure(),
+    return {std::move(change),
+            {age(now), now.time_since_epoch()},
+            has_recent_store_failure(),
             data_origin(m_source, source_inputs(now))};
 }
 
@@ -446,9 +448,7 @@
             return;
         }
         const Time now = monotonic_now();
-        const Time as_of = now - value_of(update).age;
-        upstream->link.last_message = now;
-        upstream->link.as_of = std::max(upstream->link.as_of.value_or(as_of), as_of);
+        on_stated_age(upstream->link, value_of(update).stated, now);
         upstream->link.origin = value_of(update).origin;
         upstream->store_failed_recently = value_of(update).store_failed_recently;
         if (upstream->store_failed_recently) {
@@ -537,7 +537,7 @@
     }
     std::string& line = compressed ? cached.compressed_line : cached.line;
     if (line.empty()) {
-        const StoreUpdate update = {list, LIST_AGE, has_recent_store_failure()};
+        const StoreUpdate update = {list, {LIST_AGE, std::nullopt}, has_recent_store_failure()};
         line = compressed ? encode_compressed(update) : encode(update);
     }
     return line;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -79,7 +79,11 @@
 }  // namespace
 
 std::string encode(const StoreUpdate& update) {
-    Json message = {{"age_us", update.age.count()}, {"trouble", update.store_failed_recently}};
+    Json message = {{"age_us", update.stated.age.count()},
+                    {"trouble", update.store_failed_recently}};
+    if (update.stated.written.has_value()) {
+        message["written_us"] = update.stated.written->count();
+    }
     if (!update.origin.empty()) {
         message["origin"] = update.origin;
     }
@@ -119,7 +123,10 @@
         }
         const Json& message = value_of(parsed);
         StoreUpdate update;
-        update.age = Duration(message.at("age_us").get<std::int64_t>());
+        update.stated.age = Duration(message.at("age_us").get<std::int64_t>());
+        if (message.contains("written_us")) {
+            update.stated.written = Duration(message.at("written_us").get<std::int64_t>());
+        }
         update.store_failed_recently = message.at("trouble").get<bool>();
         update.origin = message.value("origin", std::string());
         if (message.contains("kind")) {
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "platform/store_calls.h"
+#include "policy/reader_clock.h"
 
 namespace ebonymount {
 
@@ -33,8 +34,7 @@
 struct StoreUpdate {
     /// Empty in a heartbeat.
     std::optional<KindUpdate> change;
-    /// Time since the sender, or the node that it follows, last received a response from the store.
-    Duration age{};
+    StatedAge stated;
     /// The store failed a short time ago, so its recent data may be many seconds old.
     bool store_failed_recently = false;
     /// The node that reads the store and from which the sender's data comes; empty if unknown.
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -245,6 +245,12 @@
 
 }  // namespace
 
+void on_stated_age(ReaderLink& link, const StatedAge& stated, Time now) {
+    const Time as_of = data_time(link.clock, stated, link.opened, now);
+    link.last_message = now;
+    link.as_of = std::max(link.as_of.value_or(as_of), as_of);
+}
+
 void set_members(StoreSource& source, const Member& self, const std::vector<Member>& members,
                  Time now) {
     source.readers = readers_for(self, members, {}, now);
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -26,6 +26,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "policy/reader_clock.h"
 #include "policy/store_readers.h"
 
 namespace ebonymount {
@@ -34,12 +35,13 @@
 struct ReaderLink {
     Member reader;
     Time opened{};
-    /// When the reader last received a response from the store, by this node's clock; empty until
-    /// its first message.
+    /// When the reader's data was last complete, by this node's clock; empty until its first
+    /// message. Not later than in truth.
     std::optional<Time> as_of;
     /// When the reader's last message arrived.
     std::optional<Time> last_message;
     bool ended = false;
+    ReaderClock clock{};
     /// The node that reads the store and from which the reader's data comes, as its last message
     /// said; empty if it did not say.
     std::string origin{};
@@ -133,6 +135,9 @@
 /// The node that reads the store and from which this node's data comes; empty if it has none.
 std::string data_origin(const StoreSource& source, const SourceInputs& inputs);
 
+/// Applies what a message of the reader, read at `now`, states about its data.
+void on_stated_age(ReaderLink& link, const StatedAge& stated, Time now);
+
 /// Applies a list of the registered nodes.
 void set_members(StoreSource& source, const Member& self, const std::vector<Member>& members,
                  Time now);
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -94,7 +94,7 @@
 
 TEST_CASE("messages between nodes are decoded as they were encoded") {
     StoreUpdate update;
-    update.age = from_ms(120);
+    update.stated = {from_ms(120), from_ms(7000)};
     update.store_failed_recently = true;
     update.origin = "node-1";
     update.change = changes(12, {object("a", 11), object("b", 12, true)});
@@ -105,9 +105,10 @@
         decode_store_update(std::string_view(line).substr(0, line.size() - 1));
     REQUIRE(has_value(decoded));
     CHECK(value_of(decoded) == update);
-    const std::string heartbeat = encode({std::nullopt, from_ms(3), false});
+    const std::string heartbeat = encode({std::nullopt, {from_ms(3), std::nullopt}, false});
     REQUIRE(has_value(decode_store_update(heartbeat)));
     CHECK_FALSE(value_of(decode_store_update(heartbeat)).change.has_value());
+    CHECK_FALSE(value_of(decode_store_update(heartbeat)).stated.written.has_value());
 }
 
 TEST_CASE("a malformed message is an error") {
@@ -145,7 +146,7 @@
         object.spec = R"({"service":"s","address":"10.0.0.1:80","state":"ready"})";
         list.objects.push_back(object);
     }
-    const StoreUpdate update = {list, from_ms(5), true};
+    const StoreUpdate update = {list, {from_ms(5), std::nullopt}, true};
     const std::string line = encode_compressed(update);
     CHECK(line.find('\n') == line.size() - 1);
     CHECK(line.size() < encode(update).size() / 4);
--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -25,8 +25,7 @@
 /// A message on its way from a reader to a follower.
 struct ModelMessage {
     Time arrives_at{};
-    /// Age of the sender's data, as it is sent.
-    Duration age{};
+    StatedAge stated;
     /// When the store last responded to the node from which the data comes. It is no part of the
     /// message.
     Time true_contact{};
@@ -34,11 +33,6 @@
     std::string origin;
 };
 
-/// The receiver's time of the data of a message, as `StoreFeed::on_upstream_data` determines it.
-inline Time received_as_of(const ModelMessage& message, Time now) {
-    return now - message.age;
-}
-
 /// A stream from a reader, with the messages that the follower has not processed yet.
 struct ModelLink {
     ReaderLink link;
@@ -54,6 +48,8 @@
     Time own_contact{};
     /// When the store last responded to the node from which this node's data comes.
     Time true_contact{};
+    /// Difference of the node's clock to that of the fleet.
+    Duration clock_skew{};
     /// Processes nothing before this time; messages to it wait.
     Time paused_until{};
     bool has_state = false;
@@ -79,6 +75,7 @@
             }
         }
         for (std::size_t i = 0; i < nodes.size(); ++i) {
+            nodes[i].clock_skew = from_ms(1000000 - 7000 * static_cast<std::int64_t>(i));
             restart(nodes[i], i);
         }
         for (std::size_t i = 0; i < std::min<std::size_t>(3, nodes.size()); ++i) {
@@ -210,8 +207,10 @@
     }
 
     ModelMessage message_of(const ModelNode& sender) const {
-        return {now + message_delay, now - sender.source.last_contact, sender.true_contact,
-                sender.has_state, data_origin(sender.source, inputs_of(sender, true))};
+        const StatedAge stated = {now - sender.source.last_contact,
+                                  now.time_since_epoch() + sender.clock_skew};
+        return {now + message_delay, stated, sender.true_contact, sender.has_state,
+                data_origin(sender.source, inputs_of(sender, true))};
     }
 
     void send_heartbeat(std::optional<ModelLink>& stream) {
@@ -226,10 +225,8 @@
     }
 
     void process(const ModelMessage& message, ModelLink& stream, ModelNode& receiver) {
-        ReaderLink& link = stream.link;
-        link.last_message = now;
-        link.as_of = std::max(link.as_of.value_or(Time{}), received_as_of(message, now));
-        link.origin = message.origin;
+        on_stated_age(stream.link, message.stated, now);
+        stream.link.origin = message.origin;
         receiver.true_contact = std::max(receiver.true_contact, message.true_contact);
         receiver.has_state = receiver.has_state || message.has_state;
         if (message.has_state && !receiver.source.members_known) {
@@ -281,6 +278,8 @@
                 node.candidate = ModelLink{{open->reader, now, std::nullopt, std::nullopt, false},
                                            {},
                                            now + message_delay};
+                // A message that takes no time is read when the stream is opened.
+                receive(node.candidate, node);
             } else if (std::holds_alternative<DropCandidate>(action)) {
                 node.candidate.reset();
             } else if (std::holds_alternative<DropUpstream>(action)) {
