Store: a node that reaches the store offers its data to the reader it followed

Cause: while a connected reader is cut off, followers try the first eight nodes of the data centre as readers, half a second each, and leave out those that failed for 3 s. The first are tried again before the eighth. If none of the eight reaches the store, each of the others had to find that out by a probe of its own.

Callers saw: at a data centre whose first seven nodes the store turns away, an old configuration at nodes that it serves, for as long as that lasts (CONFIG, HOME, DENIED); with all eight turned away, for about as many seconds as there are nodes, which the docs named as a price.

Change: a node that begins to read, and whose reader is connected and cut off, offers its data to that reader, which follows it at once. Everyone stays with that reader and is recent again.

Why it works: finding the one node that reaches the store takes one message, not a search by all.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -12,6 +12,9 @@
 /// Path of the call that starts to follow a reader; the number is the version of the messages.
 constexpr const char* FEED_PATH = "/store-news/1";
 
+/// Path of the call with which a node that reads the store offers its data.
+constexpr const char* OFFER_PATH = "/store-offer/1";
+
 /// How often a node that cannot listen for followers tries again: a process that ends may still
 /// hold the address.
 constexpr Duration LISTEN_RETRY = from_ms(500);
@@ -58,6 +61,7 @@
       m_updates_relayed(metrics.counter("ebonymount_store_news_relayed_total")),
       m_updates_received(metrics.counter("ebonymount_store_news_followed_total")),
       m_probes(metrics.counter("ebonymount_store_probes_total")),
+      m_offers(metrics.counter("ebonymount_store_offers_total")),
       m_state_age_ms(metrics.counter("ebonymount_store_state_age_ms")),
       m_source_own(metrics.counter("ebonymount_store_source{kind=\"own\"}")),
       m_source_reader(metrics.counter("ebonymount_store_source{kind=\"reader\"}")),
@@ -94,9 +98,12 @@
                                                 const std::string& path, const std::string& body) {
         if (path == FEED_PATH && !alive.expired()) {
             add_follower(stream, body);
-        } else {
-            stream->finish();
+            return;
         }
+        if (path == OFFER_PATH && !alive.expired()) {
+            take_offer(body);
+        }
+        stream->finish();
     };
     Result<std::shared_ptr<PeerServer>> server =
         PeerServer::listen(m_loop, m_options.self.address, handler, m_traffic);
@@ -396,6 +403,8 @@
         follow_candidate(now);
     } else if (std::holds_alternative<ProbeStore>(action)) {
         probe_store();
+    } else if (const OfferData* offer = std::get_if<OfferData>(&action)) {
+        offer_data(offer->reader);
     } else if (std::holds_alternative<StartReading>(action)) {
         LogEvent(LogLevel::info, "store", "reads_itself")
             .add("reader", m_upstream == nullptr ? "" : m_upstream->link.reader.node)
@@ -492,6 +501,27 @@
         .write();
 }
 
+void StoreFeed::offer_data(const Member& reader) {
+    LogEvent(LogLevel::info, "store", "offers_data").add("reader", reader.node).write();
+    m_peers.call(reader.address, OFFER_PATH, encode(m_options.self),
+                 {[](std::string_view /*bytes*/) {},
+                  [](StreamStatus /*status*/) {
+                  }});
+}
+
+void StoreFeed::take_offer(const std::string& text) {
+    const std::optional<Member> node = decode_member(text);
+    const bool is_valid = node.has_value() && node->data_centre == m_options.self.data_centre &&
+                          node->node != m_options.self.node;
+    LogEvent(is_valid ? LogLevel::info : LogLevel::warning, "store", "data_offered")
+        .add("node", is_valid ? node->node : "")
+        .write();
+    if (is_valid) {
+        ++m_offers;
+        on_offer(m_source, *node);
+    }
+}
+
 void StoreFeed::probe_store() {
     ++m_probes;
     // The list is short, and possibly old data costs a tenth.
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -115,6 +115,8 @@
     void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
     void probe_store();
+    void offer_data(const Member& reader);
+    void take_offer(const std::string& text);
     bool has_recent_store_failure() const;
 
     void add_follower(const std::shared_ptr<ServerStream>& stream, const std::string& request);
@@ -134,6 +136,8 @@
     Counter& m_updates_relayed;
     Counter& m_updates_received;
     Counter& m_probes;
+    /// Offers of nodes that read the store, received while this one could not.
+    Counter& m_offers;
     /// Gauges: the age of this node's state, and whether it reads the store or follows a reader.
     Counter& m_state_age_ms;
     Counter& m_source_own;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -242,6 +242,28 @@
     return request;
 }
 
+std::string encode(const Member& node) {
+    return Json{{"node", node.node}, {"data_centre", node.data_centre}, {"address", node.address}}
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<Member> decode_member(const std::string& text) {
+    const Result<Json> parsed = parse_json_text(text);
+    if (!has_value(parsed)) {
+        return std::nullopt;
+    }
+    try {
+        const Json& fields = value_of(parsed);
+        const Member node = {fields.at("node").get<std::string>(),
+                             fields.at("data_centre").get<std::string>(),
+                             fields.at("address").get<std::string>()};
+        return platform::is_socket_address(node.address) ? std::optional<Member>(node)
+                                                         : std::nullopt;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now) {
     std::vector<KindUpdate> lists;
     for (const auto& [kind, mirrored] : mirror) {
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -91,6 +91,10 @@
 std::string encode(const FollowRequest& request);
 FollowRequest decode_follow_request(const std::string& text);
 
+/// Encodes a node that offers its data. Empty if the text describes no node that can be followed.
+std::string encode(const Member& node);
+std::optional<Member> decode_member(const std::string& text);
+
 /// Returns a list of each kind of which the mirrored copy is newer than `known`, to be sent to a
 /// new follower that knows those revisions.
 std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now);
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -36,8 +36,9 @@
 constexpr Duration FIRST_PROBE_PAUSE = from_ms(1000);
 constexpr int MAX_PROBE_DOUBLINGS = 3;
 
-/// Mean time between two probes of the nodes of one data centre beyond `TAKEOVER_NODES`.
-constexpr Duration LATE_PROBE_INTERVAL = from_ms(1000);
+/// Time between two probes of the nodes of one data centre beyond `TAKEOVER_NODES`: first one after
+/// the other, then on average.
+constexpr Duration LATE_PROBE_INTERVAL = from_ms(500);
 
 /// A reader whose last message is older than this number of heartbeats is not connected.
 constexpr int MISSED_HEARTBEATS = 3;
@@ -103,6 +104,11 @@
 
 void open_candidate(StoreSource& source, const SourceInputs& inputs,
                     std::vector<SourceAction>& actions) {
+    if (source.offer.has_value()) {
+        actions.emplace_back(OpenCandidate{*source.offer});
+        source.offer.reset();
+        return;
+    }
     const bool is_paced = source.reading || source.stale_candidates >= TAKEOVER_NODES;
     const std::optional<Member> reader = next_reader(source, inputs);
     if (reader.has_value() && (!is_paced || inputs.now >= source.next_candidate_at)) {
@@ -120,7 +126,9 @@
                             (now >= source.may_follow_at && may_hand_over_to(candidate, source));
     const bool is_sending = is_connected(&candidate, inputs);
     const Duration wait = inputs.has_state || is_sending ? READER_WAIT : FIRST_READER_WAIT;
-    const bool has_timed_out = candidate.ended || now > candidate.opened + wait;
+    // A node that has offered its data has it; any other may have it later.
+    const bool has_timed_out =
+        candidate.ended || now > candidate.opened + wait || source.offer.has_value();
     const bool is_usable = is_recent(&candidate, inputs) && inputs.has_state;
     // A connected reader without recent updates is better than none: it shows when the store is
     // back. A node that does not know the others follows nobody, so that it goes on calling the
@@ -167,6 +175,10 @@
         return false;
     }
     source.avoided[inputs.upstream->reader.node] = inputs.now + AVOID_TIME;
+    if (has_own_updates && !source.is_reader && is_connected(inputs.upstream, inputs) &&
+        !is_recent(inputs.upstream, inputs)) {
+        actions.emplace_back(OfferData{inputs.upstream->reader});
+    }
     actions.emplace_back(DropUpstream{inputs.upstream->ended ? "the stream ended"
                                       : is_silent            ? "it is silent"
                                                              : "this node reads the store itself"});
@@ -194,8 +206,13 @@
 
 Time next_probe_time(const StoreSource& source, const SourceInputs& inputs, Time needed_from,
                      Random& random) {
+    if (probes_late(source, inputs) && source.failed_probes == 0) {
+        const std::size_t preceding = source.rank - TAKEOVER_NODES;
+        return std::max(inputs.now, needed_from) + group_delay(source, inputs) +
+               LATE_PROBE_INTERVAL * static_cast<std::int64_t>(preceding);
+    }
     if (probes_late(source, inputs)) {
-        const double nodes = static_cast<double>(source.rank);
+        const double nodes = static_cast<double>(source.late_nodes);
         return inputs.now + scaled(LATE_PROBE_INTERVAL, 2.0 * uniform(random) * nodes);
     }
     if (source.failed_probes == 0) {
@@ -256,6 +273,11 @@
     source.readers = readers_for(self, members, {}, now);
     source.is_reader = source.readers.empty();
     source.rank = source.readers.size();
+    const std::int64_t nodes = std::count_if(
+        members.begin(), members.end(),
+        [&self](const Member& member) { return member.data_centre == self.data_centre; });
+    source.late_nodes =
+        std::max<std::size_t>(static_cast<std::size_t>(nodes), TAKEOVER_NODES + 1) - TAKEOVER_NODES;
     if (source.is_reader) {
         source.readers = substitutes_for(self, members, TAKEOVER_NODES);
     }
@@ -303,6 +325,9 @@
     const bool has_recent_updates =
         source.is_reader ? !is_reader_cut_off_itself(source, inputs) : upstream_is_recent;
     const bool may_follow = source.members_known || inputs.now >= source.waits_until;
+    if (has_recent_updates) {
+        source.offer.reset();
+    }
     if (inputs.candidate != nullptr) {
         check_candidate(source, inputs, actions);
     } else if (!has_recent_updates && may_follow) {
@@ -314,6 +339,10 @@
     return actions;
 }
 
+void on_offer(StoreSource& source, const Member& node) {
+    source.offer = node;
+}
+
 void on_probe_result(StoreSource& source, bool answered, Time now) {
     source.probe_in_flight = false;
     if (answered) {
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -6,8 +6,8 @@
 // grow with the fleet (a thundering herd). So a node in need first makes a single cheap call, the
 // half-open probe of a circuit breaker, and reads the store only if that succeeds and no reader has
 // recovered by then. Probes are staggered by rank: in each data centre a few nodes go first, each
-// later group is twice as large, and the rest probes at random times while a reader is connected
-// and reports that it cannot reach the store either.
+// later group is twice as large, and while a reader is connected and reports that it cannot reach
+// the store either, the rest probes one after the other, and then at random times.
 //
 // Nodes never wait for each other in a circle. A node that does not know the others follows nobody,
 // and calls the store for their list until it has it, from the store or from a node that has state.
@@ -16,6 +16,10 @@
 // common order reads. Otherwise it could give it to a reader that is recent because it follows this
 // very node, and nobody would read.
 //
+// A reader that cannot reach the store is still connected to its followers. A follower that can,
+// and has begun to read, offers its data to that reader, which then follows it; all others stay
+// where they are and are recent again, whichever node it was.
+//
 // `decide` is a step function: it reads no clock and does no I/O.
 #pragma once
 
@@ -67,6 +71,10 @@
     std::vector<Member> readers;
     /// Number of nodes of the data centre that take over reading before this one.
     std::size_t rank = 0;
+    /// Number of nodes of the data centre that probe at random times.
+    std::size_t late_nodes = 0;
+    /// A node that reads the store and has offered its data.
+    std::optional<Member> offer;
     /// The node reads the store itself.
     bool reading = false;
     Time reading_since{};
@@ -127,10 +135,14 @@
 struct ProbeStore {};
 /// Reads the store itself. The stream of the reader stays open until the store has responded.
 struct StartReading {};
+/// Tells a reader that cannot reach the store that this node reads it.
+struct OfferData {
+    Member reader;
+};
 /// Follows the reader again, whose updates are recent.
 struct StopReading {};
 using SourceAction = std::variant<OpenCandidate, DropCandidate, DropUpstream, FollowCandidate,
-                                  ProbeStore, StartReading, StopReading>;
+                                  ProbeStore, StartReading, OfferData, StopReading>;
 
 /// The node that reads the store and from which this node's data comes; empty if it has none.
 std::string data_origin(const StoreSource& source, const SourceInputs& inputs);
@@ -148,6 +160,9 @@
 /// Decides what to do now; to be called several times a second.
 std::vector<SourceAction> decide(StoreSource& source, const SourceInputs& inputs, Random& random);
 
+/// Reports that another node of the data centre reads the store and offers its data.
+void on_offer(StoreSource& source, const Member& node);
+
 /// Reports the result of a `ProbeStore`.
 void on_probe_result(StoreSource& source, bool answered, Time now);
 
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -111,6 +111,17 @@
     CHECK_FALSE(value_of(decode_store_update(heartbeat)).stated.written.has_value());
 }
 
+TEST_CASE("an offer names a node that can be followed, or it is ignored") {
+    const Member node = {"node-1", "east", "127.0.0.1:7000"};
+    CHECK(decode_member(encode(node)) == node);
+    for (const std::string text :
+         {"", "x", "[]", "{}", R"({"node": 1, "data_centre": "east", "address": "127.0.0.1:7000"})",
+          R"({"node": "n", "data_centre": "east", "address": "host:7000"})"}) {
+        CAPTURE(text);
+        CHECK_FALSE(decode_member(text).has_value());
+    }
+}
+
 TEST_CASE("a malformed message is an error") {
     for (const std::string line : {"", "x", "[]", "{}", "{\"age_us\":\"soon\"}",
                                    "{\"age_us\":1,\"trouble\":false,\"kind\":99}",
--- a/test/correctness/test_store_source_cuts.cpp
+++ b/test/correctness/test_store_source_cuts.cpp
@@ -65,4 +65,32 @@
     }
 }
 
+// Guards against changes that come as many seconds late as there are nodes when none of the nodes
+// that take over reading can reach the store.
+TEST_CASE(
+    "all nodes get changes in time if only nodes after those that take over reach the store") {
+    for (const std::size_t size : NODES_PER_DATA_CENTRE) {
+        for (std::size_t seed = 0; seed < 10; ++seed) {
+            CAPTURE(size, seed);
+            ModelFleet fleet(DATA_CENTRES, size);
+            for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+                fleet.nodes[i].random = Random(1000 * seed + i);
+            }
+            fleet.run_for(from_ms(5000));
+            for (ModelNode& node : fleet.nodes) {
+                node.cut_from_store = node.source.is_reader || node.source.rank < READING_NODES;
+            }
+            const auto reaches_store = [](const ModelNode& node) {
+                return !node.cut_from_store;
+            };
+            Duration max_age{};
+            for (int second = 0; second < 30; ++second) {
+                fleet.run_for(from_ms(1000));
+                max_age = std::max(max_age, fleet.max_true_age(reaches_store));
+            }
+            CHECK(to_ms(max_age) <= to_ms(CONFIG_APPLY));
+        }
+    }
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_store_feed.cpp
+++ b/test/failure/test_store_feed.cpp
@@ -4,6 +4,7 @@
 
 #include "feed_fleet.h"
 #include "io/server_socket.h"
+#include "platform/names.h"
 
 namespace ebonymount {
 TEST_CASE("two nodes read the store, and all nodes receive a change") {
@@ -84,4 +85,33 @@
                            {[&fleet] { return fleet.follower_count() == FOLLOWERS; }, nullptr}}));
 }
 
+// Guards against followers that have to find the node that took over reading, one by one.
+TEST_CASE("a reader that cannot reach the store is offered data by a follower that can") {
+    FeedFleet fleet;
+    std::vector<FeedFleet::Node*> readers;
+    const auto is_reader_offered = [&readers] {
+        return std::any_of(readers.begin(), readers.end(), [](FeedFleet::Node* reader) {
+            return reader->metrics.counter("ebonymount_store_offers_total") > 0;
+        });
+    };
+    CHECK(fleet.run_steps({{[&fleet] { return fleet.is_settled(); },
+                            [&fleet, &readers] {
+                                readers = fleet.readers();
+                                for (const FeedFleet::Node* reader : readers) {
+                                    for (const char* kind : {platform::names::CONFIG_KIND,
+                                                             platform::names::TARGETS_KIND,
+                                                             platform::names::EVACUATIONS_KIND,
+                                                             platform::names::QUARANTINE_KIND}) {
+                                        fleet.store.set_kind_outage(reader->store_address, kind,
+                                                                    standin::Outage::busy);
+                                    }
+                                }
+                            }},
+                           {is_reader_offered,
+                            [&fleet] {
+                                fleet.add_target("t1");
+                            }},
+                           {[&fleet] { return fleet.all_have_target("t1"); }, nullptr}}));
+}
+
 }  // namespace ebonymount
--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -288,6 +288,11 @@
                 node.upstream = node.candidate;
                 node.candidate.reset();
                 node.lists_nodes = node.lists_nodes && node.source.reading;
+            } else if (const OfferData* offer = std::get_if<OfferData>(&action)) {
+                ModelNode* const reader = find(offer->reader.node);
+                if (reader != nullptr && reader->running) {
+                    on_offer(reader->source, node.self);
+                }
             } else if (std::holds_alternative<ProbeStore>(action)) {
                 ++probes;
                 on_probe_result(node.source, reaches_store, now);
