Direct path: Retry-After names when enough shards accept requests, not the first one

Callers of a refused fan-out saw a Retry-After of 38 to 63 ms as long as one of its shards had an available target, although others that it needs were known to be unavailable for much longer: they returned at once and were refused again. Cause: expected_retry_after took the earliest target of all unanswered shards. It also counted targets in regions that the route doesn't allow, and replaced ones, neither of which a retry would be sent to. Change: it takes the time when as many shards as a successful response needs have a target that is expected to accept requests, by the same rule as the wait for a target. The bounds of 50 ms and 1 s and the jitter are as before. It is computed only for requests that end as not_run, the only ones that name it. Why it works: a retry is of use once the whole request can be served.

--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -380,23 +380,19 @@
     }
 }
 
-/// Expected time until a target of an unanswered shard accepts requests again, within the
-/// retry-after bounds and with 25 percent jitter.
+/// Expected time until as many shards as a successful response needs accept requests again, within
+/// the retry-after bounds and with 25 percent jitter.
 Duration expected_retry_after(const Step& s) {
-    Time earliest = s.context.now + MAX_RETRY_AFTER;
+    const Time latest = s.context.now + MAX_RETRY_AFTER;
+    std::vector<Time> available;
     for (const ShardState& shard : s.state.shards) {
-        if (shard.answered) {
-            continue;
-        }
-        for (const TargetIndex index : service_of(s, shard).targets) {
-            const TargetState& target = s.context.targets.states[index];
-            if (target.accepts_work && !target.leaving) {
-                earliest = std::min(earliest, available_at(target, s.context.now));
-            }
-        }
+        available.push_back(std::min(expected_available_at(s, shard).value_or(latest), latest));
     }
+    std::sort(available.begin(), available.end());
+    const std::size_t needed = static_cast<std::size_t>(needed_shards(s.state));
+    const Time enough = needed <= available.size() ? available[needed - 1] : latest;
     const double jitter = 0.75 + 0.5 * uniform(s.context.random);
-    const Duration wait = std::max(earliest - s.context.now, MIN_RETRY_AFTER);
+    const Duration wait = std::max(enough - s.context.now, MIN_RETRY_AFTER);
     return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) * jitter));
 }
 
@@ -423,7 +419,9 @@
     }
     withdraw_all_unsent(s);
     state.finished = true;
-    s.actions.emplace_back(EndRequest{status, expected_retry_after(s)});
+    const bool may_retry = status == FanOutStatus::not_run;
+    s.actions.emplace_back(
+        EndRequest{status, may_retry ? expected_retry_after(s) : Duration::zero()});
 }
 
 void end_request_if_done(Step& s) {
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -717,4 +717,52 @@
     REQUIRE(ended(request.end(attempts[0].id, FanOutAttemptStatus::broken, now)));
 }
 
+// Guards against callers that return at once because one shard is available, and are refused again
+// because others are not.
+TEST_CASE("callers of a refused fan-out return when enough of its shards accept requests") {
+    FleetFixture fleet(4, 1);
+    // Three of four shards are enough.
+    fleet.state(0, 0).turned_away_until = START + from_ms(400);
+    fleet.state(1, 0).turned_away_until = START + from_ms(700);
+    Request request(fleet, fleet.parameters(START));
+    const std::optional<EndRequest> end = ended(request.begin());
+    REQUIRE(end);
+    CHECK(end->status == FanOutStatus::not_run);
+    CHECK(end->retry_after >= from_ms(300));
+    CHECK(end->retry_after <= from_ms(500));
+}
+
+TEST_CASE("the retry-after time counts no target that the route does not allow") {
+    FleetFixture fleet(1, 2);
+    fleet.state(0, 0).region = "south";
+    fleet.state(0, 1).region = "north";
+    fleet.state(0, 1).turned_away_until = START + from_ms(400);
+    FanOutParameters parameters = single_shard_parameters(fleet, false);
+    parameters.allowed_regions = {"north"};
+    Request request(fleet, parameters);
+    const std::optional<EndRequest> end = ended(request.begin());
+    REQUIRE(end);
+    CHECK(end->retry_after >= from_ms(300));
+    CHECK(end->retry_after <= from_ms(500));
+}
+
+TEST_CASE("the retry-after time counts no target without an expected return") {
+    FleetFixture fleet(1, 2);
+    fleet.state(0, 0).turned_away_until = START + from_ms(400);
+    SECTION("leaving") {
+        fleet.state(0, 1).leaving = true;
+    }
+    SECTION("replaced") {
+        fleet.state(0, 1).replaced = true;
+    }
+    SECTION("out of service") {
+        fleet.state(0, 1).accepts_work = false;
+    }
+    Request request(fleet, single_shard_parameters(fleet, false));
+    const std::optional<EndRequest> end = ended(request.begin());
+    REQUIRE(end);
+    CHECK(end->retry_after >= from_ms(300));
+    CHECK(end->retry_after <= from_ms(500));
+}
+
 }  // namespace ebonymount
