Soak: homes of routes, and a request to each node after a change of the configuration

Cause: the soak's configurations named no home regions, and a node that went on with an old configuration was seen only if a request on a changed route happened to reach it. Change: configurations add routes below /book/ or /order/ with another service and homes in one region. The checker has a rule HOME: a request reaches a target in a region that no version that may be in force allows. Routes are looked up by the longest prefix in each version, so a request that runs by the route above is CONFIG, not ROUTE, once the new version must be in force. 100 ms after that, each node gets one request on the route that has changed, on a connection without a link. DENIED also judges while a newer version is on its way, if every version that may be in force has the route; before, it judged only once the newest version had to be in force, so every case that it reported is still reported.

--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -24,6 +24,13 @@
 constexpr Duration READINESS_INTERVAL = from_ms(1000);
 constexpr std::size_t MAX_CALLER_CONNECTIONS = 12;
 
+/// The operator probes this long after a change must be in force, one node after the other.
+constexpr Duration PROBE_MARGIN = from_ms(100);
+constexpr Duration PROBE_GAP = from_ms(2);
+
+/// Time until the connection of a probe is closed; longer than the deadline of any route.
+constexpr Duration PROBE_LENGTH = from_ms(4000);
+
 /// Share of the requests that go to any node with an open connection, in rotation or not: callers
 /// keep their connections until the process is gone.
 constexpr double OPEN_CONNECTION_SHARE = 0.3;
@@ -107,7 +114,9 @@
         uses_open_connection ? nodes_with_open_connections() : nodes_for_new_connections();
     if (!nodes.empty()) {
         Node& node = *nodes[m_random() % nodes.size()];
-        send_request(node, pick_connection(node, uses_open_connection));
+        auto route = m_config.routes.begin();
+        std::advance(route, static_cast<std::ptrdiff_t>(m_random() % m_config.routes.size()));
+        send_request(node, pick_connection(node, uses_open_connection), route->second);
     }
     const double gap_us = 1e6 / m_rate_per_s * 2.0 * uniform(m_random);
     run_after(Duration(static_cast<std::int64_t>(gap_us)), [this] { generate_traffic(); });
@@ -138,20 +147,39 @@
     return channel;
 }
 
-void SoakEnvironment::send_request(Node& node, const Channel& channel) {
+void SoakEnvironment::publish_and_probe(const std::string& route) {
+    publish_config();
+    run_after(m_bounds.config_apply + PROBE_MARGIN, [this, route] { probe_nodes(route); });
+}
+
+void SoakEnvironment::probe_nodes(const std::string& route) {
+    Duration delay{};
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        run_after(delay, [this, &node = *node, route] {
+            const Channel channel =
+                HttpChannel::open(m_loop, address(NODES, static_cast<std::size_t>(node.host), PORT),
+                                  [](HttpChannel&) {});
+            if (channel != nullptr && !m_ending) {
+                send_request(node, channel, m_config.routes.at(route));
+                run_after(PROBE_LENGTH, [channel] { channel->close(); });
+            }
+        });
+        delay += PROBE_GAP;
+    }
+}
+
+void SoakEnvironment::send_request(Node& node, const Channel& channel, const SoakRoute& route) {
     if (channel == nullptr) {
         return;
     }
-    auto route = m_config.routes.begin();
-    std::advance(route, static_cast<std::ptrdiff_t>(m_random() % m_config.routes.size()));
     SoakRequest request;
     request.id = "r" + std::to_string(m_next_id++);
     request.node = node.name;
-    request.route = route->first;
-    request.path = "/" + route->first + "/" + ebonymount::random_id(m_random);
-    request.method = route->second.fan_out ? "GET" : "POST";
-    request.body = route->second.fan_out ? "" : "body of " + request.id;
-    const Duration deadline = route->second.timeout + from_ms(200);
+    request.route = route.name;
+    request.path = "/" + route.name + "/" + ebonymount::random_id(m_random);
+    request.method = route.fan_out ? "GET" : "POST";
+    request.body = route.fan_out ? "" : "body of " + request.id;
+    const Duration deadline = route.timeout + from_ms(200);
     const bool disconnects = uniform(m_random) < m_disconnect_share;
     ChannelCall call;
     call.make_request = [this, request, deadline]() mutable {
--- a/test/soak/soak_checker.cpp
+++ b/test/soak/soak_checker.cpp
@@ -48,6 +48,21 @@
            std::lower_bound(times.begin(), times.end(), from);
 }
 
+/// The route of a configuration with the longest prefix of `name`, or null.
+const SoakRoute* find_route(const SoakConfig& config, std::string name) {
+    for (;;) {
+        const auto found = config.routes.find(name);
+        if (found != config.routes.end()) {
+            return &found->second;
+        }
+        const std::size_t slash = name.rfind('/');
+        if (slash == std::string::npos) {
+            return nullptr;
+        }
+        name.resize(slash);
+    }
+}
+
 /// A target with a limit gets at most this many times its limit in a window, and some requests.
 constexpr Duration LIMIT_WINDOW = ebonymount::from_ms(4000);
 constexpr double LIMIT_FACTOR = 1.5;
@@ -82,11 +97,7 @@
 }
 
 const SoakRoute* SoakChecker::newest_route(const std::string& name) const {
-    if (m_configs.empty()) {
-        return nullptr;
-    }
-    const auto found = m_configs.back().routes.find(name);
-    return found == m_configs.back().routes.end() ? nullptr : &found->second;
+    return m_configs.empty() ? nullptr : find_route(m_configs.back(), name);
 }
 
 bool SoakChecker::is_stable(const std::string& node, Time now) const {
@@ -96,21 +107,38 @@
     return now > later(node_disturbed_until, m_store_disturbed_until) + m_bounds.stable_window;
 }
 
-std::vector<const SoakRoute*> SoakChecker::valid_routes(const Entry& entry) const {
-    std::vector<const SoakRoute*> routes;
+std::vector<const SoakConfig*> SoakChecker::valid_configs(const Entry& entry) const {
+    std::vector<const SoakConfig*> configs;
     const bool stable = is_stable(entry.request.node, entry.request.sent);
     for (std::size_t i = 0; i < m_configs.size(); ++i) {
         const bool is_newest = i + 1 == m_configs.size();
         const bool superseded = !is_newest && entry.request.sent > m_configs[i + 1].acknowledged +
                                                                        m_bounds.config_apply;
-        const auto found = m_configs[i].routes.find(entry.request.route);
-        if (found != m_configs[i].routes.end() && !(stable && superseded)) {
-            routes.push_back(&found->second);
+        if (!(stable && superseded)) {
+            configs.push_back(&m_configs[i]);
+        }
+    }
+    return configs;
+}
+
+std::vector<const SoakRoute*> SoakChecker::valid_routes(const Entry& entry) const {
+    std::vector<const SoakRoute*> routes;
+    for (const SoakConfig* config : valid_configs(entry)) {
+        const SoakRoute* route = find_route(*config, entry.request.route);
+        if (route != nullptr) {
+            routes.push_back(route);
         }
     }
     return routes;
 }
 
+bool SoakChecker::may_lack_route(const Entry& entry) const {
+    const bool may_have_none =
+        m_configs.empty() || !is_stable(entry.request.node, entry.request.sent) ||
+        entry.request.sent <= m_configs.front().acknowledged + m_bounds.config_apply;
+    return may_have_none || valid_routes(entry).size() < valid_configs(entry).size();
+}
+
 void SoakChecker::on_arrival(const SoakTarget& target, const SoakRequest& seen, Time now) {
     const auto found = m_entries.find(seen.id);
     if (found == m_entries.end()) {
@@ -127,6 +155,7 @@
         m_extra_arrivals[target.service].push_back(now);
     }
     check_limit(target, entry.request.node, now);
+    check_home(entry, target);
     const auto disturbance = m_target_disturbed_until.find(target.id);
     const bool target_disturbed = disturbance != m_target_disturbed_until.end() &&
                                   now <= disturbance->second + m_bounds.stable_window;
@@ -205,10 +234,9 @@
 void SoakChecker::check_service(const Entry& entry, const std::string& service) {
     bool known = false;
     for (const SoakConfig& config : m_configs) {
-        const auto route = config.routes.find(entry.request.route);
-        known = known || (route != config.routes.end() &&
-                          std::count(route->second.services.begin(), route->second.services.end(),
-                                     service) > 0);
+        const SoakRoute* route = find_route(config, entry.request.route);
+        known = known || (route != nullptr &&
+                          std::count(route->services.begin(), route->services.end(), service) > 0);
     }
     if (!known) {
         add_violation("ROUTE", entry.request.id + " ran at service " + service +
@@ -221,12 +249,27 @@
             return std::count(route->services.begin(), route->services.end(), service) > 0;
         });
     if (!allowed) {
-        add_violation("CONFIG", entry.request.id + " from " + entry.request.node +
-                                    " ran at service " + service +
+        add_violation("CONFIG", entry.request.id + " (" + entry.request.path + ") from " +
+                                    entry.request.node + " ran at service " + service +
                                     ", which only a superseded configuration version allows");
     }
 }
 
+void SoakChecker::check_home(const Entry& entry, const SoakTarget& target) {
+    const std::vector<const SoakRoute*> routes = valid_routes(entry);
+    const bool allowed =
+        routes.empty() ||
+        std::any_of(routes.begin(), routes.end(), [&target](const SoakRoute* route) {
+            return route->regions.empty() ||
+                   std::count(route->regions.begin(), route->regions.end(), target.region) > 0;
+        });
+    if (!allowed) {
+        add_violation("HOME", entry.request.id + " (" + entry.request.path + ") from " +
+                                  entry.request.node + " reached " + target.id + " in " +
+                                  target.region + ", which is no home of its route");
+    }
+}
+
 void SoakChecker::on_target_response(const SoakTarget& target, const std::string& request,
                                      const std::string& signature, const std::string& body,
                                      bool success) {
@@ -289,13 +332,10 @@
         ++m_totals.failed;
         // A 4xx from the node itself is allowed only if a version that may be in force lacks the
         // route.
-        const bool stable = is_stable(entry.request.node, entry.request.sent);
-        const SoakRoute* newest = newest_route(entry.request.route);
         const bool denied_by_node = response.status < SERVER_ERROR && response.signature.empty();
-        if (denied_by_node && stable && newest != nullptr && !m_configs.empty() &&
-            entry.request.sent > m_configs.back().acknowledged + m_bounds.config_apply) {
-            add_violation("DENIED", request + " from " + entry.request.node +
-                                        " was denied with status " +
+        if (denied_by_node && !may_lack_route(entry)) {
+            add_violation("DENIED", request + " (" + entry.request.path + ") from " +
+                                        entry.request.node + " was denied with status " +
                                         std::to_string(response.status));
         }
     }
@@ -334,16 +374,15 @@
     }
     const SoakRoute* matching_route = nullptr;
     for (const SoakConfig& config : m_configs) {
-        const auto route = config.routes.find(entry.request.route);
-        if (route == config.routes.end()) {
+        const SoakRoute* route = find_route(config, entry.request.route);
+        if (route == nullptr) {
             continue;
         }
-        const std::set<std::string> all(route->second.services.begin(),
-                                        route->second.services.end());
+        const std::set<std::string> all(route->services.begin(), route->services.end());
         const bool within = std::includes(all.begin(), all.end(), services.begin(), services.end());
         if (within &&
             all.size() == services.size() + static_cast<std::size_t>(response.missing_parts)) {
-            matching_route = &route->second;
+            matching_route = route;
         }
     }
     if (matching_route == nullptr) {
--- a/test/soak/soak_checker.h
+++ b/test/soak/soak_checker.h
@@ -55,6 +55,7 @@
 
 /// One route of a configuration.
 struct SoakRoute {
+    /// The path prefix without its slashes; `book/x` lies under `book`.
     std::string name;
     bool idempotent = true;
     std::int64_t max_attempts = 2;
@@ -64,6 +65,8 @@
     bool fan_out = false;
     std::size_t top_k = 0;
     double min_coverage = 1.0;
+    /// Home regions, the only ones where its requests may run; all regions if empty.
+    std::vector<std::string> regions{};
 };
 
 /// A configuration version and the time of its acknowledgement by the store.
@@ -90,6 +93,7 @@
     std::string id;
     std::string service;
     std::string data_centre;
+    std::string region;
 };
 
 /// Counters for the report.
@@ -182,8 +186,13 @@
     /// True if neither the node nor the store was disturbed within the stable window before `now`.
     bool is_stable(const std::string& node, Time now) const;
     const SoakRoute* newest_route(const std::string& name) const;
-    /// The request's route in every configuration version that may be in force when it is sent.
+    /// Every configuration version that may be in force when the request is sent.
+    std::vector<const SoakConfig*> valid_configs(const Entry& entry) const;
+    /// The request's route in each of these versions that has one.
     std::vector<const SoakRoute*> valid_routes(const Entry& entry) const;
+    /// True if a version that may be in force has no route for the request.
+    bool may_lack_route(const Entry& entry) const;
+    void check_home(const Entry& entry, const SoakTarget& target);
     void check_service(const Entry& entry, const std::string& service);
     void check_fan_out(const Entry& entry, const SoakResponse& response);
     void check_plain(const Entry& entry, const SoakResponse& response);
--- a/test/soak/soak_environment.cpp
+++ b/test/soak/soak_environment.cpp
@@ -41,8 +41,14 @@
 
 constexpr Duration WATCH_INTERVAL = from_ms(50);
 
+std::string region_of(const std::string& data_centre) {
+    return "region-" + data_centre;
+}
+
 SoakTarget identity_of(const standin::PlatformTarget& target) {
-    return {target.parameters().id, target.parameters().service, target.parameters().data_centre};
+    const standin::PlatformTargetParameters& parameters = target.parameters();
+    return {parameters.id, parameters.service, parameters.data_centre,
+            region_of(parameters.data_centre)};
 }
 
 }  // namespace
@@ -197,9 +203,9 @@
     const std::size_t host = static_cast<std::size_t>(node.host);
     std::ofstream file(node.settings_file);
     file << "node=" << node.name << "\nip=" << address(NODES, host, 0)
-         << "\nzone=" << node.data_centre << "\nregion=region-" << node.data_centre << "\n";
+         << "\nzone=" << node.data_centre << "\nregion=" << region_of(node.data_centre) << "\n";
     for (const char* data_centre : DATA_CENTRES) {
-        file << "zones." << data_centre << "=region-" << data_centre << "\n";
+        file << "zones." << data_centre << "=" << region_of(data_centre) << "\n";
     }
     file << "bind_addresses.front=" << address(NODES, host, PORT)
          << "\nbind_addresses.ready=" << address(NODES, host, READY_PORT)
@@ -288,6 +294,17 @@
     m_checker.on_config(m_config);
 }
 
+void SoakEnvironment::add_nested_route(const SoakStep& step) {
+    const std::string parent = step.pick % 2 == 0 ? "book" : "order";
+    SoakRoute route;
+    route.name = parent + "/x" + std::to_string(m_config.version);
+    route.timeout = from_ms(2000);
+    route.services = {"catalogue-" + std::to_string(step.pick / 2 % SHARDS)};
+    route.regions = {region_of(DATA_CENTRES.at(step.pick / 3 % DATA_CENTRES.size()))};
+    m_config.routes[route.name] = route;
+    publish_and_probe(route.name);
+}
+
 Json SoakEnvironment::config_json(const SoakConfig& config) const {
     Json routes = Json::array();
     for (const auto& [name, route] : config.routes) {
@@ -299,7 +316,7 @@
                     {"target_latency_ms", 150},
                     {"priority", 1},
                     {"max_attempts", route.max_attempts},
-                    {"allowed_regions", Json::array()}};
+                    {"allowed_regions", route.regions}};
         if (route.fan_out) {
             row["fanout_services"] = route.services;
             row["top_k"] = route.top_k;
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -121,6 +121,12 @@
 
     // Operator.
     void publish_config();
+    /// Publishes the configuration, and once it must be in force sends each node a request on the
+    /// route that has changed, over a connection of its own without a link.
+    void publish_and_probe(const std::string& route);
+    void probe_nodes(const std::string& route);
+    /// Adds a route below an existing prefix, with another service and its homes in one region.
+    void add_nested_route(const SoakStep& step);
     nlohmann::json config_json(const SoakConfig& config) const;
     std::vector<std::string> shard_names() const;
 
@@ -129,7 +135,7 @@
     void generate_traffic();
     std::vector<Node*> nodes_for_new_connections() const;
     std::vector<Node*> nodes_with_open_connections() const;
-    void send_request(Node& node, const Channel& channel);
+    void send_request(Node& node, const Channel& channel, const SoakRoute& route);
     Channel pick_connection(Node& node, bool must_be_open);
     void on_response(const std::string& id, ebonymount::CallStatus status,
                      const ebonymount::HttpResponseMessage& message);
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -331,23 +331,28 @@
         case StepKind::config_moves_route: {
             std::string& service = m_config.routes["book"].services.front();
             service = service == "booking" ? "awards" : "booking";
-            publish_config();
+            publish_and_probe("book");
             return;
         }
         case StepKind::config_adds_route: {
+            if (step.strength < 0.5) {
+                add_nested_route(step);
+                return;
+            }
             const std::string name = "extra-" + std::to_string(m_config.version);
             m_config.routes[name] = {name, true, 2, from_ms(2000), {"awards"}};
-            publish_config();
+            publish_and_probe(name);
             return;
         }
         case StepKind::config_storm:
             for (Duration at{}; at < step.length; at += from_ms(200)) {
                 run_after(at, [this] { publish_config(); });
             }
+            run_after(step.length, [this] { publish_and_probe("book"); });
             return;
         case StepKind::repartition:
             m_repartitioned = !m_repartitioned;
-            publish_config();
+            publish_and_probe("browse");
             return;
         case StepKind::data_centre_out: {
             const std::string data_centre =
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -32,9 +32,9 @@
     return {id, "node-1", route, "POST", "/" + route + "/x", "body", sent};
 }
 
-const SoakTarget BOOKING = {"t-1", "booking", "east"};
-const SoakTarget SHARD_A = {"t-2", "a", "east"};
-const SoakTarget SHARD_B = {"t-3", "b", "west"};
+const SoakTarget BOOKING = {"t-1", "booking", "east", "region-east"};
+const SoakTarget SHARD_A = {"t-2", "a", "east", "region-east"};
+const SoakTarget SHARD_B = {"t-3", "b", "west", "region-west"};
 
 /// A checker with a configuration in force.
 SoakChecker checker() {
@@ -219,6 +219,80 @@
     CHECK(has_violation(never, "ROUTE"));
 }
 
+/// A checker with a second version from `acknowledged` on, in which a route below `book` has
+/// another service and its homes in one region.
+SoakChecker with_nested_route(Time acknowledged) {
+    SoakChecker checked = checker();
+    SoakConfig added = config(2, acknowledged);
+    added.routes["book/x2"].name = "book/x2";
+    added.routes["book/x2"].services = {"b"};
+    added.routes["book/x2"].regions = {"region-west"};
+    checked.on_config(added);
+    return checked;
+}
+
+TEST_CASE("HOME: a request reaches a target in a region that is no home of its route") {
+    const auto reaches = [](const SoakTarget& target, std::int64_t after_ms, bool is_disturbed) {
+        SoakChecker checked = with_nested_route(at(20000));
+        if (is_disturbed) {
+            checked.mark_node_disturbed("node-1", at(20000));
+        }
+        const SoakRequest made = request("r1", "book/x2", at(20000 + after_ms));
+        checked.on_request(made);
+        checked.on_arrival(target, made, made.sent + from_ms(1));
+        return has_violation(checked, "HOME");
+    };
+    const SoakTarget far = {"t-4", "b", "east", "region-east"};
+    CHECK_FALSE(reaches(SHARD_B, 3100, false));
+    CHECK(reaches(far, 3100, false));
+    // Before the new version must be in force, and at a disturbed node, the request may run by the
+    // route above it, which has no homes.
+    CHECK_FALSE(reaches(BOOKING, 2900, false));
+    CHECK_FALSE(reaches(BOOKING, 3100, true));
+    CHECK(reaches(BOOKING, 3100, false));
+}
+
+TEST_CASE("HOME: each version that may be in force allows its own homes") {
+    for (const char* region : {"region-east", "region-north", "region-west"}) {
+        SoakChecker checked = with_nested_route(at(20000));
+        SoakConfig moved = config(3, at(30000));
+        moved.routes["book/x2"].services = {"b"};
+        moved.routes["book/x2"].regions = {"region-east"};
+        checked.on_config(moved);
+        const SoakRequest made = request("r1", "book/x2", at(31000));
+        checked.on_request(made);
+        checked.on_arrival({"t-5", "b", "any", region}, made, at(31001));
+        CHECK(has_violation(checked, "HOME") == (std::string(region) == "region-north"));
+    }
+}
+
+TEST_CASE("a request runs by the route with the longest prefix in each version") {
+    for (const std::int64_t after_ms : {2900, 3100}) {
+        SoakChecker checked = with_nested_route(at(20000));
+        const SoakRequest made = request("r1", "book/x2", at(20000 + after_ms));
+        checked.on_request(made);
+        run_at(checked, BOOKING, made, made.sent + from_ms(1), "s1", "done");
+        CHECK(has_violation(checked, "CONFIG") == (after_ms > 3000));
+        CHECK_FALSE(has_violation(checked, "ROUTE"));
+    }
+}
+
+TEST_CASE("a route that is in force is not denied while a newer version is on its way") {
+    SoakChecker checked = checker();
+    checked.on_config(config(2, at(20000)));
+    checked.on_request(request("r1", "book", at(20500)));
+    checked.on_response("r1", plain(404, "", ""), at(20510));
+    CHECK(has_violation(checked, "DENIED"));
+
+    SoakChecker added = checker();
+    SoakConfig with_new = config(2, at(20000));
+    with_new.routes["extra"] = with_new.routes["book"];
+    added.on_config(with_new);
+    added.on_request(request("r1", "extra", at(20500)));
+    added.on_response("r1", plain(404, "", ""), at(20510));
+    CHECK_FALSE(has_violation(added, "DENIED"));
+}
+
 TEST_CASE("a route that is in force is not denied") {
     for (const std::int64_t sent_ms : {2000, 20000}) {
         SoakChecker checked = checker();
