Soak: overlapping faults of the store end one by one

Cause: the end of any fault of the store reset all of its faults, so a fault that overlapped it ended early, while the checker went on excusing the store until the end that the plan names. Change: the environment keeps the steps in effect and sets the faults that they add up to; of two outages, silence hides reset connections and those hide refusals.

--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -50,6 +50,10 @@
     std::string directory;
 };
 
+/// The store's faults while several steps are in effect: the largest value of each, and of outages
+/// the one that shows clients the least.
+standin::PlatformFaults combined_store_faults(const std::vector<SoakStep>& steps);
+
 class SoakEnvironment {
 public:
     explicit SoakEnvironment(const SoakOptions& options);
@@ -168,6 +172,8 @@
     ebonymount::Random m_random;
     SoakChecker m_checker;
     std::unique_ptr<standin::PlatformStore> m_store;
+    /// Steps whose fault of the store has not ended.
+    std::vector<SoakStep> m_store_steps;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<TargetSlot>> m_slots;
     SoakConfig m_config;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -36,6 +36,12 @@
 /// Targets whose entries expired register again this long after the store has recovered.
 constexpr Duration REREGISTRATION_DELAY = from_ms(1500);
 
+/// Of two outages, the one that shows clients the least: silence, then reset connections.
+Outage stronger(Outage left, Outage right) {
+    const bool both = left != Outage::none && right != Outage::none;
+    return both ? std::min(left, right) : std::max(left, right);
+}
+
 LinkDirection direction_of(std::uint64_t pick) {
     constexpr std::uint64_t DIRECTIONS = 3;
     return static_cast<LinkDirection>(pick / 7 % DIRECTIONS);
@@ -174,34 +180,45 @@
     }
 }
 
+PlatformFaults combined_store_faults(const std::vector<SoakStep>& steps) {
+    PlatformFaults faults;
+    for (const SoakStep& step : steps) {
+        switch (step.kind) {
+            case StepKind::store_silent:
+            case StepKind::entries_lapse:
+                faults.outage = stronger(faults.outage, Outage::silent);
+                break;
+            case StepKind::store_resets:
+                faults.outage = stronger(faults.outage, Outage::reset);
+                break;
+            case StepKind::store_busy:
+                faults.outage = stronger(faults.outage, Outage::busy);
+                break;
+            case StepKind::store_slow:
+                faults.response_time =
+                    std::max(faults.response_time, scaled(from_ms(400), step.strength));
+                break;
+            case StepKind::store_loses_answers:
+                faults.lost_response_share = 0.5;
+                break;
+            case StepKind::store_is_stale:
+                faults.stale_by = from_ms(6000);
+                break;
+            default:
+                break;
+        }
+    }
+    return faults;
+}
+
 void SoakEnvironment::apply_to_store(const SoakStep& step) {
     m_checker.mark_store_disturbed(monotonic_now() + step.length);
-    PlatformFaults faults = m_store->faults();
-    switch (step.kind) {
-        case StepKind::store_silent:
-        case StepKind::entries_lapse:
-            faults.outage = Outage::silent;
-            break;
-        case StepKind::store_resets:
-            faults.outage = Outage::reset;
-            break;
-        case StepKind::store_busy:
-            faults.outage = Outage::busy;
-            break;
-        case StepKind::store_slow:
-            faults.response_time = scaled(from_ms(400), step.strength);
-            break;
-        case StepKind::store_loses_answers:
-            faults.lost_response_share = 0.5;
-            break;
-        case StepKind::store_is_stale:
-            faults.stale_by = from_ms(6000);
-            break;
-        default:
-            m_store->compact();
-            return;
+    if (step.kind == StepKind::store_forgets_history) {
+        m_store->compact();
+        return;
     }
-    m_store->set_faults(faults);
+    m_store_steps.push_back(step);
+    m_store->set_faults(combined_store_faults(m_store_steps));
     if (step.kind == StepKind::entries_lapse) {
         for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
             if (slot->registered && ebonymount::uniform(m_random) < step.strength) {
@@ -217,7 +234,10 @@
             }
         });
     }
-    run_after(step.length, [this] { m_store->set_faults(PlatformFaults{}); });
+    run_after(step.length, [this, step] {
+        m_store_steps.erase(std::find(m_store_steps.begin(), m_store_steps.end(), step));
+        m_store->set_faults(combined_store_faults(m_store_steps));
+    });
 }
 
 void SoakEnvironment::restart_target(TargetSlot& slot, const std::string& service) {
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -3,6 +3,7 @@
 
 #include "policy/record_merge.h"
 #include "soak_checker.h"
+#include "soak_environment.h"
 #include "soak_plan.h"
 
 namespace soak {
@@ -407,6 +408,29 @@
     CHECK_FALSE(send(18, true));
 }
 
+TEST_CASE("overlapping faults of the store end one by one") {
+    const auto step = [](StepKind kind, double strength) {
+        return SoakStep{from_ms(0), kind, from_ms(1000), strength, 0};
+    };
+    const SoakStep silent = step(StepKind::store_silent, 1.0);
+    const SoakStep busy = step(StepKind::store_busy, 1.0);
+    const SoakStep slow = step(StepKind::store_slow, 0.5);
+    const SoakStep slower = step(StepKind::store_slow, 1.0);
+    const SoakStep stale = step(StepKind::store_is_stale, 1.0);
+    const standin::PlatformFaults all = combined_store_faults({silent, busy, slow, slower, stale});
+    CHECK(all.outage == standin::Outage::silent);
+    CHECK(all.response_time == from_ms(400));
+    CHECK(all.stale_by == from_ms(6000));
+    const standin::PlatformFaults left = combined_store_faults({busy, slow, stale});
+    CHECK(left.outage == standin::Outage::busy);
+    CHECK(left.response_time == from_ms(200));
+    CHECK(left.stale_by == from_ms(6000));
+    const standin::PlatformFaults none = combined_store_faults({});
+    CHECK(none.outage == standin::Outage::none);
+    CHECK(none.response_time == standin::PlatformFaults{}.response_time);
+    CHECK(none.stale_by == standin::PlatformFaults{}.stale_by);
+}
+
 TEST_CASE(
     "the same seed gives the same plan, another seed a different one, and steps end within the "
     "length of the plan") {
