Soak: configurations of a large deployment, up to 4,000 endpoints, and plans of chosen kinds

Cause: the configurations of the soak were small, its loopback addresses had one byte for the host, and a run of chosen faults could not be repeated by its command. The stand-in of the store reads its history without copies, and a watch from its own revision on. The report names all options of the run, and tools/soak.sh passes them on.

--- a/test/soak/ebonymount_soak.cpp
+++ b/test/soak/ebonymount_soak.cpp
@@ -18,6 +18,19 @@
 /// First seed if `--seed` is not given.
 constexpr const char* FIRST_SEED = "1";
 
+/// Throws std::invalid_argument for a name that is no kind.
+std::vector<soak::StepKind> kinds_of(const std::vector<std::string>& names) {
+    std::vector<soak::StepKind> kinds;
+    for (const std::string& name : names) {
+        const std::optional<soak::StepKind> kind = soak::find_kind(name);
+        if (!kind.has_value()) {
+            throw std::invalid_argument("no kind of step: " + name);
+        }
+        kinds.push_back(*kind);
+    }
+    return kinds;
+}
+
 void print_report(const soak::SoakOptions& soak_options, const std::vector<soak::SoakStep>& plan,
                   const soak::SoakChecker& checker) {
     const soak::SoakTotals& totals = checker.totals();
@@ -35,13 +48,20 @@
     }
     std::cout << "  timeline (starts after a warm-up of 3 s):\n" << soak::describe(plan);
     std::cout << "  node logs: " << soak_options.directory << "\n  run again: tools/soak.sh --seed "
-              << soak_options.seed << " --nodes " << soak_options.nodes << "\n";
+              << soak_options.seed << " --nodes " << soak_options.nodes << " --rate "
+              << soak_options.rate_per_s << " --fault-seconds "
+              << ebonymount::to_ms(soak_options.fault_phase) / 1000.0 << " --services "
+              << soak_options.idle_services;
+    for (std::size_t i = 0; i < soak_options.kinds.size(); ++i) {
+        std::cout << (i == 0 ? " --kinds " : ",") << soak::name_of(soak_options.kinds[i]);
+    }
+    std::cout << "\n";
 }
 
 bool run_seed(const soak::SoakOptions& soak_options) {
     std::filesystem::create_directories(soak_options.directory);
     const std::vector<soak::SoakStep> plan =
-        soak::make_plan(soak_options.seed, soak_options.fault_phase);
+        soak::make_plan(soak_options.seed, soak_options.fault_phase, soak_options.kinds);
     soak::SoakEnvironment environment(soak_options);
     const soak::SoakChecker& checker = environment.run(plan);
     print_report(soak_options, plan, checker);
@@ -59,7 +79,11 @@
         cxxopts::value<std::uint64_t>()->default_value("1"))(
         "nodes", "number of node processes under test",
         cxxopts::value<std::size_t>()->default_value("6"))(
-        "rate", "requests per second", cxxopts::value<double>()->default_value("80"))(
+        "services", "services without traffic, each with a route and a target per data centre",
+        cxxopts::value<std::size_t>()->default_value("0"))(
+        "kinds", "kinds of steps in the plan, separated by commas (default: all)",
+        cxxopts::value<std::vector<std::string>>())("rate", "requests per second",
+                                                    cxxopts::value<double>()->default_value("80"))(
         "fault-seconds", "length of the fault phase in seconds",
         cxxopts::value<std::int64_t>()->default_value("14"))(
         "instance",
@@ -82,9 +106,13 @@
         soak_options.fault_phase =
             ebonymount::from_ms(1000 * arguments["fault-seconds"].as<std::int64_t>());
         soak_options.instance = arguments["instance"].as<int>();
+        soak_options.idle_services = arguments["services"].as<std::size_t>();
+        if (arguments.count("kinds") > 0) {
+            soak_options.kinds = kinds_of(arguments["kinds"].as<std::vector<std::string>>());
+        }
         if (arguments.count("plan") > 0) {
             std::cout << soak::describe(
-                soak::make_plan(soak_options.seed, soak_options.fault_phase));
+                soak::make_plan(soak_options.seed, soak_options.fault_phase, soak_options.kinds));
             return 0;
         }
         soak_options.front_program = arguments["front"].as<std::string>();
--- a/test/soak/soak_environment.cpp
+++ b/test/soak/soak_environment.cpp
@@ -41,10 +41,58 @@
 
 constexpr Duration WATCH_INTERVAL = from_ms(50);
 
+/// Number of blocks of addresses for each kind of endpoint, and of addresses in a block.
+constexpr std::size_t ADDRESS_BLOCKS = 16;
+constexpr std::size_t ADDRESS_BLOCK = 250;
+
 std::string region_of(const std::string& data_centre) {
     return "region-" + data_centre;
 }
 
+std::string idle_service_name(std::size_t service) {
+    return "idle-" + std::to_string(service);
+}
+
+Json target_json(const standin::PlatformTargetParameters& parameters, const std::string& address,
+                 const std::string& state) {
+    return {{"service", parameters.service},
+            {"address", address},
+            {"zone", parameters.data_centre},
+            {"version", "v1"},
+            {"max_concurrency", parameters.slots},
+            {"state", state},
+            {"cold_remaining_ms", 0},
+            {"sequence", 1}};
+}
+
+Json service_json(const std::string& name, std::size_t max_connections) {
+    return {{"name", name},
+            {"health_path", "/health"},
+            {"max_connections", max_connections},
+            {"cold_start_s", 1.0},
+            {"cold_per_s", 0.0}};
+}
+
+Json route_json(const SoakRoute& route) {
+    Json row = {{"name", route.name},
+                {"hostname", "soak.example"},
+                {"path_prefix", "/" + route.name + "/"},
+                {"type", route.idempotent ? "idempotent" : "non_idempotent"},
+                {"timeout_ms", route.timeout.count() / 1000},
+                {"target_latency_ms", 150},
+                {"priority", 1},
+                {"max_attempts", route.max_attempts},
+                {"allowed_regions", route.regions}};
+    if (route.fan_out) {
+        row["fanout_services"] = route.services;
+        row["top_k"] = route.top_k;
+        row["min_success_share"] = route.min_coverage;
+    } else {
+        row["service"] = route.services.front();
+    }
+    return row;
+}
+
 SoakTarget identity_of(const standin::PlatformTarget& target) {
     const standin::PlatformTargetParameters& parameters = target.parameters();
     return {parameters.id, parameters.service, parameters.data_centre,
@@ -62,14 +110,18 @@
     m_store =
         std::make_unique<standin::PlatformStore>(m_loop, address(STORE, 1, PORT), options.seed);
     make_targets();
+    register_idle_targets();
     make_nodes();
 }
 
 SoakEnvironment::~SoakEnvironment() = default;
 
 std::string SoakEnvironment::address(int endpoint_kind, std::size_t host, int port) const {
-    std::string text = "127." + std::to_string(m_options.instance) + "." +
-                       std::to_string(endpoint_kind) + "." + std::to_string(host);
+    const std::size_t third =
+        static_cast<std::size_t>(endpoint_kind) * ADDRESS_BLOCKS + (host - 1) / ADDRESS_BLOCK;
+    const std::string text = "127." + std::to_string(m_options.instance) + "." +
+                             std::to_string(third) + "." +
+                             std::to_string(1 + (host - 1) % ADDRESS_BLOCK);
     return port == 0 ? text : text + ":" + std::to_string(port);
 }
 
@@ -135,6 +187,20 @@
     }
 }
 
+void SoakEnvironment::register_idle_targets() {
+    std::size_t host = 0;
+    for (std::size_t service = 0; service < m_options.idle_services; ++service) {
+        for (const char* data_centre : DATA_CENTRES) {
+            standin::PlatformTargetParameters parameters;
+            parameters.service = idle_service_name(service);
+            parameters.data_centre = data_centre;
+            const std::string name = parameters.service + "-" + data_centre;
+            m_store->put(names::TARGETS_KIND, name,
+                         target_json(parameters, address(IDLE_TARGETS, ++host, PORT), "ready"));
+        }
+    }
+}
+
 void SoakEnvironment::open_target(TargetSlot& slot) {
     slot.parameters.id = "t-" + std::to_string(m_next_id++);
     standin::PlatformTargetObserver observer;
@@ -163,14 +229,7 @@
 void SoakEnvironment::register_target(TargetSlot& slot, const std::string& state) {
     slot.registered = true;
     m_store->put(names::TARGETS_KIND, slot.parameters.id,
-                 {{"service", slot.parameters.service},
-                  {"address", address(TARGET_LINKS, slot.host, PORT)},
-                  {"zone", slot.parameters.data_centre},
-                  {"version", "v1"},
-                  {"max_concurrency", slot.parameters.slots},
-                  {"state", state},
-                  {"cold_remaining_ms", 0},
-                  {"sequence", 1}});
+                 target_json(slot.parameters, address(TARGET_LINKS, slot.host, PORT), state));
 }
 
 void SoakEnvironment::unregister_target(TargetSlot& slot) {
@@ -308,31 +367,19 @@
 Json SoakEnvironment::config_json(const SoakConfig& config) const {
     Json routes = Json::array();
     for (const auto& [name, route] : config.routes) {
-        Json row = {{"name", name},
-                    {"hostname", "soak.example"},
-                    {"path_prefix", "/" + name + "/"},
-                    {"type", route.idempotent ? "idempotent" : "non_idempotent"},
-                    {"timeout_ms", route.timeout.count() / 1000},
-                    {"target_latency_ms", 150},
-                    {"priority", 1},
-                    {"max_attempts", route.max_attempts},
-                    {"allowed_regions", route.regions}};
-        if (route.fan_out) {
-            row["fanout_services"] = route.services;
-            row["top_k"] = route.top_k;
-            row["min_success_share"] = route.min_coverage;
-        } else {
-            row["service"] = route.services.front();
-        }
-        routes.push_back(row);
+        routes.push_back(route_json(route));
     }
     Json services = Json::array();
     for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
-        services.push_back({{"name", slot->parameters.service},
-                            {"health_path", "/health"},
-                            {"max_connections", slot->parameters.max_connections},
-                            {"cold_start_s", 1.0},
-                            {"cold_per_s", 0.0}});
+        services.push_back(
+            service_json(slot->parameters.service, slot->parameters.max_connections));
+    }
+    for (std::size_t service = 0; service < m_options.idle_services; ++service) {
+        SoakRoute route;
+        route.name = idle_service_name(service);
+        route.services = {route.name};
+        routes.push_back(route_json(route));
+        services.push_back(service_json(route.name, 10 * m_options.nodes));
     }
     return {{"version", config.version},
             {"routes", routes},
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -28,23 +28,30 @@
 constexpr int METRICS_PORT = 7103;
 constexpr int PEER_PORT = 7104;
 
-/// Third byte of the loopback addresses, by kind of endpoint.
+/// Kinds of endpoints. The upper half of the third byte of a loopback address is the kind; the
+/// lower half and the last byte are the number of the endpoint.
 constexpr int NODES = 1;
 constexpr int CALLER_LINKS = 2;
 constexpr int STORE_LINKS = 3;
 constexpr int STORE = 4;
 constexpr int TARGETS = 5;
 constexpr int TARGET_LINKS = 6;
+constexpr int IDLE_TARGETS = 7;
 
 struct SoakOptions {
     std::uint64_t seed = 1;
     std::size_t nodes = 6;
+    /// Services without traffic, which enlarge the configuration by a route each and the list of
+    /// targets by one target in each data centre.
+    std::size_t idle_services = 0;
     /// Length of the fault phase. Warm-up, recovery and calm phase come on top.
     Duration fault_phase = ebonymount::from_ms(14000);
     /// Requests per second over all nodes.
     double rate_per_s = 80.0;
     /// Second byte of the loopback addresses; concurrent runs need different values.
     int instance = 20;
+    /// Kinds of steps in the plan; all that are drawn for series if empty.
+    std::vector<StepKind> kinds;
     std::string front_program;
     /// Directory for the settings files and logs of the nodes.
     std::string directory;
@@ -74,7 +81,7 @@
         std::string data_centre;
         std::string settings_file;
         std::string log_file;
-        /// Last byte of the loopback addresses of the node and its links.
+        /// Number of the node and its links in their loopback addresses.
         int host = 0;
         SoakProcess process;
         LinkPointer caller_link;
@@ -100,7 +107,7 @@
     };
     /// An address with a target behind a link. The target can be replaced.
     struct TargetSlot {
-        /// Last byte of the loopback addresses of the target and its link.
+        /// Number of the target and its link in their loopback addresses.
         std::size_t host = 0;
         standin::PlatformTargetParameters parameters;
         LinkPointer link;
@@ -114,6 +121,7 @@
 
     // Setup and process control.
     void make_targets();
+    void register_idle_targets();
     void make_nodes();
     void open_target(TargetSlot& slot);
     void register_target(TargetSlot& slot, const std::string& state);
@@ -149,6 +157,9 @@
     void apply_to_node(const SoakStep& step, Node& node);
     void apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot);
     void apply_to_store(const SoakStep& step);
+    /// Silences connections between the store and the nodes that read it for others, or freezes
+    /// their links.
+    void apply_to_reader_links(const SoakStep& step);
     void limit_target(const SoakStep& step, TargetSlot& slot);
     void apply_to_target(const SoakStep& step, TargetSlot& slot);
     void apply_by_operator(const SoakStep& step);
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -36,6 +36,9 @@
 /// Targets whose entries expired register again this long after the store has recovered.
 constexpr Duration REREGISTRATION_DELAY = from_ms(1500);
 
+/// A node that reads the store for others keeps more connections to it than any other.
+constexpr std::size_t READER_CONNECTIONS = 3;
+
 /// Of two outages, the one that shows clients the least: silence, then reset connections.
 Outage stronger(Outage left, Outage right) {
     const bool both = left != Outage::none && right != Outage::none;
@@ -60,7 +63,9 @@
 void SoakEnvironment::apply(const SoakStep& step) {
     Node& node = *m_nodes[step.pick % m_nodes.size()];
     TargetSlot& slot = *m_slots[step.pick % m_slots.size()];
-    if (step.kind <= StepKind::kill_all_nodes) {
+    if (step.kind > StepKind::target_names_limit) {
+        apply_to_reader_links(step);
+    } else if (step.kind <= StepKind::kill_all_nodes) {
         apply_to_node(step, node);
     } else if (step.kind <= StepKind::spoil_target_link) {
         apply_to_link(step, node, slot);
@@ -180,6 +185,22 @@
     }
 }
 
+void SoakEnvironment::apply_to_reader_links(const SoakStep& step) {
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        const LinkPointer link = node->store_link;
+        if (link->connections() < READER_CONNECTIONS) {
+            continue;
+        }
+        mark_disturbed(*node, step.length);
+        if (step.kind == StepKind::silence_reader_links) {
+            link->silence_connections(0.2 + 0.8 * step.strength);
+        } else {
+            link->set_frozen(true);
+            run_after(step.length, [link] { link->set_frozen(false); });
+        }
+    }
+}
+
 PlatformFaults combined_store_faults(const std::vector<SoakStep>& steps) {
     PlatformFaults faults;
     for (const SoakStep& step : steps) {
--- a/test/soak/soak_plan.cpp
+++ b/test/soak/soak_plan.cpp
@@ -67,7 +67,9 @@
     "data_centre_out",
     "burst",
     "callers_leave",
-    "target_names_limit"};
+    "target_names_limit",
+    "silence_reader_links",
+    "freeze_reader_links"};
 
 /// Number of kinds that are drawn for series.
 constexpr std::size_t SERIES_KINDS = static_cast<std::size_t>(StepKind::target_names_limit);
@@ -99,12 +101,21 @@
     return NAMES.at(static_cast<std::size_t>(kind));
 }
 
-std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length) {
+std::optional<StepKind> find_kind(const std::string& name) {
+    const auto found = std::find(NAMES.begin(), NAMES.end(), name);
+    return found == NAMES.end()
+               ? std::nullopt
+               : std::optional<StepKind>(static_cast<StepKind>(found - NAMES.begin()));
+}
+
+std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length,
+                                const std::vector<StepKind>& kinds) {
     Random random(seed);
     std::vector<SoakStep> plan;
     Duration at{};
     while (at < length) {
-        const StepKind kind = static_cast<StepKind>(random() % SERIES_KINDS);
+        const StepKind kind = kinds.empty() ? static_cast<StepKind>(random() % SERIES_KINDS)
+                                            : kinds[random() % kinds.size()];
         const std::size_t steps = 1 + random() % MAX_SERIES_STEPS;
         Duration step_at = at;
         for (std::size_t i = 0; i < steps; ++i) {
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,12 +62,17 @@
     burst,
     callers_leave,
     target_names_limit,  ///< First of the kinds that are not drawn for series.
-    count,               ///< Number of kinds; not a kind itself.
+    silence_reader_links,
+    freeze_reader_links,
+    count,  ///< Number of kinds; not a kind itself.
 };
 
 /// Name of a kind, as printed in the timeline.
 const char* name_of(StepKind kind);
 
+/// The kind of that name, if there is one.
+std::optional<StepKind> find_kind(const std::string& name);
+
 /// A fault or operation with its start and length.
 struct SoakStep {
     /// Time since the start of the fault phase.
@@ -82,8 +88,10 @@
 };
 
 /// Generates the steps of a fault phase of `length`, ordered by time. The series come first, so
-/// that kinds added later leave the series of a kept seed as they were.
-std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length);
+/// that kinds added later leave the series of a kept seed as they were. Series are of the given
+/// kinds, or of all kinds that are drawn for series if none are given.
+std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length,
+                                const std::vector<StepKind>& kinds = {});
 
 /// The timeline as text, one line for each step.
 std::string describe(const std::vector<SoakStep>& plan);
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -431,6 +431,18 @@
     CHECK(none.stale_by == standin::PlatformFaults{}.stale_by);
 }
 
+TEST_CASE("a plan of some kinds has series of these kinds only") {
+    const StepKind kind = StepKind::config_adds_route;
+    CHECK(find_kind(name_of(kind)) == kind);
+    CHECK_FALSE(find_kind("unknown").has_value());
+    std::size_t series_steps = 0;
+    for (const SoakStep& step : make_plan(7, from_ms(14000), {kind})) {
+        CHECK((step.kind == kind || step.kind == StepKind::target_names_limit));
+        series_steps += step.kind == kind ? 1 : 0;
+    }
+    CHECK(series_steps > 0);
+}
+
 TEST_CASE(
     "the same seed gives the same plan, another seed a different one, and steps end within the "
     "length of the plan") {
--- a/test/standin/link.cpp
+++ b/test/standin/link.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <deque>
 #include <vector>
 
@@ -309,6 +310,14 @@
     m_corrupted_share = share;
 }
 
+std::size_t Link::connections() const {
+    return static_cast<std::size_t>(std::count_if(
+        m_connections.begin(), m_connections.end(), [](const std::weak_ptr<Connection>& weak) {
+            const std::shared_ptr<Connection> connection = weak.lock();
+            return connection != nullptr && !connection->closed;
+        }));
+}
+
 const std::string& Link::name() const {
     return m_parameters.name;
 }
--- a/test/standin/link.h
+++ b/test/standin/link.h
@@ -52,6 +52,9 @@
 
     const std::string& name() const;
 
+    /// Number of open connections.
+    std::size_t connections() const;
+
     void on_ready(int modes) override;
 
 private:
--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "io/http_status.h"
@@ -138,9 +139,9 @@
     return count;
 }
 
-std::map<std::string, PlatformStore::Change> PlatformStore::objects_of(const std::string& kind,
-                                                                       std::size_t changes) const {
-    std::map<std::string, Change> objects;
+std::map<std::string, const PlatformStore::Change*> PlatformStore::objects_of(
+    const std::string& kind, std::size_t changes) const {
+    std::map<std::string, const Change*> objects;
     for (std::size_t i = 0; i < changes; ++i) {
         if (m_changes[i].kind != kind) {
             continue;
@@ -148,7 +149,7 @@
         if (m_changes[i].removed) {
             objects.erase(m_changes[i].name);
         } else {
-            objects[m_changes[i].name] = m_changes[i];
+            objects[m_changes[i].name] = &m_changes[i];
         }
     }
     return objects;
@@ -157,12 +158,12 @@
 void PlatformStore::list(const Connection& connection, const std::string& kind,
                          const Query& query) {
     const std::size_t changes = visible_changes(query.count("allow_stale") > 0);
-    const std::map<std::string, Change> objects = objects_of(kind, changes);
+    const std::map<std::string, const Change*> objects = objects_of(kind, changes);
     const auto after = query.find("after");
     auto next = after == query.end() ? objects.begin() : objects.upper_bound(after->second);
     Json items = Json::array();
     for (; next != objects.end() && items.size() < PAGE_SIZE; ++next) {
-        items.push_back(object_json(next->first, next->second.revision, next->second.spec));
+        items.push_back(object_json(next->first, next->second->revision, next->second->spec));
     }
     const std::int64_t revision = changes == 0 ? 1 : m_changes[changes - 1].revision;
     respond(connection, ebonymount::http::OK,
@@ -186,9 +187,12 @@
     }
     Json events = Json::array();
     const std::size_t changes = visible_changes(watch.stale);
-    for (std::size_t i = 0; i < changes; ++i) {
+    const auto first = std::upper_bound(
+        m_changes.begin(), m_changes.end(), watch.after,
+        [](std::int64_t revision, const Change& change) { return revision < change.revision; });
+    for (std::size_t i = static_cast<std::size_t>(first - m_changes.begin()); i < changes; ++i) {
         const Change& change = m_changes[i];
-        if (change.kind == watch.kind && change.revision > watch.after) {
+        if (change.kind == watch.kind) {
             events.push_back({{"deleted", change.removed},
                               {"object", object_json(change.name, change.revision, change.spec)}});
         }
@@ -217,7 +221,7 @@
 
 void PlatformStore::write(const Connection& connection, const std::string& method,
                           const std::string& kind, const std::string& name, const Json& spec) {
-    const std::map<std::string, Change> objects = objects_of(kind, m_changes.size());
+    const std::map<std::string, const Change*> objects = objects_of(kind, m_changes.size());
     const bool exists = objects.count(name) > 0;
     int status = ebonymount::http::OK;
     if (method == "POST" && exists) {
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -86,7 +86,8 @@
     /// Number of changes, from the oldest, that a read sees.
     std::size_t visible_changes(bool stale) const;
     /// Objects of a kind by name, after the given number of changes.
-    std::map<std::string, Change> objects_of(const std::string& kind, std::size_t changes) const;
+    std::map<std::string, const Change*> objects_of(const std::string& kind,
+                                                    std::size_t changes) const;
     void poll_watches();
 
     ebonymount::EventLoop& m_loop;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,7 +2,8 @@
 # Randomized soak test: runs the real programs as separate processes, injects faults from outside and
 # checks that the promises hold.
 #
-#   tools/soak.sh [--seed N] [--seeds N] [--minutes M] [--nodes K] [--jobs J]
+#   tools/soak.sh [--seed N] [--seeds N] [--minutes M] [--nodes K] [--jobs J] [--rate R]
+#                 [--fault-seconds S] [--services N] [--kinds NAME,NAME...]
 #   tools/soak.sh --kept
 #
 # Runs --seeds seeds (default 1), starting with --seed (default: derived from the time), --jobs at a
@@ -18,6 +19,7 @@
 nodes=6
 jobs=1
 kept=no
+options=()
 while [ $# -gt 0 ]; do
     case "$1" in
         --seed) seed="$2"; shift 2 ;;
@@ -25,6 +27,7 @@
         --minutes) minutes="$2"; shift 2 ;;
         --nodes) nodes="$2"; shift 2 ;;
         --jobs) jobs="$2"; shift 2 ;;
+        --rate | --fault-seconds | --services | --kinds) options+=("$1" "$2"); shift 2 ;;
         --kept) kept=yes; shift ;;
         *) echo "soak.sh: unknown option $1" >&2; exit 2 ;;
     esac
@@ -53,7 +56,7 @@
     while [ "$i" -lt "$seeds" ] || [ "$(date +%s)" -lt "$end" ]; do
         local one=$((seed + i)) result=0
         build/ebonymount_soak --seed "$one" --nodes "$nodes" --instance $((20 + number)) \
-            --front build/ebonymount_front --directory "$out" || result=$?
+            "${options[@]}" --front build/ebonymount_front --directory "$out" || result=$?
         if [ "$result" = 0 ]; then
             rm -rf "${out:?}/seed-$one"
         else
