Soak: nodes that were disturbed at a change of the configuration are asked again

Cause: a node that is killed or paused right after a change is not judged until the stable window after it has passed, and the request on the changed route comes before that. Change: each node gets a second request on the changed route, a stable window after the first.

--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -149,7 +149,10 @@
 
 void SoakEnvironment::publish_and_probe(const std::string& route) {
     publish_config();
-    run_after(m_bounds.config_apply + PROBE_MARGIN, [this, route] { probe_nodes(route); });
+    for (const Duration settled : {Duration::zero(), m_bounds.stable_window}) {
+        run_after(m_bounds.config_apply + settled + PROBE_MARGIN,
+                  [this, route] { probe_nodes(route); });
+    }
 }
 
 void SoakEnvironment::probe_nodes(const std::string& route) {
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -134,7 +134,8 @@
     // Operator.
     void publish_config();
     /// Publishes the configuration, and once it must be in force sends each node a request on the
-    /// route that has changed, over a connection of its own without a link.
+    /// route that has changed, over a connection of its own without a link. Repeated once nodes
+    /// that were disturbed at the change count as stable.
     void publish_and_probe(const std::string& route);
     void probe_nodes(const std::string& route);
     /// Adds a route below an existing prefix, with another service and its homes in one region.
