Soak: node processes inherit no sockets

Cause: a node that is started while the soak runs inherited the sockets of the soak. A listener of a target that had crashed stayed open in the nodes, so connections to it were accepted and never answered, and a connection that the soak closed stayed open as long as such a node lived. A client at the links of three nodes' run: 46 of 162 connections hung, and each address of a crashed target still accepted. Ruled out: too little room at awards (requests that were answered took 35 to 45 ms). Change: posix_spawn closes all descriptors from 3 on in the child. After: the same client saw no hang, 118 of 119 connections to crashed targets reset.

--- a/test/soak/soak_process.cpp
+++ b/test/soak/soak_process.cpp
@@ -35,6 +35,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, FILE_MODE);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child that inherited a socket would keep it open after this process has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error =
         posix_spawn(&m_pid, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
