Soak: a data centre whose nodes do not reach the store

Cause: nodes that cannot reach the store may follow each other; no fault cut off the nodes of a whole data centre.

--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -159,8 +159,8 @@
     void apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot);
     void apply_to_store(const SoakStep& step);
     /// Silences connections between the store and the nodes that read it for others, or freezes
-    /// their links.
-    void apply_to_reader_links(const SoakStep& step);
+    /// their links or those of a whole data centre.
+    void apply_to_store_links(const SoakStep& step);
     void limit_target(const SoakStep& step, TargetSlot& slot);
     void apply_to_target(const SoakStep& step, TargetSlot& slot);
     void apply_by_operator(const SoakStep& step);
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -64,7 +64,7 @@
     Node& node = *m_nodes[step.pick % m_nodes.size()];
     TargetSlot& slot = *m_slots[step.pick % m_slots.size()];
     if (step.kind > StepKind::target_names_limit) {
-        apply_to_reader_links(step);
+        apply_to_store_links(step);
     } else if (step.kind <= StepKind::kill_all_nodes) {
         apply_to_node(step, node);
     } else if (step.kind <= StepKind::spoil_target_link) {
@@ -185,10 +185,14 @@
     }
 }
 
-void SoakEnvironment::apply_to_reader_links(const SoakStep& step) {
+void SoakEnvironment::apply_to_store_links(const SoakStep& step) {
+    const std::string& data_centre = m_nodes[step.pick % m_nodes.size()]->data_centre;
     for (const std::unique_ptr<Node>& node : m_nodes) {
         const LinkPointer link = node->store_link;
-        if (link->connections() < READER_CONNECTIONS) {
+        const bool is_affected = step.kind == StepKind::freeze_data_centre
+                                     ? node->data_centre == data_centre
+                                     : link->connections() >= READER_CONNECTIONS;
+        if (!is_affected) {
             continue;
         }
         mark_disturbed(*node, step.length);
--- a/test/soak/soak_plan.cpp
+++ b/test/soak/soak_plan.cpp
@@ -69,7 +69,8 @@
     "callers_leave",
     "target_names_limit",
     "silence_reader_links",
-    "freeze_reader_links"};
+    "freeze_reader_links",
+    "freeze_data_centre"};
 
 /// Number of kinds that are drawn for series.
 constexpr std::size_t SERIES_KINDS = static_cast<std::size_t>(StepKind::target_names_limit);
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -64,7 +64,8 @@
     target_names_limit,  ///< First of the kinds that are not drawn for series.
     silence_reader_links,
     freeze_reader_links,
-    count,  ///< Number of kinds; not a kind itself.
+    freeze_data_centre,  ///< No node of a data centre reaches the store.
+    count,               ///< Number of kinds; not a kind itself.
 };
 
 /// Name of a kind, as printed in the timeline.
