--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -28,28 +28,39 @@
 constexpr int METRICS_PORT = 7103;
 constexpr int PEER_PORT = 7104;
 
-/// Third byte of the loopback addresses, by kind of endpoint.
+/// Kinds of endpoints. The upper half of the third byte of a loopback address is the kind; the
+/// lower half and the last byte are the number of the endpoint.
 constexpr int NODES = 1;
 constexpr int CALLER_LINKS = 2;
 constexpr int STORE_LINKS = 3;
 constexpr int STORE = 4;
 constexpr int TARGETS = 5;
 constexpr int TARGET_LINKS = 6;
+constexpr int IDLE_TARGETS = 7;
 
 struct SoakOptions {
     std::uint64_t seed = 1;
     std::size_t nodes = 6;
+    /// Services without traffic, which enlarge the configuration by a route each and the list of
+    /// targets by one target in each data centre.
+    std::size_t idle_services = 0;
     /// Length of the fault phase. Warm-up, recovery and calm phase come on top.
     Duration fault_phase = ebonymount::from_ms(14000);
     /// Requests per second over all nodes.
     double rate_per_s = 80.0;
     /// Second byte of the loopback addresses; concurrent runs need different values.
     int instance = 20;
+    /// Kinds of steps in the plan; all that are drawn for series if empty.
+    std::vector<StepKind> kinds;
     std::string front_program;
     /// Directory for the settings files and logs of the nodes.
     std::string directory;
 };
 
+/// The store's faults while several steps are in effect: the largest value of each, and of outages
+/// the one that shows clients the least.
+standin::PlatformFaults combined_store_faults(const std::vector<SoakStep>& steps);
+
 class SoakEnvironment {
 public:
     explicit SoakEnvironment(const SoakOptions& options);
@@ -70,7 +81,7 @@
         std::string data_centre;
         std::string settings_file;
         std::string log_file;
-        /// Last byte of the loopback addresses of the node and its links.
+        /// Number of the node and its links in their loopback addresses.
         int host = 0;
         SoakProcess process;
         LinkPointer caller_link;
@@ -96,7 +107,7 @@
     };
     /// An address with a target behind a link. The target can be replaced.
     struct TargetSlot {
-        /// Last byte of the loopback addresses of the target and its link.
+        /// Number of the target and its link in their loopback addresses.
         std::size_t host = 0;
         standin::PlatformTargetParameters parameters;
         LinkPointer link;
@@ -110,6 +121,7 @@
 
     // Setup and process control.
     void make_targets();
+    void register_idle_targets();
     void make_nodes();
     void open_target(TargetSlot& slot);
     void register_target(TargetSlot& slot, const std::string& state);
@@ -121,6 +133,13 @@
 
     // Operator.
     void publish_config();
+    /// Publishes the configuration, and once it must be in force sends each node a request on the
+    /// route that has changed, over a connection of its own without a link. Repeated once nodes
+    /// that were disturbed at the change count as stable.
+    void publish_and_probe(const std::string& route);
+    void probe_nodes(const std::string& route);
+    /// Adds a route below an existing prefix, with another service and its homes in one region.
+    void add_nested_route(const SoakStep& step);
     nlohmann::json config_json(const SoakConfig& config) const;
     std::vector<std::string> shard_names() const;
 
@@ -129,7 +148,7 @@
     void generate_traffic();
     std::vector<Node*> nodes_for_new_connections() const;
     std::vector<Node*> nodes_with_open_connections() const;
-    void send_request(Node& node, const Channel& channel);
+    void send_request(Node& node, const Channel& channel, const SoakRoute& route);
     Channel pick_connection(Node& node, bool must_be_open);
     void on_response(const std::string& id, ebonymount::CallStatus status,
                      const ebonymount::HttpResponseMessage& message);
@@ -139,6 +158,9 @@
     void apply_to_node(const SoakStep& step, Node& node);
     void apply_to_link(const SoakStep& step, Node& node, TargetSlot& slot);
     void apply_to_store(const SoakStep& step);
+    /// Silences connections between the store and the nodes that read it for others, or freezes
+    /// their links or those of a whole data centre.
+    void apply_to_store_links(const SoakStep& step);
     void limit_target(const SoakStep& step, TargetSlot& slot);
     void apply_to_target(const SoakStep& step, TargetSlot& slot);
     void apply_by_operator(const SoakStep& step);
@@ -162,6 +184,8 @@
     ebonymount::Random m_random;
     SoakChecker m_checker;
     std::unique_ptr<standin::PlatformStore> m_store;
+    /// Steps whose fault of the store has not ended.
+    std::vector<SoakStep> m_store_steps;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<TargetSlot>> m_slots;
     SoakConfig m_config;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -36,6 +36,15 @@
 /// Targets whose entries expired register again this long after the store has recovered.
 constexpr Duration REREGISTRATION_DELAY = from_ms(1500);
 
+/// A node that reads the store for others keeps more connections to it than any other.
+constexpr std::size_t READER_CONNECTIONS = 3;
+
+/// Of two outages, the one that shows clients the least: silence, then reset connections.
+Outage stronger(Outage left, Outage right) {
+    const bool both = left != Outage::none && right != Outage::none;
+    return both ? std::min(left, right) : std::max(left, right);
+}
+
 LinkDirection direction_of(std::uint64_t pick) {
     constexpr std::uint64_t DIRECTIONS = 3;
     return static_cast<LinkDirection>(pick / 7 % DIRECTIONS);
@@ -54,7 +63,9 @@
 void SoakEnvironment::apply(const SoakStep& step) {
     Node& node = *m_nodes[step.pick % m_nodes.size()];
     TargetSlot& slot = *m_slots[step.pick % m_slots.size()];
-    if (step.kind <= StepKind::kill_all_nodes) {
+    if (step.kind > StepKind::target_names_limit) {
+        apply_to_store_links(step);
+    } else if (step.kind <= StepKind::kill_all_nodes) {
         apply_to_node(step, node);
     } else if (step.kind <= StepKind::spoil_target_link) {
         apply_to_link(step, node, slot);
@@ -174,34 +185,65 @@
     }
 }
 
+void SoakEnvironment::apply_to_store_links(const SoakStep& step) {
+    const std::string& data_centre = m_nodes[step.pick % m_nodes.size()]->data_centre;
+    for (const std::unique_ptr<Node>& node : m_nodes) {
+        const LinkPointer link = node->store_link;
+        const bool is_affected = step.kind == StepKind::freeze_data_centre
+                                     ? node->data_centre == data_centre
+                                     : link->connections() >= READER_CONNECTIONS;
+        if (!is_affected) {
+            continue;
+        }
+        mark_disturbed(*node, step.length);
+        if (step.kind == StepKind::silence_reader_links) {
+            link->silence_connections(0.2 + 0.8 * step.strength);
+        } else {
+            link->set_frozen(true);
+            run_after(step.length, [link] { link->set_frozen(false); });
+        }
+    }
+}
+
+PlatformFaults combined_store_faults(const std::vector<SoakStep>& steps) {
+    PlatformFaults faults;
+    for (const SoakStep& step : steps) {
+        switch (step.kind) {
+            case StepKind::store_silent:
+            case StepKind::entries_lapse:
+                faults.outage = stronger(faults.outage, Outage::silent);
+                break;
+            case StepKind::store_resets:
+                faults.outage = stronger(faults.outage, Outage::reset);
+                break;
+            case StepKind::store_busy:
+                faults.outage = stronger(faults.outage, Outage::busy);
+                break;
+            case StepKind::store_slow:
+                faults.response_time =
+                    std::max(faults.response_time, scaled(from_ms(400), step.strength));
+                break;
+            case StepKind::store_loses_answers:
+                faults.lost_response_share = 0.5;
+                break;
+            case StepKind::store_is_stale:
+                faults.stale_by = from_ms(6000);
+                break;
+            default:
+                break;
+        }
+    }
+    return faults;
+}
+
 void SoakEnvironment::apply_to_store(const SoakStep& step) {
     m_checker.mark_store_disturbed(monotonic_now() + step.length);
-    PlatformFaults faults = m_store->faults();
-    switch (step.kind) {
-        case StepKind::store_silent:
-        case StepKind::entries_lapse:
-            faults.outage = Outage::silent;
-            break;
-        case StepKind::store_resets:
-            faults.outage = Outage::reset;
-            break;
-        case StepKind::store_busy:
-            faults.outage = Outage::busy;
-            break;
-        case StepKind::store_slow:
-            faults.response_time = scaled(from_ms(400), step.strength);
-            break;
-        case StepKind::store_loses_answers:
-            faults.lost_response_share = 0.5;
-            break;
-        case StepKind::store_is_stale:
-            faults.stale_by = from_ms(6000);
-            break;
-        default:
-            m_store->compact();
-            return;
+    if (step.kind == StepKind::store_forgets_history) {
+        m_store->compact();
+        return;
     }
-    m_store->set_faults(faults);
+    m_store_steps.push_back(step);
+    m_store->set_faults(combined_store_faults(m_store_steps));
     if (step.kind == StepKind::entries_lapse) {
         for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
             if (slot->registered && ebonymount::uniform(m_random) < step.strength) {
@@ -217,7 +259,10 @@
             }
         });
     }
-    run_after(step.length, [this] { m_store->set_faults(PlatformFaults{}); });
+    run_after(step.length, [this, step] {
+        m_store_steps.erase(std::find(m_store_steps.begin(), m_store_steps.end(), step));
+        m_store->set_faults(combined_store_faults(m_store_steps));
+    });
 }
 
 void SoakEnvironment::restart_target(TargetSlot& slot, const std::string& service) {
@@ -331,23 +376,28 @@
         case StepKind::config_moves_route: {
             std::string& service = m_config.routes["book"].services.front();
             service = service == "booking" ? "awards" : "booking";
-            publish_config();
+            publish_and_probe("book");
             return;
         }
         case StepKind::config_adds_route: {
+            if (step.strength < 0.5) {
+                add_nested_route(step);
+                return;
+            }
             const std::string name = "extra-" + std::to_string(m_config.version);
             m_config.routes[name] = {name, true, 2, from_ms(2000), {"awards"}};
-            publish_config();
+            publish_and_probe(name);
             return;
         }
         case StepKind::config_storm:
             for (Duration at{}; at < step.length; at += from_ms(200)) {
                 run_after(at, [this] { publish_config(); });
             }
+            run_after(step.length, [this] { publish_and_probe("book"); });
             return;
         case StepKind::repartition:
             m_repartitioned = !m_repartitioned;
-            publish_config();
+            publish_and_probe("browse");
             return;
         case StepKind::data_centre_out: {
             const std::string data_centre =
