Store: a list that is already known is not passed on

Cause: of lists only that of the nodes was compared with the known one; any other of the same revision was passed on to all followers. Where two nodes follow each other - a cut-off reader the node that took over, and that one the reader as a candidate - a list went round at the speed of the wire.

Callers saw: event loops that are busy with relaying while the store is in trouble.

The new case of test_store_mirror failed before (the second of two equal lists was passed on), and passes.

Change: a list with the known revision and objects is dropped, unless it first tells of an outage. Ages that lie in the future or would overflow make a message malformed.

--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -50,18 +50,30 @@
                           : object.revision > found->second.revision;
 }
 
-/// True for a list of nodes equal to the mirrored one: this list is polled, and an unchanged one is
-/// not passed on.
-bool is_unchanged_node_list(const MirroredKind& mirrored, const KindUpdate& update) {
+/// True for a list that says nothing new. The list of nodes is polled, so it is the same at many
+/// revisions. Without this check, nodes that follow each other would pass one list round and round.
+bool is_repeated_list(const MirroredKind& mirrored, const KindUpdate& update, Time now) {
     const auto is_mirrored = [&mirrored](const StoredObject& object) {
         const auto found = mirrored.objects.find(object.name);
         return found != mirrored.objects.end() && found->second == object;
     };
-    return update.kind == platform::Kind::nodes && mirrored.revision > 0 &&
-           update.objects.size() == mirrored.objects.size() &&
+    const bool is_polled = update.kind == platform::Kind::nodes;
+    const bool tells_of_outage =
+        update.after_outage && !(mirrored.listed_after_outage.has_value() &&
+                                 now - *mirrored.listed_after_outage < REREGISTRATION_TIME);
+    return mirrored.revision > 0 && (is_polled || update.revision == mirrored.revision) &&
+           !tells_of_outage && update.objects.size() == mirrored.objects.size() &&
            std::all_of(update.objects.begin(), update.objects.end(), is_mirrored);
 }
 
+/// True if times can be computed from the age without overflow, and none is in the future.
+bool is_plausible(const StatedAge& stated) {
+    constexpr Duration LIMIT = std::chrono::hours(24 * 365 * 100);
+    const Duration written = stated.written.value_or(Duration::zero());
+    return stated.age >= Duration::zero() && stated.age < LIMIT && written > -LIMIT &&
+           written < LIMIT;
+}
+
 /// Inflates text; at most `MAX_INFLATED_BYTES` of it are returned.
 std::string inflate(const std::string& text) {
     std::istringstream encoded(text);
@@ -127,6 +139,9 @@
         if (message.contains("written_us")) {
             update.stated.written = Duration(message.at("written_us").get<std::int64_t>());
         }
+        if (!is_plausible(update.stated)) {
+            return Error{ErrorCode::protocol, "implausible age in an update", std::string(line)};
+        }
         update.store_failed_recently = message.at("trouble").get<bool>();
         update.origin = message.value("origin", std::string());
         if (message.contains("kind")) {
@@ -156,7 +171,7 @@
 std::optional<KindUpdate> merge_update(StoreMirror& mirror, KindUpdate update, Time now) {
     MirroredKind& mirrored = mirror[update.kind];
     if (update.is_list) {
-        if (update.revision < mirrored.revision || is_unchanged_node_list(mirrored, update)) {
+        if (update.revision < mirrored.revision || is_repeated_list(mirrored, update, now)) {
             return std::nullopt;
         }
         mirrored.objects.clear();
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -111,6 +111,23 @@
     CHECK_FALSE(value_of(decode_store_update(heartbeat)).stated.written.has_value());
 }
 
+// Guards against lists that nodes pass round and round when they follow each other.
+TEST_CASE("a list that is already known is not passed on") {
+    KindUpdate list;
+    list.kind = platform::Kind::targets;
+    list.is_list = true;
+    list.revision = 12;
+    list.objects = {object("a", 11)};
+    StoreMirror mirror;
+    CHECK(merge_update(mirror, list, NOW).has_value());
+    CHECK_FALSE(merge_update(mirror, list, NOW).has_value());
+    list.after_outage = true;
+    CHECK(merge_update(mirror, list, NOW).has_value());
+    CHECK_FALSE(merge_update(mirror, list, NOW).has_value());
+    list.revision = 13;
+    CHECK(merge_update(mirror, list, NOW).has_value());
+}
+
 TEST_CASE("an offer names a node that can be followed, or it is ignored") {
     const Member node = {"node-1", "east", "127.0.0.1:7000"};
     CHECK(decode_member(encode(node)) == node);
@@ -123,9 +140,11 @@
 }
 
 TEST_CASE("a malformed message is an error") {
-    for (const std::string line : {"", "x", "[]", "{}", "{\"age_us\":\"soon\"}",
-                                   "{\"age_us\":1,\"trouble\":false,\"kind\":99}",
-                                   "{\"age_us\":1,\"trouble\":false,\"kind\":1,\"objects\":[1]}"}) {
+    for (const std::string line :
+         {"", "x", "[]", "{}", "{\"age_us\":\"soon\"}", "{\"age_us\":-1,\"trouble\":false}",
+          "{\"age_us\":1,\"trouble\":false,\"written_us\":9e18}",
+          "{\"age_us\":1,\"trouble\":false,\"kind\":99}",
+          "{\"age_us\":1,\"trouble\":false,\"kind\":1,\"objects\":[1]}"}) {
         CHECK_FALSE(has_value(decode_store_update(line)));
     }
 }
