Store: the origin of data is kept with its age, and an unknown one takes no duty over

Cause: a node named as origin what its present stream said, or itself once that stream had ended; list messages, which name none, counted as the sender's own, and so did those of older releases. Each could make a node give reading back to a node that follows it.

Callers saw: nothing yet; it is the circle of 'a node that reads for others gives that back only to one that reads too', by other ways. Found in review.

Change: the origin is recorded beside the time of the data whenever that rises. Messages without an origin leave it as it was, and an empty one permits no handover, which costs extra reads beside older releases and nothing else. A time of another node is never later than the message's arrival.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -458,7 +458,10 @@
         }
         const Time now = monotonic_now();
         on_stated_age(upstream->link, value_of(update).stated, now);
-        upstream->link.origin = value_of(update).origin;
+        // Lists are encoded once for all followers and do not name it.
+        if (!value_of(update).origin.empty()) {
+            upstream->link.origin = value_of(update).origin;
+        }
         upstream->store_failed_recently = value_of(update).store_failed_recently;
         if (upstream->store_failed_recently) {
             m_store_failure_heard_at = now;
--- a/src/policy/reader_clock.cpp
+++ b/src/policy/reader_clock.cpp
@@ -13,7 +13,7 @@
     // stopped meanwhile.
     const Duration latest_offset = arrival.time_since_epoch() - *stated.written;
     clock.offset = std::min(clock.offset.value_or(first_offset), latest_offset);
-    return Time(*stated.written + *clock.offset) - stated.age;
+    return std::min(Time(*stated.written + *clock.offset), arrival) - stated.age;
 }
 
 }  // namespace ebonymount
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -96,10 +96,22 @@
 
 /// True if the node may follow that reader's data instead of reading the store itself.
 bool may_hand_over_to(const ReaderLink& link, const StoreSource& source) {
-    const std::string& origin = link.origin.empty() ? link.reader.node : link.origin;
     return source.is_reader ||
            std::any_of(source.readers.begin(), source.readers.end(),
-                       [&origin](const Member& preceding) { return preceding.node == origin; });
+                       [&link](const Member& preceding) { return preceding.node == link.origin; });
+}
+
+void record_contact(StoreSource& source, const SourceInputs& inputs) {
+    if (inputs.own_contact > source.last_contact) {
+        source.last_contact = inputs.own_contact;
+        source.origin = inputs.self.node;
+    }
+    const Time upstream_as_of =
+        inputs.upstream == nullptr ? Time{} : inputs.upstream->as_of.value_or(Time{});
+    if (upstream_as_of > source.last_contact) {
+        source.last_contact = upstream_as_of;
+        source.origin = inputs.upstream->origin;
+    }
 }
 
 void open_candidate(StoreSource& source, const SourceInputs& inputs,
@@ -153,9 +165,12 @@
 
 /// True if this node is a reader and cannot reach the store.
 bool is_reader_cut_off_itself(const StoreSource& source, const SourceInputs& inputs) {
-    // A quiet watch shows no contact for the whole of its wait.
-    const Duration limit = inputs.own_reads_fail ? inputs.timing.stale_age
-                                                 : inputs.timing.watch_wait + STORE_CALL_TIMEOUT;
+    // A quiet watch shows no contact for the whole of its wait, and a change is followed by a
+    // pause.
+    const Duration limit =
+        inputs.own_reads_fail
+            ? inputs.timing.stale_age
+            : inputs.timing.watch_wait + inputs.timing.change_pause + STORE_CALL_TIMEOUT;
     return source.is_reader &&
            inputs.now - std::max(source.last_contact, source.reading_since) > limit;
 }
@@ -288,12 +303,7 @@
 }
 
 std::string data_origin(const StoreSource& source, const SourceInputs& inputs) {
-    const Time upstream_as_of =
-        inputs.upstream == nullptr ? Time{} : inputs.upstream->as_of.value_or(Time{});
-    if (source.reading && inputs.own_contact != Time{} && inputs.own_contact >= upstream_as_of) {
-        return inputs.self.node;
-    }
-    return inputs.upstream == nullptr ? "" : inputs.upstream->origin;
+    return inputs.own_contact > source.last_contact ? inputs.self.node : source.origin;
 }
 
 bool is_following(const StoreSource& source, const SourceInputs& inputs) {
@@ -303,11 +313,7 @@
 
 std::vector<SourceAction> decide(StoreSource& source, const SourceInputs& inputs, Random& random) {
     std::vector<SourceAction> actions;
-    source.last_contact = std::max(source.last_contact, inputs.own_contact);
-    if (inputs.upstream != nullptr) {
-        source.last_contact =
-            std::max(source.last_contact, inputs.upstream->as_of.value_or(Time{}));
-    }
+    record_contact(source, inputs);
     if (source.is_reader && !source.reading) {
         start_reading(source, inputs, actions);
     }
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -80,8 +80,10 @@
     Time reading_since{};
     /// While it reads the store itself, it follows no reader before this time.
     Time may_follow_at{};
-    /// Time of the latest response of the store that this node's state reflects.
+    /// As of when this node's data is complete, and the node that read it from the store; empty if
+    /// that is unknown.
     Time last_contact{};
+    std::string origin;
     /// While the node has no updates at all: when it stops waiting for others to supply them.
     Time waits_until{};
     /// Readers that failed, with the time until which they are not followed.
--- a/test/correctness/test_store_source_cuts.cpp
+++ b/test/correctness/test_store_source_cuts.cpp
@@ -93,4 +93,41 @@
     }
 }
 
+// Guards against a node that names itself as the origin of data that another one has read, or gives
+// reading back for data whose origin is unknown; either closes the circle in which nobody reads.
+TEST_CASE("the origin of data is the node that read it, and an unknown one takes no duty over") {
+    const Time now = Time(from_ms(1000000));
+    const StoreReadTiming timing = store_read_timing(CONFIG_APPLY, STABLE_WINDOW);
+    const Member self = {"node-2", "east", "127.0.0.1:2"};
+    const Member reader = {"node-1", "east", "127.0.0.1:1"};
+    ReaderLink upstream;
+    upstream.reader = reader;
+    upstream.as_of = now;
+    upstream.last_message = now;
+    upstream.origin = "node-3";
+    SourceInputs inputs{self, {}, timing, &upstream, nullptr, now - from_ms(9000), true, true, now};
+    StoreSource source;
+    source.members_known = true;
+    source.is_reader = true;
+    source.reading = true;
+    Random random(1);
+    decide(source, inputs, random);
+    inputs.upstream = nullptr;
+    CHECK(data_origin(source, inputs) == "node-3");
+
+    for (const std::string origin : {"", "node-2", "node-1"}) {
+        CAPTURE(origin);
+        upstream.origin = origin;
+        StoreSource substitute;
+        substitute.members_known = true;
+        substitute.readers = {reader};
+        substitute.rank = 2;
+        substitute.reading = true;
+        const SourceInputs following{self,  {},   timing, &upstream, nullptr, now - from_ms(9000),
+                                     false, true, now};
+        decide(substitute, following, random);
+        CHECK(substitute.reading == (origin != "node-1"));
+    }
+}
+
 }  // namespace ebonymount
