Store: what a node states to followers never has to be taken back

Cause: targets and data centres out of service counted as complete while their watches waited, up to 0.6 of the stable window. If such a watch then failed, the age that followers had taken stood. Nodes that read for themselves looked old between two watches, and a node that others began to follow went on with its long watch. A probe made a recent read, which a store may answer while it refuses the current reads that the node makes next.

Callers saw: changes of targets late at followers of a reader whose watch of that kind is silent.

Change: a node that others follow watches each kind with a time bound as often as the configuration and states the age of the oldest. A shorter wait restarts a watch in progress. Probes are the call that the node makes next. Readers pause no longer after current reads. 'no_source' allows for the waits of a node that reads for itself alone.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -89,6 +89,9 @@
 
 void KindWatcher::set_timing(const WatcherTiming& timing) {
     m_options.timing = timing;
+    if (m_call_wait > timing.watch_wait) {
+        restart_watch();
+    }
 }
 
 Time KindWatcher::complete_at() const {
@@ -238,8 +241,7 @@
         return;
     }
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
-    const Time now = monotonic_now();
-    on_success(decoded.objects.empty() ? std::min(now, m_called_at + m_call_wait) : now);
+    on_success(std::min(monotonic_now(), m_called_at + m_call_wait));
     report_revision(decoded.store_revision);
     m_next_watch_is_first = false;
     log_objects_without_name(decoded);
@@ -249,11 +251,10 @@
         return;
     }
     m_handlers.on_update({m_options.kind, false, false, m_revision, std::move(decoded.objects)});
-    // A watch for current data costs ten times as much and reports changes a second earlier, so the
-    // pause after it is twice as long, unless the kind is one whose changes are rare.
     const bool is_costly =
         watch_freshness() == platform::Freshness::current && !m_options.is_always_current;
-    run_later(m_options.timing.pause_after_changes * (is_costly ? 2 : 1),
+    run_later(is_costly ? m_options.timing.pause_after_current_changes
+                        : m_options.timing.pause_after_changes,
               &KindWatcher::wait_for_changes);
 }
 
@@ -331,9 +332,15 @@
 
 void KindWatcher::require_current_data() {
     m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
-    const bool waits_for_recent_data =
-        m_is_watching && !m_call_is_current && !m_pause_timer.has_value();
-    if (m_paused || m_stopped || !waits_for_recent_data || m_channel == nullptr) {
+    if (!m_call_is_current) {
+        restart_watch();
+    }
+}
+
+void KindWatcher::restart_watch() {
+    const bool is_waiting = m_is_watching && !m_paused && !m_stopped &&
+                            !m_pause_timer.has_value() && m_channel != nullptr;
+    if (!is_waiting) {
         return;
     }
     ++m_call_number;
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -29,6 +29,9 @@
     /// Pause after a watch that returned changes. Changes come in bursts; all those of one pause
     /// are read with one call.
     Duration pause_after_changes{};
+    /// The same if the watch asked for current data, which costs ten times as much and reports
+    /// changes a second earlier.
+    Duration pause_after_current_changes{};
     /// Maximum pause between the probing watcher's calls to an unavailable store; the pauses grow
     /// up to it.
     Duration probe_pause = from_ms(200);
@@ -96,7 +99,8 @@
 
     platform::Kind kind() const;
 
-    /// Takes effect with the next call.
+    /// A watch that waits for longer begins again; otherwise the timing takes effect with the next
+    /// call.
     void set_timing(const WatcherTiming& timing);
 
     /// As of when the data is complete, apart from the lag of recent data; `Time{}` if no call has
@@ -121,6 +125,7 @@
                 Metrics& metrics);
     void read_list();
     void wait_for_changes();
+    void restart_watch();
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -174,19 +174,19 @@
 }
 
 void StoreFeed::update_watcher_timing() {
-    const bool is_reader = reads_for_others();
-    m_reads_for_others = is_reader;
+    m_reads_for_others = reads_for_others();
     WatcherTiming timing;
-    timing.watch_wait = m_timing.watch_wait;
-    timing.pause_after_changes = is_reader ? m_timing.reader_pause : m_timing.change_pause;
     timing.probe_pause = scaled(m_options.config_apply, PROBE_PAUSE_SHARE);
+    timing.pause_after_changes = m_reads_for_others ? m_timing.reader_pause : m_timing.change_pause;
+    // Current reads cost more, so the pause after them is longer; not where followers would take
+    // the data for old.
+    timing.pause_after_current_changes =
+        m_reads_for_others ? m_timing.reader_pause : 2 * m_timing.change_pause;
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        const bool is_frequent = m_reads_for_others && is_time_bound(watcher->kind());
+        timing.watch_wait = is_frequent ? m_timing.probe_wait : m_timing.watch_wait;
         watcher->set_timing(timing);
     }
-    if (is_reader) {
-        timing.watch_wait = m_timing.probe_wait;
-        m_watchers.front()->set_timing(timing);
-    }
 }
 
 bool StoreFeed::reads_for_others() const {
@@ -247,7 +247,7 @@
             others.push_back(contact_of(*watcher));
         }
     }
-    return complete_at(contact_of(*m_watchers.front()), others);
+    return complete_at(contact_of(*m_watchers.front()), others, m_reads_for_others);
 }
 
 bool StoreFeed::own_reads_fail() const {
@@ -341,7 +341,12 @@
     m_state_age_ms = state_age.count() / 1000;
     m_source_own = m_source.reading ? 1 : 0;
     m_source_reader = follows ? 1 : 0;
-    const bool has_source = state_age <= m_timing.max_age;
+    // A node that reads for itself alone has watches that wait for longer.
+    const bool waits_for_changes = m_source.reading && !m_reads_for_others && !own_reads_fail();
+    const Duration limit = waits_for_changes
+                               ? m_timing.watch_wait + m_timing.change_pause + STORE_CALL_TIMEOUT
+                               : m_timing.max_age;
+    const bool has_source = state_age <= limit;
     if (has_source == m_has_source) {
         return;
     }
@@ -527,11 +532,14 @@
 
 void StoreFeed::probe_store() {
     ++m_probes;
-    // The list is short, and possibly old data costs a tenth.
-    const StoreCall call = {
-        m_options.store_address, "GET",
-        platform::list_path(platform::Kind::evacuations, "", platform::Freshness::recent), "",
-        STORE_CALL_TIMEOUT};
+    // The call that this node would make next: a store may refuse current reads and answer others.
+    const std::int64_t revision = revision_of(m_mirror, platform::Kind::config);
+    const std::string path =
+        revision > 0
+            ? platform::watch_path(platform::Kind::config, revision, Duration::zero(),
+                                   platform::Freshness::current)
+            : platform::list_path(platform::Kind::evacuations, "", platform::Freshness::current);
+    const StoreCall call = {m_options.store_address, "GET", path, "", STORE_CALL_TIMEOUT};
     call_store(m_loop, call,
                [this, alive = std::weak_ptr<bool>(m_alive)](CallStatus status,
                                                             const HttpResponseMessage& response) {
@@ -539,7 +547,8 @@
                        return;
                    }
                    const bool answered =
-                       status == CallStatus::answered && response.status == http::OK;
+                       status == CallStatus::answered &&
+                       (response.status == http::OK || response.status == http::GONE);
                    LogEvent(LogLevel::info, "store", "probe")
                        .add("answered", answered ? "yes" : "no")
                        .add("outcome", name_of(status))
