--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -106,11 +106,11 @@
         source.last_contact = inputs.own_contact;
         source.origin = inputs.self.node;
     }
-    const Time upstream_as_of =
-        inputs.upstream == nullptr ? Time{} : inputs.upstream->as_of.value_or(Time{});
-    if (upstream_as_of > source.last_contact) {
-        source.last_contact = upstream_as_of;
-        source.origin = inputs.upstream->origin;
+    const ReaderLink* const upstream = inputs.upstream;
+    if (upstream != nullptr && upstream->as_of.has_value() &&
+        *upstream->as_of > source.last_contact) {
+        source.last_contact = *upstream->as_of;
+        source.origin = upstream->origin;
     }
 }
 
