--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -41,6 +41,12 @@
     poll_watches();
 }
 
+PlatformStore::~PlatformStore() {
+    for (const std::shared_ptr<ebonymount::HttpListener>& listener : m_listeners) {
+        listener->close();
+    }
+}
+
 std::string PlatformStore::listen(const std::string& address) {
     // The handler runs after this function has returned.
     const std::shared_ptr<std::string> own_address = std::make_shared<std::string>();
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -37,6 +37,12 @@
 public:
     /// Starts to listen; throws std::runtime_error if the address is taken.
     PlatformStore(ebonymount::EventLoop& loop, const std::string& address, std::uint64_t seed);
+    /// Stops to listen, also if calls without a response keep their connections.
+    ~PlatformStore();
+    PlatformStore(const PlatformStore&) = delete;
+    PlatformStore& operator=(const PlatformStore&) = delete;
+    PlatformStore(PlatformStore&&) = delete;
+    PlatformStore& operator=(PlatformStore&&) = delete;
 
     /// Writes an object, as the operator or a target does. The write is acknowledged on return.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
