Store: the gauge of a kind's age is looked up once, and a watch's freshness asked once

report_kinds built five names and searched the registry ten times a second at every node; the watcher now holds the gauge beside its other counters. No change of behaviour, names of metrics as before.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -35,7 +35,9 @@
       m_calls(metrics.counter(std::string("ebonymount_store_calls_total{kind=\"") +
                               platform::name_of(options.kind) + "\"}")),
       m_failures(metrics.counter(std::string("ebonymount_store_failures_total{kind=\"") +
-                                 platform::name_of(options.kind) + "\"}")) {}
+                                 platform::name_of(options.kind) + "\"}")),
+      m_age_ms(metrics.counter(std::string("ebonymount_store_kind_age_ms{kind=\"") +
+                               platform::name_of(options.kind) + "\"}")) {}
 
 std::shared_ptr<KindWatcher> KindWatcher::start(EventLoop& loop, const KindWatcherOptions& options,
                                                 KindWatcherHandlers handlers, Metrics& metrics) {
@@ -98,6 +100,10 @@
     return m_complete_at;
 }
 
+void KindWatcher::report_age(Duration age) {
+    m_age_ms = age.count() / 1000;
+}
+
 void KindWatcher::stop() {
     m_stopped = true;
     if (m_channel != nullptr) {
@@ -213,8 +219,9 @@
     m_is_watching = true;
     m_called_at = monotonic_now();
     m_call_wait = m_next_watch_is_first ? Duration::zero() : m_options.timing.watch_wait;
-    m_call_is_current = watch_freshness() == platform::Freshness::current;
-    call(platform::watch_path(m_options.kind, m_revision, m_call_wait, watch_freshness()),
+    const platform::Freshness freshness = watch_freshness();
+    m_call_is_current = freshness == platform::Freshness::current;
+    call(platform::watch_path(m_options.kind, m_revision, m_call_wait, freshness),
          m_call_wait + STORE_CALL_TIMEOUT,
          [this](CallStatus status, const HttpResponseMessage& response) {
              on_watch_end(status, response);
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -108,6 +108,9 @@
     /// response is read.
     Time complete_at() const;
 
+    /// Sets the gauge of the kind's age.
+    void report_age(Duration age);
+
     /// True if the watcher is not paused and its last call failed.
     bool is_failing() const;
 
@@ -143,6 +146,7 @@
     KindWatcherHandlers m_handlers;
     Counter& m_calls;
     Counter& m_failures;
+    Counter& m_age_ms;
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
     std::int64_t m_revision = 0;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -366,8 +366,7 @@
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
         const Time contact = std::max(watcher->complete_at(), m_source.reading_since);
         const Duration kind_age = m_source.reading ? now - contact : Duration::zero();
-        m_metrics.counter(std::string("ebonymount_store_kind_age_ms{kind=\"") +
-                          platform::name_of(watcher->kind()) + "\"}") = kind_age.count() / 1000;
+        watcher->report_age(kind_age);
         const bool is_polled = watcher->kind() == platform::Kind::nodes;
         const bool is_behind = !is_polled && kind_age > m_timing.watch_wait + STORE_CALL_TIMEOUT +
                                                             m_timing.change_pause;
