--- a/test/correctness/test_store_source_cuts.cpp
+++ b/test/correctness/test_store_source_cuts.cpp
@@ -26,15 +26,7 @@
                 node.cut_from_store =
                     node.source.is_reader || (rank < READING_NODES && rank != reading);
             }
-            const auto reaches_store = [](const ModelNode& node) {
-                return !node.cut_from_store;
-            };
-            Duration max_age{};
-            for (int second = 0; second < 60; ++second) {
-                fleet.run_for(from_ms(1000));
-                max_age = std::max(max_age, fleet.max_true_age(reaches_store));
-            }
-            CHECK(to_ms(max_age) <= to_ms(CONFIG_APPLY));
+            CHECK(to_ms(fleet.max_true_age_during(60)) <= to_ms(CONFIG_APPLY));
         }
     }
 }
@@ -80,15 +72,7 @@
             for (ModelNode& node : fleet.nodes) {
                 node.cut_from_store = node.source.is_reader || node.source.rank < READING_NODES;
             }
-            const auto reaches_store = [](const ModelNode& node) {
-                return !node.cut_from_store;
-            };
-            Duration max_age{};
-            for (int second = 0; second < 30; ++second) {
-                fleet.run_for(from_ms(1000));
-                max_age = std::max(max_age, fleet.max_true_age(reaches_store));
-            }
-            CHECK(to_ms(max_age) <= to_ms(CONFIG_APPLY));
+            CHECK(to_ms(fleet.max_true_age_during(30)) <= to_ms(CONFIG_APPLY));
         }
     }
 }
--- a/test/correctness/test_store_source_delays.cpp
+++ b/test/correctness/test_store_source_delays.cpp
@@ -96,15 +96,7 @@
         fleet.message_delay = SLOW_MESSAGE;
         fleet.run_for(from_ms(5000));
         cut_from_store(fleet, [](const ModelNode& node) { return node.source.is_reader; });
-        Duration max_age{};
-        for (int second = 0; second < 30; ++second) {
-            fleet.run_for(from_ms(1000));
-            const auto reaches_store = [](const ModelNode& node) {
-                return !node.cut_from_store;
-            };
-            max_age = std::max(max_age, fleet.max_true_age(reaches_store));
-        }
-        CHECK(to_ms(max_age) <= to_ms(CONFIG_APPLY));
+        CHECK(to_ms(fleet.max_true_age_during(30)) <= to_ms(CONFIG_APPLY));
     }
 }
 
--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -149,6 +149,20 @@
         return age;
     }
 
+    /// Runs for a number of seconds, and returns the largest age, at the end of a second, of the
+    /// data of a running node that can reach the store.
+    Duration max_true_age_during(int seconds) {
+        const auto reaches_store = [](const ModelNode& node) {
+            return !node.cut_from_store;
+        };
+        Duration age{};
+        for (int second = 0; second < seconds; ++second) {
+            run_for(from_ms(1000));
+            age = std::max(age, max_true_age(reaches_store));
+        }
+        return age;
+    }
+
     /// Smallest age that a running node takes its data to have.
     Duration min_believed_age() const {
         Duration age = Duration::max();
