--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -401,6 +401,13 @@
     std::string address() const {
         return m_server.address();
     }
+    /// While it is busy, the store answers 503 to every call, also to watches that wait, and does
+    /// nothing.
+    void set_busy(bool busy) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_busy = busy;
+        m_changed.notify_all();
+    }
 
     /// A write of the operator or of a searcher; acknowledged on return.
     void put(const std::string& kind, const std::string& name, const Json& spec) {
@@ -501,18 +508,25 @@
     int call(const Message& request, const std::string& kind, const std::string& name,
              const std::map<std::string, std::string>& query, Json& body) {
         std::unique_lock<std::mutex> lock(m_mutex);
+        if (m_busy) {
+            return 503;
+        }
         if (request.first == "GET" && query.count("watch") > 0) {
             const std::int64_t after = std::atoll(query.at("watch").c_str());
             const std::int64_t wait =
                 query.count("wait_ms") > 0 ? std::atoll(query.at("wait_ms").c_str()) : 0;
             const Clock::time_point until = Clock::now() + milliseconds(wait);
             body = {{"events", Json::array()}, {"store_revision", m_revision}};
-            while (!collect(kind, after, body["events"]) && !m_server.is_closing()) {
+            while (!collect(kind, after, body["events"]) && !m_server.is_closing() && !m_busy) {
                 if (m_changed.wait_until(lock, until) == std::cv_status::timeout) {
                     collect(kind, after, body["events"]);
                     break;
                 }
             }
+            if (m_busy) {
+                body = Json::object();
+                return 503;
+            }
             body["store_revision"] = m_revision;
             return 200;
         }
@@ -582,6 +596,7 @@
     Server m_server;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    bool m_busy = false;
     std::int64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Json>> m_objects;
     std::vector<Change> m_changes;
@@ -640,6 +655,10 @@
         }
         m_server.close_all();
     }
+    /// Ends as a crashing process does: its connections end, and nothing listens any more.
+    void crash() {
+        m_server.close_all();
+    }
     const Options& options() const {
         return m_options;
     }
