Review: processes of a script end with it

The stand-ins ask for a signal at the end of the script's program, so that no front process outlives a script that is ended from outside.

--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -845,6 +846,8 @@
         const std::string variable = "EBONYMOUNT_BOOT=" + settings_file();
         const pid_t child = fork();
         if (child == 0) {
+            // The process ends with the script, also if that is ended from outside.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, STDOUT_FILENO);
             dup2(out, STDERR_FILENO);
