--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -28,8 +28,8 @@
 constexpr int CLIENTS = 120;
 constexpr int MACHINES = 6;
 
-/// One searcher with two slots: 333 requests a second fill it. Requests come at random times, so
-/// its queue is full now and then, and it turns some away.
+/// The one searcher that the route allows has two slots: 333 requests a second fill it. Requests
+/// come at random times, so its queue is full now and then, and it turns some away.
 constexpr double REQUESTS_PER_SECOND = 300.0;
 constexpr double WORK_MS = 6.0;
 
@@ -152,6 +152,16 @@
     if (!searcher.open()) {
         return 2;
     }
+    // The other searcher of the service is in a region that the route does not allow, and sound.
+    Searcher::Options other_options = options;
+    other_options.id = "i-" + random_hex(8);
+    other_options.zone = ZONES[1];
+    Searcher other_searcher(other_options);
+    other_searcher.on_run = searcher.on_run;
+    other_searcher.on_refusal = searcher.on_refusal;
+    if (!other_searcher.open()) {
+        return 2;
+    }
 
     const Json routes = {{{"name", "r-book"},
                           {"hostname", HOST},
@@ -162,7 +172,7 @@
                           {"priority", 2},
                           {"service", "kafi81c"},
                           {"max_attempts", 2},
-                          {"allowed_regions", Json::array()}}};
+                          {"allowed_regions", Json::array({REGIONS[0]})}}};
     const Json services = {{{"name", "kafi81c"},
                             {"health_path", "/health"},
                             {"max_connections", 96},
@@ -183,6 +193,7 @@
     std::thread beats([&] {
         while (!ends) {
             store.put("servers", options.id, searcher.entry());
+            store.put("servers", other_options.id, other_searcher.entry());
             sleep_ms(1200);
         }
     });
@@ -256,6 +267,7 @@
         machine->stop();
     }
     searcher.close_all();
+    other_searcher.close_all();
     store.close_all();
     record.flush();
     return result;
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -15,8 +15,8 @@
 constexpr const char* SINGLE_PREFIX = "/goka902/";
 constexpr int SHARDS = 10;
 
-/// The dose of `garble` that `fleetbench kinds` states: half of the searchers of one service, 2 %
-/// of their answers. The length is that of the site file.
+/// The dose of `garble` in the site file: a share of 0.35, here one searcher of three in each shard
+/// (`across`), 2 % of their answers, for 5.5 s.
 constexpr double SPOILED_SHARE = 0.02;
 constexpr std::int64_t FIRST_SPELL_MS = 12000;
 constexpr std::int64_t SPELL_MS = 5500;
@@ -192,9 +192,10 @@
         };
         searchers.push_back(std::make_unique<Searcher>(options));
         Searcher& searcher = *searchers.back();
-        // Half of the searchers of one service, rounded up.
-        const std::string& spoiled_service = spoils_trailer ? single : shards.front();
-        if (options.service != spoiled_service || i % 3 == 2) {
+        // One of three searchers of each shard, a third of all copies (`across`), or of the one
+        // service.
+        const bool is_in_spoilt_part = (options.service == single) == spoils_trailer;
+        if (!is_in_spoilt_part || i % 3 != 0) {
             searcher.on_run = [](const Searcher&, const Message& request) {
                 const std::lock_guard<std::mutex> lock(seen_mutex);
                 ++seen[request.header("X-Ebonymount-Request-Id")].runs;
