--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -1,7 +1,4 @@
-// HTTP/1.1 server on an event loop: a listener and its connections.
-//
-// A connection serves one request at a time, in order, and notifies the request's handler when the
-// caller disconnects. No connection occupies a thread.
+// Accepts the connections of an HTTP/1.1 server on an event loop. No connection occupies a thread.
 #pragma once
 
 #include <Poco/Net/ServerSocket.h>
@@ -15,12 +12,10 @@
 #include "base/time.h"
 #include "io/event_loop.h"
 #include "io/http_message.h"
-#include "io/tcp_stream.h"
+#include "io/http_server_connection.h"
 
 namespace ebonymount {
 
-class HttpServerConnection;
-
 /// Handles one request; must cause one call of `respond` or `drop`, at once or later.
 using HttpRequestHandler =
     std::function<void(const std::shared_ptr<HttpServerConnection>&, HttpRequestMessage)>;
@@ -88,7 +83,7 @@
     friend class HttpServerConnection;
 
     HttpListener(EventLoop& loop, const Poco::Net::ServerSocket& socket,
-                 const HttpListenerOptions& options, HttpRequestHandler handler);
+                        const HttpListenerOptions& options, HttpRequestHandler handler);
     /// False if no connection was accepted.
     bool accept_one();
     void remove_connection(HttpServerConnection& connection);
@@ -103,57 +98,4 @@
     bool m_accepting = true;
 };
 
-class HttpServerConnection : public SocketOwner,
-                             public std::enable_shared_from_this<HttpServerConnection> {
-public:
-    /// Sends the response to the request being served; ignored when none is.
-    void respond(HttpResponseMessage response);
-
-    /// Sets a callback that runs once if the connection closes before `respond`, as when the caller
-    /// disconnects.
-    void on_caller_gone(std::function<void()> handler);
-
-    /// Resets the connection without a response, as a crashing process would.
-    void drop();
-
-    /// Address of the caller's end of the connection.
-    std::string client_address() const;
-
-    /// When the first byte of the request being served arrived.
-    Time request_started_at() const;
-
-    /// True if the request being served is the first one on the connection.
-    bool is_first_request() const;
-
-    void on_ready(int modes) override;
-
-private:
-    friend class HttpListener;
-    enum class Phase : std::uint8_t { reading, serving, writing, lingering, closed };
-
-    HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream);
-    void watch();
-    void read();
-    void read_request();
-    void reject(int status, const std::string& message);
-    void finish_response();
-    void close();
-    void sweep(Time now);
-    bool is_idle() const;
-
-    std::shared_ptr<HttpListener> m_listener;
-    TcpStream m_stream;
-    Phase m_phase = Phase::reading;
-    std::string m_input;
-    HttpRequestReader m_reader;
-    ReadState m_read_state = ReadState::nothing;
-    bool m_sent_continue = false;
-    bool m_is_head = false;
-    bool m_keep_alive = true;
-    std::function<void()> m_on_caller_gone;
-    std::int64_t m_requests = 0;
-    Time m_last_byte_at;
-    Time m_request_started_at;
-};
-
 }  // namespace ebonymount
--- /dev/null
+++ b/src/io/http_server_connection.cpp
@@ -0,0 +1,230 @@
+#include "io/http_server_connection.h"
+
+#include "io/http_listener.h"
+#include "io/http_status.h"
+
+namespace ebonymount {
+namespace {
+
+/// How long a connection is still read after its last response, so that closing it does not reset
+/// the connection before the caller has received the response.
+constexpr Duration LINGER_TIME = from_ms(1000);
+
+/// While a request is being served, reading stops once this many bytes of pipelined requests are
+/// buffered.
+constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
+
+}  // namespace
+
+HttpServerConnection::HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream)
+    : m_listener(std::move(listener)),
+      m_stream(std::move(stream)),
+      m_reader(m_listener->m_options.limits),
+      m_last_byte_at(monotonic_now()),
+      m_request_started_at(m_last_byte_at) {}
+
+void HttpServerConnection::watch() {
+    const bool reads = m_phase != Phase::serving || m_input.size() < MAX_READ_AHEAD_BYTES;
+    const int modes = (reads ? Poco::Net::PollSet::POLL_READ : 0) |
+                      (m_stream.has_unsent() ? Poco::Net::PollSet::POLL_WRITE : 0) |
+                      Poco::Net::PollSet::POLL_ERROR;
+    m_listener->m_loop.watch(m_stream.socket(), modes, shared_from_this());
+}
+
+bool HttpServerConnection::is_idle() const {
+    return m_phase == Phase::lingering || m_phase == Phase::closed ||
+           (m_phase == Phase::reading && m_read_state == ReadState::nothing && m_input.empty());
+}
+
+Time HttpServerConnection::request_started_at() const {
+    return m_request_started_at;
+}
+
+bool HttpServerConnection::is_first_request() const {
+    return m_requests == 1;
+}
+
+void HttpServerConnection::on_caller_gone(std::function<void()> handler) {
+    m_on_caller_gone = std::move(handler);
+}
+
+void HttpServerConnection::on_ready(int modes) {
+    const std::shared_ptr<HttpServerConnection> self = shared_from_this();
+    if ((modes & Poco::Net::PollSet::POLL_WRITE) != 0 && m_stream.has_unsent()) {
+        if (m_stream.flush() == StreamState::broken) {
+            close();
+            return;
+        }
+        if (!m_stream.has_unsent() && m_phase == Phase::writing) {
+            finish_response();
+        }
+    }
+    if (m_phase != Phase::closed &&
+        (modes & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) != 0) {
+        read();
+    }
+}
+
+void HttpServerConnection::read() {
+    const std::size_t before = m_input.size();
+    const StreamState state = m_stream.receive(m_input);
+    if (m_input.size() > before) {
+        m_last_byte_at = monotonic_now();
+    }
+    if (m_phase == Phase::lingering) {
+        m_input.clear();
+    }
+    if (m_phase == Phase::reading) {
+        read_request();
+    }
+    if (state != StreamState::open && m_phase != Phase::closed) {
+        close();
+    } else if (m_phase == Phase::serving && m_input.size() >= MAX_READ_AHEAD_BYTES) {
+        watch();
+    }
+}
+
+void HttpServerConnection::read_request() {
+    if (m_read_state == ReadState::nothing && !m_input.empty()) {
+        m_request_started_at = monotonic_now();
+    }
+    m_read_state = m_reader.consume(m_input);
+    switch (m_read_state) {
+        case ReadState::complete: {
+            HttpRequestMessage request = m_reader.take();
+            m_read_state = ReadState::nothing;
+            m_phase = Phase::serving;
+            ++m_requests;
+            m_sent_continue = false;
+            m_is_head = request.method == "HEAD";
+            m_keep_alive = request.keep_alive;
+            m_listener->m_handler(shared_from_this(), std::move(request));
+            return;
+        }
+        case ReadState::header_too_long:
+            reject(http::HEADERS_TOO_LARGE, "the header is longer than allowed");
+            return;
+        case ReadState::body_too_long:
+            reject(http::TOO_LARGE, "the body is longer than allowed");
+            return;
+        case ReadState::malformed:
+            reject(http::BAD_REQUEST, "the request is not valid HTTP/1.1");
+            return;
+        default:
+            break;
+    }
+    if (!m_sent_continue && m_reader.expects_continue()) {
+        m_sent_continue = true;
+        HttpResponseMessage interim;
+        interim.status = http::CONTINUE;
+        m_stream.send(encode(interim, true));
+    }
+}
+
+void HttpServerConnection::reject(int status, const std::string& message) {
+    ++m_listener->m_counts.malformed;
+    m_phase = Phase::serving;
+    m_keep_alive = false;
+    m_read_state = ReadState::nothing;
+    HttpResponseMessage response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "text/plain"});
+    response.body = message + "\n";
+    respond(std::move(response));
+}
+
+void HttpServerConnection::respond(HttpResponseMessage response) {
+    if (m_phase != Phase::serving) {
+        return;
+    }
+    m_on_caller_gone = nullptr;
+    m_phase = Phase::writing;
+    m_keep_alive = m_keep_alive && !m_listener->m_close_after_responses;
+    response.keep_alive = m_keep_alive;
+    if (m_stream.send(encode(response, m_is_head)) == StreamState::broken) {
+        close();
+        return;
+    }
+    if (m_stream.has_unsent()) {
+        watch();
+        return;
+    }
+    finish_response();
+}
+
+void HttpServerConnection::finish_response() {
+    m_last_byte_at = monotonic_now();
+    if (!m_keep_alive) {
+        m_phase = Phase::lingering;
+        m_input.clear();
+        m_stream.shutdown_send();
+        watch();
+        return;
+    }
+    m_phase = Phase::reading;
+    if (!m_input.empty()) {
+        // The next request is already buffered (pipelined). It is read in a posted task, because a
+        // handler that responds at once would otherwise recurse for each pipelined request.
+        const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
+        m_listener->m_loop.post([weak] {
+            const std::shared_ptr<HttpServerConnection> connection = weak.lock();
+            if (connection != nullptr && connection->m_phase == Phase::reading) {
+                connection->read_request();
+            }
+        });
+        watch();
+    }
+}
+
+void HttpServerConnection::close() {
+    if (m_phase == Phase::closed) {
+        return;
+    }
+    const std::shared_ptr<HttpServerConnection> self = shared_from_this();
+    m_phase = Phase::closed;
+    m_listener->m_loop.unwatch(m_stream.socket());
+    m_stream.close();
+    m_listener->remove_connection(*this);
+    const std::function<void()> on_gone = std::move(m_on_caller_gone);
+    m_on_caller_gone = nullptr;
+    if (on_gone) {
+        on_gone();
+    }
+}
+
+void HttpServerConnection::drop() {
+    if (m_phase != Phase::closed) {
+        m_stream.reset_on_close();
+        close();
+    }
+}
+
+std::string HttpServerConnection::client_address() const {
+    return m_stream.peer_address();
+}
+
+void HttpServerConnection::sweep(Time now) {
+    const HttpListenerOptions& options = m_listener->m_options;
+    if (m_phase == Phase::lingering) {
+        if (now - m_last_byte_at > LINGER_TIME) {
+            close();
+        }
+    } else if (m_phase == Phase::reading) {
+        const bool in_header = m_read_state == ReadState::header;
+        if (in_header && now - m_request_started_at > options.header_timeout) {
+            ++m_listener->m_counts.timed_out;
+            reject(http::REQUEST_TIMEOUT, "the request's header did not arrive in time");
+        } else if (now - m_last_byte_at > options.idle_timeout) {
+            if (m_read_state == ReadState::body) {
+                ++m_listener->m_counts.timed_out;
+                reject(http::REQUEST_TIMEOUT, "the request's body did not arrive in time");
+            } else {
+                close();
+            }
+        }
+    } else if (m_phase == Phase::writing && now - m_last_byte_at > options.idle_timeout) {
+        close();
+    }
+}
+
+}  // namespace ebonymount
