Tests: a front process among crowds of clients that do not behave

Callers that we don't control are coming. It checks that the process lives, its peak memory, its descriptors less the 200 that are for files, and that an ordinary request is answered. No check depends on elapsed time.

--- /dev/null
+++ b/test/failure/test_client_crowds.cpp
@@ -0,0 +1,90 @@
+// Crowds of clients that do not behave: slow readers, requests that never end, idle connections.
+// Whatever they do, the process lives within the memory and descriptors of its machine, and an
+// ordinary request is answered. No check depends on the speed of the machine.
+#include <catch2/catch.hpp>
+
+#include "crowded_front.h"
+#include "platform/names.h"
+
+namespace ebonymount {
+namespace {
+
+/// Descriptors of the machine that are for files; sockets share the rest.
+constexpr std::size_t FILE_DESCRIPTORS = 200;
+
+constexpr std::size_t LARGE_ANSWER_BYTES = 8 << 20;
+constexpr std::size_t LARGE_PART_BYTES = 512 << 10;
+constexpr std::size_t SHARDS = 10;
+/// The limits on requests of the configuration that the fixture publishes.
+constexpr std::size_t MAX_BODY_BYTES = 262144;
+
+const std::string REQUEST_FIELDS = std::string("Host: crowd.example\r\n") +
+                                   platform::names::DEADLINE + ": 20000\r\n" +
+                                   platform::names::REQUEST_ID + ": crowd\r\n";
+
+std::string get(const std::string& path) {
+    return "GET " + path + " HTTP/1.1\r\n" + REQUEST_FIELDS + "\r\n";
+}
+
+std::string repeat(const std::string& text, std::size_t bytes) {
+    std::string result;
+    while (result.size() + text.size() <= bytes) {
+        result += text;
+    }
+    return result;
+}
+
+/// Starts the process with a small service, a service of large answers and a fan-out of large
+/// parts.
+void start(CrowdedFront& front) {
+    std::vector<CrowdService> services = {{"small", 100}, {"large", LARGE_ANSWER_BYTES}};
+    std::vector<std::string> shards;
+    for (std::size_t shard = 0; shard < SHARDS; ++shard) {
+        shards.push_back("shard-" + std::to_string(shard));
+        services.push_back({shards.back(), LARGE_PART_BYTES});
+    }
+    REQUIRE(
+        front.start(services, {{"small", {"small"}}, {"large", {"large"}}, {"fan", shards, true}}));
+}
+
+/// What must hold whatever clients do.
+void check_health(CrowdedFront& front, const FrontMachine& machine) {
+    CHECK(front.ask(caller_request("/small/ordinary")).has_value());
+    front.wait_for_crowds();
+    CHECK(front.ask(caller_request("/small/ordinary")).has_value());
+    CHECK(front.is_running());
+    CHECK(front.peak_memory_mb() <= machine.memory_mb);
+    CHECK(front.max_open_descriptors() <=
+          static_cast<std::size_t>(machine.max_open_files) - FILE_DESCRIPTORS);
+}
+
+}  // namespace
+
+TEST_CASE("requests at the limits are served in calm") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    const HttpResponseMessage large = front.ask_once(caller_request("/large/x"));
+    CHECK(large.status == 200);
+    CHECK(large.body.size() == LARGE_ANSWER_BYTES);
+    CHECK(front.ask_once(caller_request("/fan/x")).status == 200);
+    CHECK(front.ask_once(caller_request("/small/x", std::string(MAX_BODY_BYTES, 'b'))).status ==
+          200);
+    CHECK(front.ask_once(caller_request("/fan/x", std::string(MAX_BODY_BYTES, 'b'))).status == 200);
+    HttpRequestMessage many_fields = caller_request("/small/x");
+    many_fields.headers.resize(many_fields.headers.size() + 2500, {"a", "b"});
+    CHECK(front.ask_once(many_fields).status == 200);
+    check_health(front, machine);
+}
+
+TEST_CASE("clients that send many requests at once and do not read") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    CrowdBehaviour behaviour;
+    behaviour.request = repeat(get("/none/x"), 60000);
+    front.add_crowd(700, FrontListener::callers, behaviour, false);
+    check_health(front, machine);
+}
+
+}  // namespace ebonymount
--- a/test/soak/soak_process.cpp
+++ b/test/soak/soak_process.cpp
@@ -65,4 +65,8 @@
     return m_pid > 0;
 }
 
+pid_t SoakProcess::id() const {
+    return m_pid;
+}
+
 }  // namespace soak
--- a/test/soak/soak_process.h
+++ b/test/soak/soak_process.h
@@ -30,6 +30,9 @@
 
     bool is_running() const;
 
+    /// Id of the running process; 0 if none runs.
+    pid_t id() const;
+
 private:
     pid_t m_pid = 0;
 };
