Front: responses that callers do not read are bounded for the whole process

Callers saw nothing; the machine did: 24 clients that asked for 8 MB each and read nothing, or 64 bytes at a time, took the process to 286 and 281 MB.

Cause: what a caller has not read is held by nobody's account. A response stood in memory as the part, the response, Beast's copy of the body, the encoded text and the unsent text, and the allocator kept the freed buffers.

Connections charge what is unsent, requests charge the parts they keep and what their attempts read from targets. When the budget is exceeded, nothing more is read until the accounts that cost most, in bytes times time without progress, have let go: a response that is not read ends with a reset, a request in progress with 503 if it was not run, else 502 (or with the parts it has, if they are enough). Bodies are moved to the socket, not copied; large buffers go back to the system when they are freed.

Why it works: every byte that a caller causes to be held between a target and its socket is charged before the next one is read.

Evidence: failure/crowd_unread_answers and failure/crowd_slow_readers, limits. memory_mb=128. Single answers of 8 MB are served in calm as before, now with a peak of 25 MB.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,6 +18,9 @@
 /// busy with something else.
 constexpr Duration REPORTED_STALL = from_ms(250);
 
+/// Least time between two lines about limits that callers have met.
+constexpr Duration LIMIT_REPORT_INTERVAL = from_ms(1000);
+
 /// How often the settings file is checked for changes, as it may change without a signal.
 constexpr Duration SETTINGS_CHECK_INTERVAL = from_ms(2000);
 
@@ -55,6 +58,15 @@
         std::max<std::int64_t>(100, settings.max_open_files - RESERVED_DESCRIPTORS));
 }
 
+/// Memory that may be held for callers. Refusals and small messages need some in any case.
+std::int64_t caller_memory_bytes(const platform::Settings& settings) {
+    constexpr double BYTES_PER_MB = 1048576.0;
+    constexpr std::int64_t MIN_BYTES = 4194304;
+    const double bytes = static_cast<double>(settings.memory_mb) * BYTES_PER_MB *
+                         std::min(settings.caller_memory_share, 1.0);
+    return std::max(MIN_BYTES, static_cast<std::int64_t>(bytes));
+}
+
 std::string read_file(const std::string& path) {
     std::ifstream file(path);
     std::ostringstream text;
@@ -83,6 +95,7 @@
     if (!has_value(listening)) {
         return error_of(listening);
     }
+    front->apply_machine_limits();
     front->split_fleet_limits();
     front->start_fleet_watcher();
     LogEvent(LogLevel::info, "front", "started")
@@ -97,6 +110,7 @@
 Result<Done> Front::listen(std::int64_t metrics_port) {
     HttpListenerOptions options;
     options.max_connections = max_caller_connections(m_settings);
+    options.memory = m_state.memory;
     Result<std::shared_ptr<HttpListener>> callers =
         HttpListener::listen(m_loop, m_settings.caller_address, options,
                              [this](const std::shared_ptr<HttpServerConnection>& connection,
@@ -153,9 +167,14 @@
     options.header_timeout = limits.header_timeout;
     options.idle_timeout = limits.idle_timeout;
     options.max_connections = max_caller_connections(m_settings);
+    options.memory = m_state.memory;
     m_caller_listener->set_options(options);
 }
 
+void Front::apply_machine_limits() {
+    m_state.memory->set_limit(caller_memory_bytes(m_settings));
+}
+
 void Front::split_fleet_limits() {
     const std::int64_t nodes =
         m_node_names.empty() ? ASSUMED_NODES : static_cast<std::int64_t>(m_node_names.size());
@@ -200,6 +219,8 @@
     m_metrics.counter("ebonymount_front_stalled_requests_total") = counts.timed_out;
     m_metrics.counter("ebonymount_front_target_connections_total") =
         m_state.pool.opened_connections();
+    m_metrics.counter("ebonymount_front_caller_memory_bytes") = m_state.memory->held_bytes();
+    m_metrics.counter("ebonymount_front_caller_memory_releases_total") = m_state.memory->releases();
     m_metrics.counter("ebonymount_log_lines_dropped_total") = dropped_log_lines();
     HttpResponseMessage response;
     response.status = http::OK;
@@ -216,6 +237,7 @@
     if (m_metrics_listener != nullptr) {
         m_metrics_listener->sweep(now);
     }
+    report_client_limits(now);
     m_state.pool.sweep(now);
     m_fleet_watcher->sweep(now);
     const bool requested = m_signals.reload.exchange(false);
@@ -243,6 +265,21 @@
     }
 }
 
+void Front::report_client_limits(Time now) {
+    if (now < m_next_limit_report) {
+        return;
+    }
+    m_next_limit_report = now + LIMIT_REPORT_INTERVAL;
+    const ClientLimitCounts counts{m_state.memory->releases()};
+    if (counts != m_reported_limits) {
+        LogEvent(LogLevel::warning, "front", "client_limits")
+            .add("memory_releases", counts.memory_releases - m_reported_limits.memory_releases)
+            .add("memory_bytes", m_state.memory->held_bytes())
+            .write();
+        m_reported_limits = counts;
+    }
+}
+
 void Front::reload_settings(bool requested) {
     const std::string text = read_file(m_settings_file);
     if (text == m_settings_text) {
@@ -271,6 +308,7 @@
         .add("changed", reloaded == m_settings ? "no" : "yes")
         .write();
     m_settings = reloaded;
+    apply_machine_limits();
     split_fleet_limits();
 }
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -26,6 +26,13 @@
     std::atomic<bool> reload{false};
 };
 
+/// How often limits on what callers may hold have taken effect since the start.
+struct ClientLimitCounts {
+    std::int64_t memory_releases = 0;
+
+    friend bool operator==(const ClientLimitCounts&, const ClientLimitCounts&) = default;
+};
+
 class Front {
 public:
     /// Opens the listeners and starts to read the store; an error if callers or the load balancer
@@ -49,6 +56,8 @@
     Result<Done> listen(std::int64_t metrics_port);
     void start_fleet_watcher();
     void apply_caller_limits(const CallerLimits& limits);
+    /// Divides the memory of the machine that the settings state.
+    void apply_machine_limits();
     void split_fleet_limits();
     void serve_readiness(const std::shared_ptr<HttpServerConnection>& connection,
                          const HttpRequestMessage& request) const;
@@ -56,6 +65,8 @@
                        const HttpRequestMessage& request);
     void housekeep();
     void report_stall(Time now);
+    /// Logs what callers' limits have ended since the last report, at most one line a second.
+    void report_client_limits(Time now);
     void reload_settings(bool requested);
     void begin_stop();
     void continue_stop(Time now);
@@ -76,6 +87,8 @@
     std::optional<Time> m_stopping_since;
     Time m_next_settings_check{};
     Time m_next_housekeeping{};
+    Time m_next_limit_report{};
+    ClientLimitCounts m_reported_limits;
     std::string m_settings_text;
 };
 
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -1,5 +1,7 @@
 #include "front/front_state.h"
 
+#include <limits>
+
 namespace ebonymount {
 namespace {
 
@@ -31,6 +33,7 @@
       caller_gone(ended_counter(metrics, "caller_gone")),
       unknown_route(ended_counter(metrics, "unknown_route")),
       not_ready(ended_counter(metrics, "not_ready")),
+      short_of_memory(metrics.counter("ebonymount_front_short_of_memory_total")),
       quarantined(ended_counter(metrics, "quarantined")),
       quarantine_trials(metrics.counter("ebonymount_front_quarantine_trials_total")),
       attempts(metrics.counter("ebonymount_front_tries_total")),
@@ -56,6 +59,7 @@
     : event_loop(loop),
       metrics(metrics_registry),
       counters(metrics_registry),
+      memory(MemoryBudget::create(loop, std::numeric_limits<std::int64_t>::max())),
       pool(loop, targets),
       random(process_seed()) {}
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -14,6 +14,7 @@
 #include "base/random.h"
 #include "front/target_pool.h"
 #include "io/event_loop.h"
+#include "io/memory_budget.h"
 #include "io/metrics.h"
 #include "policy/crash_quarantine.h"
 #include "policy/fleet_view.h"
@@ -37,6 +38,8 @@
     Counter& caller_gone;
     Counter& unknown_route;
     Counter& not_ready;
+    /// Requests that were ended because too much memory is held for callers.
+    Counter& short_of_memory;
     Counter& quarantined;
     /// Trials of quarantined requests that this node has made.
     Counter& quarantine_trials;
@@ -97,6 +100,8 @@
     std::unordered_set<RequestHandler*> open_requests;
     /// Set when the node stops: when it answers the requests that are still open.
     std::optional<Time> answers_by;
+    /// Budget of what is held for callers, by connections and by requests.
+    std::shared_ptr<MemoryBudget> memory;
     TargetPool pool;
     Random random;
     /// Called when a target has crashed while running a request.
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -164,6 +164,7 @@
     // The connection holds a reference to the request while the caller waits.
     m_connection->on_caller_gone([self] { self->on_caller_gone(); });
     m_front.open_requests.insert(this);
+    open_memory_account();
     advance(BeginRequest{});
     if (has_trial && !m_trial_started) {
         report_trial_end(m_front, m_fingerprint, TrialEnd::not_sent);
@@ -261,6 +262,7 @@
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
     call.call.is_head = m_request.method == "HEAD";
     call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
+    call.call.memory = m_account;
     call.call.may_send = [self, index = action.target,
                           service = m_state.shards[action.shard].service,
                           is_trial = action.is_trial] {
@@ -479,9 +481,37 @@
                                                  : keeps_failure) {
         const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
         part = Part{headers.signature, std::move(response)};
+        m_parts_memory += memory_of(part->response);
+        m_memory.set(m_parts_memory);
     }
 }
 
+void RequestHandler::open_memory_account() {
+    const std::weak_ptr<RequestHandler> weak = weak_from_this();
+    m_account = m_front.memory->open_account([weak] {
+        const std::shared_ptr<RequestHandler> self = weak.lock();
+        if (self != nullptr) {
+            self->release_memory();
+        }
+    });
+    m_memory = MemoryCharge(m_account);
+}
+
+void RequestHandler::release_memory() {
+    if (!m_state.finished) {
+        m_short_of_memory = true;
+        ++m_front.counters.short_of_memory;
+        advance(ResourcesExhausted{});
+    }
+    cancel_attempts();
+}
+
+void RequestHandler::release_parts() {
+    m_parts.assign(m_parts.size(), std::nullopt);
+    m_parts_memory = 0;
+    m_memory.set(0);
+}
+
 void RequestHandler::merge_parts(HttpResponseMessage& response) {
     std::vector<std::string> signatures;
     std::vector<std::string_view> bodies;
@@ -513,11 +543,18 @@
             return platform::response_for_caller(std::move(m_parts.front()->response));
         case FanOutStatus::not_run:
             return platform::local_response(http::UNAVAILABLE, m_caller_headers.request_id,
-                                            "no target is available; the request was not run",
+                                            m_short_of_memory
+                                                ? "the node is short of memory; the request was "
+                                                  "not run"
+                                                : "no target is available; the request was not run",
                                             action.retry_after);
         case FanOutStatus::failed:
             return platform::local_response(http::BAD_GATEWAY, m_caller_headers.request_id,
-                                            "too many targets failed; the request may have run",
+                                            m_short_of_memory
+                                                ? "the node is short of memory; the request may "
+                                                  "have run"
+                                                : "too many targets failed; the request may have "
+                                                  "run",
                                             Duration::zero());
         case FanOutStatus::out_of_time:
             return platform::local_response(http::TIMEOUT, m_caller_headers.request_id,
@@ -534,7 +571,9 @@
     m_front.counters.attempts_without_token += m_state.attempts_without_token;
     m_front.counters.request_time.add(monotonic_now() - m_state.parameters.started);
     HttpResponseMessage response = response_for(action);
-    log_request_end(log_context(), name_of(action.status), response.status);
+    release_parts();
+    log_request_end(log_context(), m_short_of_memory ? "short_of_memory" : name_of(action.status),
+                    response.status);
     if (!m_caller_gone) {
         m_connection->respond(std::move(response));
     }
@@ -576,6 +615,7 @@
     m_front.open_requests.erase(this);
     ++m_front.counters.caller_gone;
     log_request_end(log_context(), "caller_gone", 0);
+    release_parts();
     cancel_attempts();
     m_connection.reset();
     schedule_tick();
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -90,6 +90,10 @@
     /// An attempt at the target ended before it was sent.
     void on_not_sent(TargetIndex target);
     void schedule_tick();
+    void open_memory_account();
+    /// Ends the request, because what is held for it costs too much memory.
+    void release_memory();
+    void release_parts();
     RequestLogContext log_context() const;
 
     FrontState& m_front;
@@ -103,6 +107,11 @@
     FanOutState m_state;
     std::vector<OpenAttempt> m_open_attempts;
     std::vector<std::optional<Part>> m_parts;
+    std::size_t m_parts_memory = 0;
+    /// What the request holds itself and what its attempts hold are charged to this account.
+    std::shared_ptr<MemoryAccount> m_account;
+    MemoryCharge m_memory;
+    bool m_short_of_memory = false;
     std::deque<FanOutEvent> m_events;
     bool m_advancing = false;
     bool m_trial_started = false;
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -84,6 +84,7 @@
 
 void HttpChannel::start(ChannelCall call) {
     m_call = std::move(call);
+    m_memory = MemoryCharge(m_call.memory);
     m_has_call = true;
     if (m_phase == Phase::idle) {
         send_call();
@@ -98,6 +99,7 @@
     }
     m_has_call = false;
     m_call = ChannelCall{};
+    m_memory = MemoryCharge();
     return true;
 }
 
@@ -154,6 +156,7 @@
             fail(CallStatus::broken);
             return;
         }
+        charge_memory();
         if (!m_stream.has_unsent()) {
             watch();
         }
@@ -186,6 +189,7 @@
     if (m_call.may_send && !m_call.may_send()) {
         const ChannelCall call = std::move(m_call);
         m_call = ChannelCall{};
+        m_memory = MemoryCharge();
         m_has_call = false;
         m_on_change(*this);
         call.on_end(CallStatus::not_sent, HttpResponseMessage{});
@@ -204,11 +208,19 @@
         return;
     }
     if (m_stream.has_unsent()) {
+        charge_memory();
         watch();
     }
 }
 
+void HttpChannel::charge_memory() {
+    m_memory.set(m_stream.unsent_memory() + m_input.capacity() + m_reader.memory());
+}
+
 void HttpChannel::read() {
+    if (m_memory.must_wait()) {
+        return;
+    }
     const StreamState state = m_stream.receive(m_input);
     if (m_phase != Phase::awaiting_response) {
         // Unexpected bytes or end of stream without a call: the connection cannot be reused.
@@ -219,6 +231,7 @@
 }
 
 void HttpChannel::read_responses(StreamState stream_state) {
+    m_memory.record_progress(monotonic_now());
     while (m_phase == Phase::awaiting_response) {
         ReadState state = m_reader.consume(m_input);
         if (stream_state == StreamState::ended && state == ReadState::body) {
@@ -242,6 +255,8 @@
         } else if (stream_state != StreamState::open) {
             const bool is_rejected = !m_has_responded && state == ReadState::nothing;
             fail(is_rejected ? CallStatus::rejected : CallStatus::broken);
+        } else {
+            charge_memory();
         }
         return;
     }
@@ -256,6 +271,8 @@
     const bool reusable = response.keep_alive && m_input.empty() && !m_stream.has_unsent();
     const ChannelCall call = std::move(m_call);
     m_call = ChannelCall{};
+    m_memory = MemoryCharge();
+    release_empty_buffer(m_input);
     m_has_call = false;
     m_phase = reusable ? Phase::idle : Phase::closed;
     if (!reusable) {
@@ -269,6 +286,7 @@
     const ChannelCall call = std::move(m_call);
     const bool had_call = m_has_call;
     m_call = ChannelCall{};
+    m_memory = MemoryCharge();
     m_has_call = false;
     m_phase = Phase::closed;
     close_socket();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "io/event_loop.h"
 #include "io/http_message.h"
+#include "io/memory_budget.h"
 #include "io/tcp_stream.h"
 
 namespace ebonymount {
@@ -45,6 +46,8 @@
     bool is_head = false;
     /// A response with a longer body is malformed.
     std::size_t max_body_bytes = HttpLimits{}.max_body_bytes;
+    /// Account that the unsent request and the response being read are charged to; may be null.
+    std::shared_ptr<MemoryAccount> memory;
 };
 
 class HttpChannel : public SocketOwner, public std::enable_shared_from_this<HttpChannel> {
@@ -97,6 +100,7 @@
     void send_call();
     void read();
     void read_responses(StreamState stream_state);
+    void charge_memory();
     void complete(HttpResponseMessage response);
     void fail(CallStatus status);
     void close_socket();
@@ -113,6 +117,7 @@
     /// Responses to other calls that were skipped during the present one.
     int m_skipped_responses = 0;
     ChannelCall m_call;
+    MemoryCharge m_memory;
     std::string m_input;
     HttpResponseReader m_reader;
     Time m_last_used;
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -57,7 +57,7 @@
         const std::shared_ptr<HttpServerConnection> connection(
             new HttpServerConnection(shared_from_this(), std::move(stream)));
         m_connections.emplace(connection.get(), connection);
-        connection->watch();
+        connection->start();
         return true;
     } catch (const Poco::Exception&) {
         // None is waiting, or the caller disconnected before the accept.
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -13,6 +13,7 @@
 #include "io/event_loop.h"
 #include "io/http_message.h"
 #include "io/http_server_connection.h"
+#include "io/memory_budget.h"
 
 namespace ebonymount {
 
@@ -29,6 +30,8 @@
     /// is being written.
     Duration idle_timeout = from_ms(60000);
     std::size_t max_connections = 10000;
+    /// Budget of the memory that is held for callers; null for no limit.
+    std::shared_ptr<MemoryBudget> memory;
 };
 
 /// Counts of accepted connections, and of connections ended by this side, by reason.
@@ -83,7 +86,7 @@
     friend class HttpServerConnection;
 
     HttpListener(EventLoop& loop, const Poco::Net::ServerSocket& socket,
-                        const HttpListenerOptions& options, HttpRequestHandler handler);
+                 const HttpListenerOptions& options, HttpRequestHandler handler);
     /// False if no connection was accepted.
     bool accept_one();
     void remove_connection(HttpServerConnection& connection);
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -30,6 +30,25 @@
     return {text.data(), text.size()};
 }
 
+/// Memory that a string takes outside of the string object.
+std::size_t heap_memory(const std::string& text) {
+    static const std::size_t inline_capacity = std::string().capacity();
+    return text.capacity() > inline_capacity ? text.capacity() + 1 : 0;
+}
+
+std::size_t heap_memory(const HttpHeader& header) {
+    return heap_memory(header.name) + heap_memory(header.value);
+}
+
+template <typename Message>
+std::size_t memory_of_message(const Message& message) {
+    std::size_t bytes = heap_memory(message.body) + message.headers.capacity() * sizeof(HttpHeader);
+    for (const HttpHeader& header : message.headers) {
+        bytes += heap_memory(header);
+    }
+    return bytes;
+}
+
 /// Collects the output of Beast's parser in `Message`, a request or a response.
 template <bool is_request, typename Message>
 class MessageParser : public beast_http::basic_parser<is_request> {
@@ -76,10 +95,28 @@
         return std::move(message);
     }
 
+    std::size_t memory() const {
+        return m_header_text_memory + message.headers.capacity() * sizeof(HttpHeader) +
+               heap_memory(message.body);
+    }
+
     Message message;
 
 private:
+    /// Appends to the body without growing it beyond the length that the header states.
+    void append_to_body(beast::string_view bytes) {
+        const std::size_t size = message.body.size() + bytes.size();
+        if (size > message.body.capacity() && m_body_length >= size) {
+            message.body.reserve(std::min(m_body_length, 2 * size));
+        }
+        message.body.append(bytes.data(), bytes.size());
+    }
+
     std::size_t m_max_unparsed_bytes;
+    /// Memory of the texts of `message.headers`.
+    std::size_t m_header_text_memory = 0;
+    /// Length of the body if the header states one, otherwise 0.
+    std::size_t m_body_length = 0;
 
     ReadState state_after(const beast::error_code& error) const {
         if (!error || error == beast_http::error::need_more) {
@@ -117,15 +154,18 @@
     void on_field_impl(beast_http::field /*field*/, beast::string_view name,
                        beast::string_view value, beast::error_code& /*error*/) override {
         message.headers.push_back({text(name), text(value)});
+        m_header_text_memory += heap_memory(message.headers.back());
     }
 
     void on_header_impl(beast::error_code& /*error*/) override {}
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                           beast::error_code& /*error*/) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                           beast::error_code& /*error*/) override {
+        m_body_length = static_cast<std::size_t>(length.value_or(0));
+    }
 
     std::size_t on_body_impl(beast::string_view body, beast::error_code& /*error*/) override {
-        message.body.append(body.data(), body.size());
+        append_to_body(body);
         return body.size();
     }
 
@@ -134,7 +174,7 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t /*left*/, beast::string_view body,
                                    beast::error_code& /*error*/) override {
-        message.body.append(body.data(), body.size());
+        append_to_body(body);
         return body.size();
     }
 
@@ -157,15 +197,14 @@
 };
 
 template <bool is_request>
-std::string serialize(
-    const beast_http::message<is_request, beast_http::string_body, beast_http::fields>& message,
-    bool without_body) {
+std::string serialize_head(
+    const beast_http::message<is_request, beast_http::string_body, beast_http::fields>& message) {
     beast_http::serializer<is_request, beast_http::string_body, beast_http::fields> serializer(
         message);
-    serializer.split(without_body);
+    serializer.split(true);
     std::string bytes;
     beast::error_code error;
-    while (!serializer.is_done() && !(without_body && serializer.is_header_done())) {
+    while (!serializer.is_header_done()) {
         Appender appender{bytes};
         serializer.next(error, appender);
         if (error) {
@@ -210,7 +249,7 @@
     return false;
 }
 
-std::string encode(const HttpRequestMessage& request) {
+std::string encode_head(const HttpRequestMessage& request, std::size_t body_bytes) {
     beast_http::request<beast_http::string_body> message;
     message.version(HTTP_1_1);
     message.method_string(view(request.method));
@@ -219,16 +258,14 @@
         message.insert(view(header.name), view(header.value));
     }
     message.keep_alive(request.keep_alive);
-    const bool has_length =
-        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    const bool has_length = body_bytes > 0 || (request.method != "GET" && request.method != "HEAD");
     if (has_length) {
-        message.content_length(request.body.size());
+        message.content_length(body_bytes);
     }
-    message.body() = request.body;
-    return serialize<true>(message, false);
+    return serialize_head<true>(message);
 }
 
-std::string encode(const HttpResponseMessage& response, bool without_body) {
+std::string encode_head(const HttpResponseMessage& response, std::size_t body_bytes) {
     beast_http::response<beast_http::string_body> message;
     message.version(HTTP_1_1);
     message.result(static_cast<unsigned>(response.status));
@@ -236,9 +273,28 @@
         message.insert(view(header.name), view(header.value));
     }
     message.keep_alive(response.keep_alive);
-    message.content_length(response.body.size());
-    message.body() = response.body;
-    return serialize<false>(message, without_body);
+    message.content_length(body_bytes);
+    return serialize_head<false>(message);
+}
+
+std::string encode(const HttpRequestMessage& request) {
+    return encode_head(request, request.body.size()) + request.body;
+}
+
+std::string encode(const HttpResponseMessage& response, bool without_body) {
+    std::string bytes = encode_head(response, response.body.size());
+    if (!without_body) {
+        bytes += response.body;
+    }
+    return bytes;
+}
+
+std::size_t memory_of(const HttpRequestMessage& message) {
+    return memory_of_message(message) + heap_memory(message.target);
+}
+
+std::size_t memory_of(const HttpResponseMessage& message) {
+    return memory_of_message(message);
 }
 
 class HttpRequestReader::Parser : public MessageParser<true, HttpRequestMessage> {
@@ -265,6 +321,10 @@
            is_same_header(find_header(m_parser->message.headers, "Expect"), "100-continue");
 }
 
+std::size_t HttpRequestReader::memory() const {
+    return m_parser->memory();
+}
+
 HttpRequestMessage HttpRequestReader::take() {
     HttpRequestMessage message = m_parser->take();
     m_parser = std::make_unique<Parser>(m_limits);
@@ -311,6 +371,10 @@
     return m_parser->finish();
 }
 
+std::size_t HttpResponseReader::memory() const {
+    return m_parser->memory();
+}
+
 HttpResponseMessage HttpResponseReader::take() {
     HttpResponseMessage message = m_parser->take();
     m_no_body = false;
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -58,6 +58,14 @@
 std::string encode(const HttpRequestMessage& request);
 std::string encode(const HttpResponseMessage& response, bool without_body);
 
+/// Encodes a message up to and with the empty line before its body, which has the given length.
+std::string encode_head(const HttpRequestMessage& request, std::size_t body_bytes);
+std::string encode_head(const HttpResponseMessage& response, std::size_t body_bytes);
+
+/// Memory that a message takes, with the strings of its headers.
+std::size_t memory_of(const HttpRequestMessage& message);
+std::size_t memory_of(const HttpResponseMessage& message);
+
 /// Limits of the messages that a reader accepts.
 struct HttpLimits {
     std::size_t max_header_bytes = 65536;
@@ -94,6 +102,9 @@
     /// Returns the complete message and resets the reader for the next one.
     HttpRequestMessage take();
 
+    /// Memory that the part of the message that was read takes.
+    std::size_t memory() const;
+
 private:
     class Parser;
     HttpLimits m_limits;
@@ -124,6 +135,9 @@
 
     HttpResponseMessage take();
 
+    /// As `HttpRequestReader::memory`.
+    std::size_t memory() const;
+
 private:
     class Parser;
     void restart();
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -14,6 +14,9 @@
 /// buffered.
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
 
+/// A body up to this size is sent together with its head, which takes one call of the system.
+constexpr std::size_t MAX_COPIED_BODY_BYTES = 16384;
+
 }  // namespace
 
 HttpServerConnection::HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream)
@@ -23,6 +26,31 @@
       m_last_byte_at(monotonic_now()),
       m_request_started_at(m_last_byte_at) {}
 
+void HttpServerConnection::start() {
+    if (m_listener->m_options.memory != nullptr) {
+        const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
+        m_memory = MemoryCharge(m_listener->m_options.memory->open_account([weak] {
+            const std::shared_ptr<HttpServerConnection> connection = weak.lock();
+            if (connection != nullptr) {
+                connection->release_memory();
+            }
+        }));
+    }
+    watch();
+}
+
+void HttpServerConnection::charge_memory() {
+    m_memory.set(m_stream.unsent_memory());
+}
+
+void HttpServerConnection::release_memory() {
+    if (m_phase == Phase::writing) {
+        // The rest of the response is lost with the connection; the length in its header shows that
+        // it is not complete.
+        drop();
+    }
+}
+
 void HttpServerConnection::watch() {
     const bool reads = m_phase != Phase::serving || m_input.size() < MAX_READ_AHEAD_BYTES;
     const int modes = (reads ? Poco::Net::PollSet::POLL_READ : 0) |
@@ -51,10 +79,15 @@
 void HttpServerConnection::on_ready(int modes) {
     const std::shared_ptr<HttpServerConnection> self = shared_from_this();
     if ((modes & Poco::Net::PollSet::POLL_WRITE) != 0 && m_stream.has_unsent()) {
+        const std::int64_t sent_before = m_stream.sent_bytes();
         if (m_stream.flush() == StreamState::broken) {
             close();
             return;
         }
+        if (m_stream.sent_bytes() > sent_before) {
+            m_memory.record_progress(monotonic_now());
+        }
+        charge_memory();
         if (!m_stream.has_unsent() && m_phase == Phase::writing) {
             finish_response();
         }
@@ -141,10 +174,12 @@
     m_phase = Phase::writing;
     m_keep_alive = m_keep_alive && !m_listener->m_close_after_responses;
     response.keep_alive = m_keep_alive;
-    if (m_stream.send(encode(response, m_is_head)) == StreamState::broken) {
+    if (send(std::move(response)) == StreamState::broken) {
         close();
         return;
     }
+    m_memory.record_progress(monotonic_now());
+    charge_memory();
     if (m_stream.has_unsent()) {
         watch();
         return;
@@ -152,6 +187,18 @@
     finish_response();
 }
 
+StreamState HttpServerConnection::send(HttpResponseMessage response) {
+    std::string head = encode_head(response, response.body.size());
+    if (m_is_head) {
+        return m_stream.send(std::move(head));
+    }
+    if (response.body.size() <= MAX_COPIED_BODY_BYTES) {
+        return m_stream.send(std::move(head += response.body));
+    }
+    m_stream.queue(std::move(head));
+    return m_stream.send(std::move(response.body));
+}
+
 void HttpServerConnection::finish_response() {
     m_last_byte_at = monotonic_now();
     if (!m_keep_alive) {
@@ -184,6 +231,7 @@
     m_phase = Phase::closed;
     m_listener->m_loop.unwatch(m_stream.socket());
     m_stream.close();
+    m_memory.set(0);
     m_listener->remove_connection(*this);
     const std::function<void()> on_gone = std::move(m_on_caller_gone);
     m_on_caller_gone = nullptr;
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -1,7 +1,7 @@
 // One caller's connection to an HTTP/1.1 server on an event loop.
 //
 // A connection serves one request at a time, in order, and notifies the request's handler when the
-// caller disconnects.
+// caller disconnects. What it holds for the caller is charged to the listener's memory budget.
 #pragma once
 
 #include <functional>
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "io/event_loop.h"
 #include "io/http_message.h"
+#include "io/memory_budget.h"
 #include "io/tcp_stream.h"
 
 namespace ebonymount {
@@ -46,10 +47,16 @@
     enum class Phase : std::uint8_t { reading, serving, writing, lingering, closed };
 
     HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream);
+    /// Opens the connection's account and starts to read.
+    void start();
     void watch();
+    void charge_memory();
+    /// Lets go of what is held for a caller that costs too much memory.
+    void release_memory();
     void read();
     void read_request();
     void reject(int status, const std::string& message);
+    StreamState send(HttpResponseMessage response);
     void finish_response();
     void close();
     void sweep(Time now);
@@ -65,6 +72,7 @@
     bool m_is_head = false;
     bool m_keep_alive = true;
     std::function<void()> m_on_caller_gone;
+    MemoryCharge m_memory;
     std::int64_t m_requests = 0;
     Time m_last_byte_at;
     Time m_request_started_at;
--- a/src/io/tcp_stream.cpp
+++ b/src/io/tcp_stream.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t READ_BYTES = 16384;
 
+/// A connection keeps an empty receive buffer of this size for its next message.
+constexpr std::size_t MAX_KEPT_BUFFER_BYTES = 2048;
+
 /// TCP keep-alive: idle seconds before the first probe, seconds between probes, and the number of
 /// unanswered probes after which the connection fails.
 constexpr int PROBE_AFTER_S = 1;
@@ -23,6 +26,12 @@
 
 }  // namespace
 
+void release_empty_buffer(std::string& buffer) {
+    if (buffer.empty() && buffer.capacity() > MAX_KEPT_BUFFER_BYTES) {
+        std::string().swap(buffer);
+    }
+}
+
 bool would_block(const Poco::Exception& error) {
     return error.code() == EAGAIN || error.code() == EWOULDBLOCK;
 }
@@ -66,35 +75,51 @@
     }
 }
 
-StreamState TcpStream::send(std::string bytes) {
-    if (m_unsent.empty()) {
-        m_unsent = std::move(bytes);
-    } else {
-        m_unsent += bytes;
+void TcpStream::queue(std::string bytes) {
+    if (!bytes.empty()) {
+        m_unsent_memory += bytes.capacity();
+        m_unsent.push_back(std::move(bytes));
     }
+}
+
+StreamState TcpStream::send(std::string bytes) {
+    queue(std::move(bytes));
     return flush();
 }
 
 StreamState TcpStream::flush() {
     try {
         while (has_unsent()) {
-            const int count = m_socket.sendBytes(m_unsent.data() + m_sent_bytes,
-                                                 static_cast<int>(m_unsent.size() - m_sent_bytes));
+            const std::string& first = m_unsent.front();
+            const int count = m_socket.sendBytes(first.data() + m_written,
+                                                 static_cast<int>(first.size() - m_written));
             if (count <= 0) {
                 return StreamState::open;
             }
-            m_sent_bytes += static_cast<std::size_t>(count);
+            m_sent_bytes += count;
+            m_written += static_cast<std::size_t>(count);
+            if (m_written == first.size()) {
+                m_unsent_memory -= first.capacity();
+                m_unsent.pop_front();
+                m_written = 0;
+            }
         }
     } catch (const Poco::Exception& error) {
         return would_block(error) ? StreamState::open : StreamState::broken;
     }
-    m_unsent.clear();
-    m_sent_bytes = 0;
     return StreamState::open;
 }
 
 bool TcpStream::has_unsent() const {
-    return m_sent_bytes < m_unsent.size();
+    return !m_unsent.empty();
+}
+
+std::size_t TcpStream::unsent_memory() const {
+    return m_unsent_memory;
+}
+
+std::int64_t TcpStream::sent_bytes() const {
+    return m_sent_bytes;
 }
 
 int TcpStream::connect_error() {
@@ -128,6 +153,9 @@
 
 void TcpStream::close() {
     m_socket.close();
+    m_unsent.clear();
+    m_unsent_memory = 0;
+    m_written = 0;
 }
 
 const Poco::Net::StreamSocket& TcpStream::socket() const {
--- a/src/io/tcp_stream.h
+++ b/src/io/tcp_stream.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <cstdint>
+#include <deque>
 #include <string>
 
 #include "base/time.h"
@@ -23,6 +24,9 @@
 /// without closing the connection. Probes start after a second without traffic.
 void detect_dead_peer(Poco::Net::StreamSocket& socket);
 
+/// Frees the memory of an empty receive buffer, unless it is small.
+void release_empty_buffer(std::string& buffer);
+
 /// True when a write failed only because it would have blocked (EAGAIN, EWOULDBLOCK).
 bool would_block(const Poco::Exception& error);
 
@@ -40,14 +44,23 @@
     /// Appends received bytes to `buffer`; does not block.
     StreamState receive(std::string& buffer);
 
-    /// Queues bytes and writes as much as the system accepts.
+    /// Queues bytes, without copying them, and writes as much as the system accepts.
     StreamState send(std::string bytes);
 
+    /// Queues bytes without writing them yet.
+    void queue(std::string bytes);
+
     /// Writes as much of the queued bytes as the system accepts.
     StreamState flush();
 
     bool has_unsent() const;
 
+    /// Memory that the queued bytes take.
+    std::size_t unsent_memory() const;
+
+    /// Number of bytes that the system has accepted since the start.
+    std::int64_t sent_bytes() const;
+
     /// The errno of a finished connect; 0 when it succeeded.
     int connect_error();
 
@@ -66,8 +79,11 @@
 
 private:
     Poco::Net::StreamSocket m_socket;
-    std::string m_unsent;
-    std::size_t m_sent_bytes = 0;
+    std::deque<std::string> m_unsent;
+    /// Bytes of the first queued string that are written.
+    std::size_t m_written = 0;
+    std::size_t m_unsent_memory = 0;
+    std::int64_t m_sent_bytes = 0;
 };
 
 }  // namespace ebonymount
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -627,6 +627,9 @@
         return {};
     } else if (const AttemptEnded* ended = std::get_if<AttemptEnded>(&event)) {
         handle_attempt_ended(s, *ended);
+    } else if (std::holds_alternative<ResourcesExhausted>(event)) {
+        const bool has_enough = state.parameters.fan_out && state.answered >= needed_shards(state);
+        end_request(s, has_enough ? FanOutStatus::partial : FanOutStatus::failed);
     } else {
         on_tick(s);
     }
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -138,7 +138,11 @@
 };
 /// The time returned by `next_tick` has come.
 struct ClockTick {};
-using FanOutEvent = std::variant<BeginRequest, AttemptSent, AttemptEnded, ClockTick>;
+/// The node cannot hold what the request needs, so the request ends now, with the parts that it has
+/// if they are enough.
+struct ResourcesExhausted {};
+using FanOutEvent =
+    std::variant<BeginRequest, AttemptSent, AttemptEnded, ClockTick, ResourcesExhausted>;
 
 /// Sends the request to a target.
 struct StartAttempt {
--- a/src/program/ebonymount_front.cpp
+++ b/src/program/ebonymount_front.cpp
@@ -3,6 +3,8 @@
 //
 // Exit codes: 0 after a graceful stop, 1 when the front could not start, 2 for bad arguments or
 // settings.
+#include <malloc.h>
+
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -40,6 +42,15 @@
     std::signal(SIGHUP, on_reload);
 }
 
+/// Returns the memory of large buffers to the system as soon as they are freed. By default the
+/// allocator keeps buffers of a size that has been freed once, so that a crowd of callers would
+/// leave the process at its peak.
+void return_large_buffers() {
+    constexpr int LARGE_BUFFER_BYTES = 131072;
+    mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+    mallopt(M_TRIM_THRESHOLD, 4 * LARGE_BUFFER_BYTES);
+}
+
 /// Exit code for a start that failed; none is owed if a stop was requested meanwhile.
 int start_failed(int code) {
     return signals().stop ? 0 : code;
@@ -72,6 +83,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    return_large_buffers();
     install_signal_handlers();
     cxxopts::Options options("ebonymount_front",
                              "Entry host of the ebonymount query tier on the users' platform");
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -58,6 +58,12 @@
           static_cast<std::size_t>(machine.max_open_files) - FILE_DESCRIPTORS);
 }
 
+CrowdBehaviour unread_answers(const std::string& path) {
+    CrowdBehaviour behaviour;
+    behaviour.request = get(path);
+    return behaviour;
+}
+
 }  // namespace
 
 TEST_CASE("requests at the limits are served in calm") {
@@ -77,6 +83,24 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients that do not read long answers") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(24, FrontListener::callers, unread_answers("/large/x"), true);
+    check_health(front, machine);
+}
+
+TEST_CASE("clients that read long answers slowly") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    CrowdBehaviour behaviour = unread_answers("/large/x");
+    behaviour.read_bytes = 64;
+    front.add_crowd(24, FrontListener::callers, behaviour, true);
+    check_health(front, machine);
+}
+
 TEST_CASE("clients that send many requests at once and do not read") {
     const FrontMachine machine;
     CrowdedFront front(machine);
