Listener: no more than the read-ahead is kept while a response is being sent

Callers that sent on while they did not read their answer filled the node's memory: 8 clients that asked for 8 MB each and sent 24 MB each took the process to 331 MB.

Cause: reading stopped for a full read-ahead only while a request was served. In Phase::writing the input grew by all that the caller sent.

Change: the read-ahead bounds both phases, and reading starts again when the response is sent. The connection remembers the modes that the loop watches, so that it asks for a change only where there is one. That also ends a fault of the same lines: after a long response on a kept connection without further input, the loop went on watching for writability, which is always given.

--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -10,8 +10,8 @@
 /// the connection before the caller has received the response.
 constexpr Duration LINGER_TIME = from_ms(1000);
 
-/// While a request is being served, reading stops once this many bytes of pipelined requests are
-/// buffered.
+/// Until the response to a request is sent, reading stops once this many bytes of pipelined
+/// requests are buffered.
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
 
 /// A body up to this size is sent together with its head, which takes one call of the system.
@@ -52,11 +52,18 @@
 }
 
 void HttpServerConnection::watch() {
-    const bool reads = m_phase != Phase::serving || m_input.size() < MAX_READ_AHEAD_BYTES;
-    const int modes = (reads ? Poco::Net::PollSet::POLL_READ : 0) |
+    const int modes = (is_read_ahead_full() ? 0 : Poco::Net::PollSet::POLL_READ) |
                       (m_stream.has_unsent() ? Poco::Net::PollSet::POLL_WRITE : 0) |
                       Poco::Net::PollSet::POLL_ERROR;
-    m_listener->m_loop.watch(m_stream.socket(), modes, shared_from_this());
+    if (modes != m_watched_modes) {
+        m_watched_modes = modes;
+        m_listener->m_loop.watch(m_stream.socket(), modes, shared_from_this());
+    }
+}
+
+bool HttpServerConnection::is_read_ahead_full() const {
+    return (m_phase == Phase::serving || m_phase == Phase::writing) &&
+           m_input.size() >= MAX_READ_AHEAD_BYTES;
 }
 
 bool HttpServerConnection::is_idle() const {
@@ -112,7 +119,7 @@
     }
     if (state != StreamState::open && m_phase != Phase::closed) {
         close();
-    } else if (m_phase == Phase::serving && m_input.size() >= MAX_READ_AHEAD_BYTES) {
+    } else if (is_read_ahead_full()) {
         watch();
     }
 }
@@ -209,6 +216,7 @@
         return;
     }
     m_phase = Phase::reading;
+    watch();
     if (!m_input.empty()) {
         // The next request is already buffered (pipelined). It is read in a posted task, because a
         // handler that responds at once would otherwise recurse for each pipelined request.
@@ -219,7 +227,6 @@
                 connection->read_request();
             }
         });
-        watch();
     }
 }
 
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -50,6 +50,8 @@
     /// Opens the connection's account and starts to read.
     void start();
     void watch();
+    /// Enough of the caller's next requests is buffered for now.
+    bool is_read_ahead_full() const;
     void charge_memory();
     /// Lets go of what is held for a caller that costs too much memory.
     void release_memory();
@@ -64,6 +66,8 @@
 
     std::shared_ptr<HttpListener> m_listener;
     TcpStream m_stream;
+    /// Modes of the poll set that the event loop watches for.
+    int m_watched_modes = 0;
     Phase m_phase = Phase::reading;
     std::string m_input;
     HttpRequestReader m_reader;
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -43,8 +43,9 @@
         shards.push_back("shard-" + std::to_string(shard));
         services.push_back({shards.back(), LARGE_PART_BYTES});
     }
-    REQUIRE(
-        front.start(services, {{"small", {"small"}}, {"large", {"large"}}, {"fan", shards, true}}));
+    REQUIRE(front.start(services, {{"small", {"small"}},
+                                   {"large", {"large"}},
+                                   {"fan", shards, true}}));
 }
 
 /// What must hold whatever clients do.
@@ -64,6 +65,13 @@
     return behaviour;
 }
 
+CrowdBehaviour flood_while_answered() {
+    CrowdBehaviour behaviour = unread_answers("/large/flood");
+    behaviour.flood = std::string(65536, 'f');
+    behaviour.flood_bytes = 24 << 20;
+    return behaviour;
+}
+
 }  // namespace
 
 TEST_CASE("requests at the limits are served in calm") {
@@ -101,6 +109,14 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients that send on while they do not read their answer") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(8, FrontListener::callers, flood_while_answered(), false);
+    check_health(front, machine);
+}
+
 TEST_CASE("clients that send many requests at once and do not read") {
     const FrontMachine machine;
     CrowdedFront front(machine);
