Front: requests that never end are bounded for the whole process

Callers that send all but the end of a request took the process far over its memory: 600 with a body of 256 KB each to 251 MB; 700 with 16 KB of four-byte header fields each to 194 MB, for 11 MB sent.

Cause: the limits on a request bound each connection, and nothing their sum. A field costs two strings of 32 bytes at least, whatever its length. Input buffers kept their capacity after a message, and a request was held three times while it was served.

Change: connections charge their input buffer and what the reader has parsed, at its size in memory, to the budget for callers; requests charge what they keep for their targets. A caller whose unfinished request costs too much gets 503 with Retry-After, which is true: the request was never read whole. One whose request is in progress loses only what it has sent ahead. Empty buffers are freed, and the request is moved, not copied, on its way to targets.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "front/crash_detector.h"
 #include "front/request_log.h"
@@ -71,6 +72,7 @@
     : m_front(front),
       m_connection(std::move(connection)),
       m_request(std::move(request)),
+      m_is_head(m_request.method == "HEAD"),
       m_caller_headers(platform::decode_caller_headers(m_request.headers)),
       m_view(front.view) {}
 
@@ -156,7 +158,7 @@
         return;
     }
     m_parts.resize(services.size());
-    m_prepared = platform::prepare_for_targets(m_request);
+    m_prepared = platform::prepare_for_targets(std::exchange(m_request, HttpRequestMessage{}));
     FanOutParameters parameters = fan_out_parameters(route);
     parameters.is_trial = has_trial;
     m_state = begin_request(parameters, services);
@@ -260,7 +262,7 @@
     call.target = action.target;
     call.deadline = action.deadline + CALL_SLACK;
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
-    call.call.is_head = m_request.method == "HEAD";
+    call.call.is_head = m_is_head;
     call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
     call.call.memory = m_account;
     call.call.may_send = [self, index = action.target,
@@ -482,7 +484,7 @@
         const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
         part = Part{headers.signature, std::move(response)};
         m_parts_memory += memory_of(part->response);
-        m_memory.set(m_parts_memory);
+        charge_memory();
     }
 }
 
@@ -495,6 +497,7 @@
         }
     });
     m_memory = MemoryCharge(m_account);
+    charge_memory();
 }
 
 void RequestHandler::release_memory() {
@@ -509,7 +512,11 @@
 void RequestHandler::release_parts() {
     m_parts.assign(m_parts.size(), std::nullopt);
     m_parts_memory = 0;
-    m_memory.set(0);
+    charge_memory();
+}
+
+void RequestHandler::charge_memory() {
+    m_memory.set(m_prepared.head.capacity() + m_prepared.body.capacity() + m_parts_memory);
 }
 
 void RequestHandler::merge_parts(HttpResponseMessage& response) {
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -94,11 +94,14 @@
     /// Ends the request, because what is held for it costs too much memory.
     void release_memory();
     void release_parts();
+    void charge_memory();
     RequestLogContext log_context() const;
 
     FrontState& m_front;
     std::shared_ptr<HttpServerConnection> m_connection;
+    /// Empty once the request is prepared for targets.
     HttpRequestMessage m_request;
+    bool m_is_head = false;
     platform::CallerHeaders m_caller_headers;
     platform::PreparedRequest m_prepared;
     std::shared_ptr<const FleetView> m_view;
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -321,6 +321,10 @@
            is_same_header(find_header(m_parser->message.headers, "Expect"), "100-continue");
 }
 
+void HttpRequestReader::discard() {
+    m_parser = std::make_unique<Parser>(m_limits);
+}
+
 std::size_t HttpRequestReader::memory() const {
     return m_parser->memory();
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -102,6 +102,9 @@
     /// Returns the complete message and resets the reader for the next one.
     HttpRequestMessage take();
 
+    /// Drops what was read of the message and resets the reader.
+    void discard();
+
     /// Memory that the part of the message that was read takes.
     std::size_t memory() const;
 
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -10,6 +10,10 @@
 /// the connection before the caller has received the response.
 constexpr Duration LINGER_TIME = from_ms(1000);
 
+/// Retry-After, in seconds, of a request that the node has no memory for. Callers that hold much
+/// are ended within a round of the event loop.
+constexpr const char* OVERLOAD_RETRY_S = "0.5";
+
 /// Until the response to a request is sent, reading stops once this many bytes of pipelined
 /// requests are buffered.
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
@@ -40,17 +44,43 @@
 }
 
 void HttpServerConnection::charge_memory() {
-    m_memory.set(m_stream.unsent_memory());
+    release_empty_buffer(m_input);
+    m_memory.set(m_stream.unsent_memory() + m_input.capacity() + m_reader.memory());
 }
 
 void HttpServerConnection::release_memory() {
-    if (m_phase == Phase::writing) {
-        // The rest of the response is lost with the connection; the length in its header shows that
-        // it is not complete.
-        drop();
+    switch (m_phase) {
+        case Phase::reading:
+            if (is_idle()) {
+                close();
+            } else {
+                reject(http::UNAVAILABLE, "the node is short of memory; the request was not run",
+                       OVERLOAD_RETRY_S);
+            }
+            break;
+        case Phase::serving:
+            // The request in progress is charged to its handler. The caller may send those that it
+            // has sent ahead again, as none of them was read.
+            m_keep_alive = false;
+            discard_input();
+            break;
+        case Phase::writing:
+            // The rest of the response is lost with the connection; the length in its header shows
+            // that it is not complete.
+            drop();
+            break;
+        case Phase::lingering:
+        case Phase::closed:
+            break;
     }
 }
 
+void HttpServerConnection::discard_input() {
+    std::string().swap(m_input);
+    m_reader.discard();
+    charge_memory();
+}
+
 void HttpServerConnection::watch() {
     const int modes = (is_read_ahead_full() ? 0 : Poco::Net::PollSet::POLL_READ) |
                       (m_stream.has_unsent() ? Poco::Net::PollSet::POLL_WRITE : 0) |
@@ -106,12 +136,16 @@
 }
 
 void HttpServerConnection::read() {
+    if (m_memory.must_wait()) {
+        return;
+    }
     const std::size_t before = m_input.size();
     const StreamState state = m_stream.receive(m_input);
     if (m_input.size() > before) {
         m_last_byte_at = monotonic_now();
+        m_memory.record_progress(m_last_byte_at);
     }
-    if (m_phase == Phase::lingering) {
+    if (m_phase == Phase::lingering || !m_keep_alive) {
         m_input.clear();
     }
     if (m_phase == Phase::reading) {
@@ -119,7 +153,10 @@
     }
     if (state != StreamState::open && m_phase != Phase::closed) {
         close();
-    } else if (is_read_ahead_full()) {
+        return;
+    }
+    charge_memory();
+    if (is_read_ahead_full()) {
         watch();
     }
 }
@@ -142,12 +179,15 @@
             return;
         }
         case ReadState::header_too_long:
+            ++m_listener->m_counts.malformed;
             reject(http::HEADERS_TOO_LARGE, "the header is longer than allowed");
             return;
         case ReadState::body_too_long:
+            ++m_listener->m_counts.malformed;
             reject(http::TOO_LARGE, "the body is longer than allowed");
             return;
         case ReadState::malformed:
+            ++m_listener->m_counts.malformed;
             reject(http::BAD_REQUEST, "the request is not valid HTTP/1.1");
             return;
         default:
@@ -161,14 +201,18 @@
     }
 }
 
-void HttpServerConnection::reject(int status, const std::string& message) {
-    ++m_listener->m_counts.malformed;
+void HttpServerConnection::reject(int status, const std::string& message,
+                                  const char* retry_after_s) {
     m_phase = Phase::serving;
     m_keep_alive = false;
     m_read_state = ReadState::nothing;
+    discard_input();
     HttpResponseMessage response;
     response.status = status;
     response.headers.push_back({"Content-Type", "text/plain"});
+    if (retry_after_s != nullptr) {
+        response.headers.push_back({"Retry-After", retry_after_s});
+    }
     response.body = message + "\n";
     respond(std::move(response));
 }
@@ -225,6 +269,7 @@
             const std::shared_ptr<HttpServerConnection> connection = weak.lock();
             if (connection != nullptr && connection->m_phase == Phase::reading) {
                 connection->read_request();
+                connection->charge_memory();
             }
         });
     }
@@ -268,10 +313,12 @@
         const bool in_header = m_read_state == ReadState::header;
         if (in_header && now - m_request_started_at > options.header_timeout) {
             ++m_listener->m_counts.timed_out;
+            ++m_listener->m_counts.malformed;
             reject(http::REQUEST_TIMEOUT, "the request's header did not arrive in time");
         } else if (now - m_last_byte_at > options.idle_timeout) {
             if (m_read_state == ReadState::body) {
                 ++m_listener->m_counts.timed_out;
+                ++m_listener->m_counts.malformed;
                 reject(http::REQUEST_TIMEOUT, "the request's body did not arrive in time");
             } else {
                 close();
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -55,9 +55,10 @@
     void charge_memory();
     /// Lets go of what is held for a caller that costs too much memory.
     void release_memory();
+    void discard_input();
     void read();
     void read_request();
-    void reject(int status, const std::string& message);
+    void reject(int status, const std::string& message, const char* retry_after_s = nullptr);
     StreamState send(HttpResponseMessage response);
     void finish_response();
     void close();
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t LARGE_PART_BYTES = 512 << 10;
 constexpr std::size_t SHARDS = 10;
 /// The limits on requests of the configuration that the fixture publishes.
+constexpr std::size_t MAX_HEADER_BYTES = 16384;
 constexpr std::size_t MAX_BODY_BYTES = 262144;
 
 const std::string REQUEST_FIELDS = std::string("Host: crowd.example\r\n") +
@@ -26,6 +27,12 @@
     return "GET " + path + " HTTP/1.1\r\n" + REQUEST_FIELDS + "\r\n";
 }
 
+/// Head of a request with a body of that length.
+std::string post_head(const std::string& path, std::size_t body_bytes) {
+    return "POST " + path + " HTTP/1.1\r\n" + REQUEST_FIELDS +
+           "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+}
+
 std::string repeat(const std::string& text, std::size_t bytes) {
     std::string result;
     while (result.size() + text.size() <= bytes) {
@@ -59,12 +66,31 @@
           static_cast<std::size_t>(machine.max_open_files) - FILE_DESCRIPTORS);
 }
 
+/// A request whose header is as long as allowed, in fields as short as possible.
+std::string short_fields(std::size_t bytes) {
+    return "GET /small/fields HTTP/1.1\r\n" + REQUEST_FIELDS + repeat("a:\r\n", bytes);
+}
+
 CrowdBehaviour unread_answers(const std::string& path) {
     CrowdBehaviour behaviour;
     behaviour.request = get(path);
     return behaviour;
 }
 
+CrowdBehaviour unfinished_bodies() {
+    CrowdBehaviour behaviour;
+    behaviour.request = post_head("/small/body", MAX_BODY_BYTES);
+    behaviour.flood = std::string(65536, 'b');
+    behaviour.flood_bytes = MAX_BODY_BYTES - 1;
+    return behaviour;
+}
+
+CrowdBehaviour unfinished_headers() {
+    CrowdBehaviour behaviour;
+    behaviour.request = short_fields(MAX_HEADER_BYTES - 500);
+    return behaviour;
+}
+
 CrowdBehaviour flood_while_answered() {
     CrowdBehaviour behaviour = unread_answers("/large/flood");
     behaviour.flood = std::string(65536, 'f');
@@ -117,6 +143,22 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients whose bodies never end") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(600, FrontListener::callers, unfinished_bodies(), false);
+    check_health(front, machine);
+}
+
+TEST_CASE("clients that send headers of very short fields") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(700, FrontListener::callers, unfinished_headers(), false);
+    check_health(front, machine);
+}
+
 TEST_CASE("clients that send many requests at once and do not read") {
     const FrontMachine machine;
     CrowdedFront front(machine);
