Tests: the promise of a task on the loop outlives its wait

A run of the crowds of clients ended with a SIGSEGV of the test's own process, one in nine, at the start of a case. run_on_loop kept its promise on the stack of the waiting thread, which may destroy it while set_value on the loop's thread still marks it as done. The task now shares it.

--- a/test/support/crowded_front.cpp
+++ b/test/support/crowded_front.cpp
@@ -101,12 +101,13 @@
 }
 
 void CrowdedFront::run_on_loop(const std::function<void()>& task) {
-    std::promise<void> done;
-    m_loop.post([&task, &done] {
+    // The task shares the promise, as `set_value` may still use it when the wait has ended.
+    const std::shared_ptr<std::promise<void>> done = std::make_shared<std::promise<void>>();
+    m_loop.post([&task, done] {
         task();
-        done.set_value();
+        done->set_value();
     });
-    done.get_future().wait();
+    done->get_future().wait();
 }
 
 std::shared_ptr<HttpListener> CrowdedFront::open_target(const CrowdService& service) {
