Tests: the stand-in of the store ends after the loop that runs its timers

The fixture now stops the loop first. The promise of run_on_loop stays shared: its fault was found by reading and has not been seen.

--- a/test/support/crowded_front.cpp
+++ b/test/support/crowded_front.cpp
@@ -95,8 +95,8 @@
         for (const std::shared_ptr<HttpListener>& target : m_targets) {
             target->close();
         }
-        m_store.reset();
     });
+    // The store has timers on the loop, so it may end only after it.
     m_loop.stop();
 }
 
