Front: crowds of connections leave descriptors and room for ordinary callers

Ordinary callers got no answer while 1,200 clients held connections without a request, or sent a byte of a body now and then: 0 of their requests in 40 s. 700 clients at each of the three listeners took all 2,048 descriptors of the process, those for files and for targets included.

Cause: each listener allowed max_open_files - 1200 connections for itself, 100 at least, so the three together more than there are; at its limit a listener closed each new connection, however long the others had been idle; and after a failed accept the loop tried again at once, since the socket stays readable.

Change: share_descriptors divides limits.max_open_files between the listeners, connections to targets, the rest of the process and files. At its limit a listener closes connections that wait for their caller, 1/64 of the limit at a time: first those that have never completed a request, then those that have waited longest. A new one is closed at once only if all others have a request in progress. After an accept that failed for want of descriptors or memory, nothing is accepted for 100 ms.

Why it works: a crowd that holds connections is older than the caller that needs one, so it is the crowd that makes room.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -7,6 +7,7 @@
 #include "front/request_handler.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
+#include "policy/descriptor_shares.h"
 
 namespace ebonymount {
 namespace {
@@ -49,15 +50,6 @@
 /// Hedges and retries per request if the platform sets no bound on extra arrivals.
 constexpr double DEFAULT_RETRY_RATIO = 0.1;
 
-/// File descriptors reserved for the store, listeners, files and connections to targets.
-constexpr std::int64_t RESERVED_DESCRIPTORS = 1200;
-
-/// Maximum number of caller connections that the file descriptor limit allows.
-std::size_t max_caller_connections(const platform::Settings& settings) {
-    return static_cast<std::size_t>(
-        std::max<std::int64_t>(100, settings.max_open_files - RESERVED_DESCRIPTORS));
-}
-
 /// Memory that may be held for callers. Refusals and small messages need some in any case.
 std::int64_t caller_memory_bytes(const platform::Settings& settings) {
     constexpr double BYTES_PER_MB = 1048576.0;
@@ -95,7 +87,6 @@
     if (!has_value(listening)) {
         return error_of(listening);
     }
-    front->apply_machine_limits();
     front->split_fleet_limits();
     front->start_fleet_watcher();
     LogEvent(LogLevel::info, "front", "started")
@@ -109,7 +100,6 @@
 
 Result<Done> Front::listen(std::int64_t metrics_port) {
     HttpListenerOptions options;
-    options.max_connections = max_caller_connections(m_settings);
     options.memory = m_state.memory;
     Result<std::shared_ptr<HttpListener>> callers =
         HttpListener::listen(m_loop, m_settings.caller_address, options,
@@ -139,6 +129,7 @@
         // Metrics are optional: the node serves callers without them.
         log_warning("front", describe(error_of(metrics)));
     }
+    apply_machine_limits();
     return Done{};
 }
 
@@ -162,17 +153,23 @@
 
 void Front::apply_caller_limits(const CallerLimits& limits) {
     HttpListenerOptions options;
+    options.memory = m_state.memory;
     options.limits.max_header_bytes = limits.max_header_bytes;
     options.limits.max_body_bytes = limits.max_body_bytes;
     options.header_timeout = limits.header_timeout;
     options.idle_timeout = limits.idle_timeout;
-    options.max_connections = max_caller_connections(m_settings);
-    options.memory = m_state.memory;
+    options.max_connections = share_descriptors(m_settings.max_open_files).callers;
     m_caller_listener->set_options(options);
 }
 
 void Front::apply_machine_limits() {
     m_state.memory->set_limit(caller_memory_bytes(m_settings));
+    const DescriptorShares shares = share_descriptors(m_settings.max_open_files);
+    m_caller_listener->set_max_connections(shares.callers);
+    m_ready_listener->set_max_connections(shares.readiness);
+    if (m_metrics_listener != nullptr) {
+        m_metrics_listener->set_max_connections(shares.metrics);
+    }
 }
 
 void Front::split_fleet_limits() {
@@ -213,8 +210,11 @@
 void Front::serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
                           const HttpRequestMessage& /*request*/) {
     const HttpListenerCounts& counts = m_caller_listener->counts();
+    const HttpListenerCounts all = counts_of_all_listeners();
     m_metrics.counter("ebonymount_front_connections_accepted_total") = counts.accepted;
-    m_metrics.counter("ebonymount_front_connections_over_limit_total") = counts.refused_over_limit;
+    m_metrics.counter("ebonymount_front_connections_over_limit_total") = all.refused_over_limit;
+    m_metrics.counter("ebonymount_front_connections_evicted_total") = all.evicted;
+    m_metrics.counter("ebonymount_front_accepts_failed_total") = all.failed_accepts;
     m_metrics.counter("ebonymount_front_malformed_requests_total") = counts.malformed;
     m_metrics.counter("ebonymount_front_stalled_requests_total") = counts.timed_out;
     m_metrics.counter("ebonymount_front_target_connections_total") =
@@ -265,16 +265,33 @@
     }
 }
 
+HttpListenerCounts Front::counts_of_all_listeners() const {
+    HttpListenerCounts sum;
+    for (const std::shared_ptr<HttpListener>& listener :
+         {m_caller_listener, m_ready_listener, m_metrics_listener}) {
+        if (listener != nullptr) {
+            sum += listener->counts();
+        }
+    }
+    return sum;
+}
+
 void Front::report_client_limits(Time now) {
     if (now < m_next_limit_report) {
         return;
     }
     m_next_limit_report = now + LIMIT_REPORT_INTERVAL;
-    const ClientLimitCounts counts{m_state.memory->releases()};
+    const HttpListenerCounts listeners = counts_of_all_listeners();
+    const ClientLimitCounts counts{m_state.memory->releases(), listeners.evicted,
+                                   listeners.refused_over_limit, listeners.failed_accepts};
     if (counts != m_reported_limits) {
         LogEvent(LogLevel::warning, "front", "client_limits")
             .add("memory_releases", counts.memory_releases - m_reported_limits.memory_releases)
             .add("memory_bytes", m_state.memory->held_bytes())
+            .add("evicted", counts.evicted - m_reported_limits.evicted)
+            .add("refused", counts.refused - m_reported_limits.refused)
+            .add("failed_accepts", counts.failed_accepts - m_reported_limits.failed_accepts)
+            .add("connections", static_cast<std::int64_t>(m_caller_listener->connections()))
             .write();
         m_reported_limits = counts;
     }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -29,6 +29,10 @@
 /// How often limits on what callers may hold have taken effect since the start.
 struct ClientLimitCounts {
     std::int64_t memory_releases = 0;
+    /// Of connections: closed to make room, closed at once, and not accepted.
+    std::int64_t evicted = 0;
+    std::int64_t refused = 0;
+    std::int64_t failed_accepts = 0;
 
     friend bool operator==(const ClientLimitCounts&, const ClientLimitCounts&) = default;
 };
@@ -56,7 +60,7 @@
     Result<Done> listen(std::int64_t metrics_port);
     void start_fleet_watcher();
     void apply_caller_limits(const CallerLimits& limits);
-    /// Divides the memory of the machine that the settings state.
+    /// Divides the memory and the descriptors of the machine that the settings state.
     void apply_machine_limits();
     void split_fleet_limits();
     void serve_readiness(const std::shared_ptr<HttpServerConnection>& connection,
@@ -65,6 +69,7 @@
                        const HttpRequestMessage& request);
     void housekeep();
     void report_stall(Time now);
+    HttpListenerCounts counts_of_all_listeners() const;
     /// Logs what callers' limits have ended since the last report, at most one line a second.
     void report_client_limits(Time now);
     void reload_settings(bool requested);
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -2,7 +2,9 @@
 
 #include <Poco/Exception.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <tuple>
 #include <vector>
 
 #include "io/server_socket.h"
@@ -13,8 +15,41 @@
 /// Maximum connections waiting to be accepted; beyond that the system drops the SYN.
 constexpr int BACKLOG = 512;
 
+/// At the limit, this part of the connections makes room at once, so that the others are not
+/// compared again for each new one.
+constexpr std::size_t EVICTED_TOGETHER_DIVISOR = 64;
+
+/// How long nothing is accepted when the system has no descriptor or memory for a connection.
+constexpr Duration ACCEPT_PAUSE = from_ms(100);
+
+bool is_out_of_resources(int error) {
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+/// A connection without a request in progress.
+struct WaitingConnection {
+    bool has_completed_request = false;
+    Time since{};
+    std::shared_ptr<HttpServerConnection> connection;
+};
+
+bool is_evicted_before(const WaitingConnection& left, const WaitingConnection& right) {
+    return std::tie(left.has_completed_request, left.since) <
+           std::tie(right.has_completed_request, right.since);
+}
+
 }  // namespace
 
+HttpListenerCounts& HttpListenerCounts::operator+=(const HttpListenerCounts& other) {
+    accepted += other.accepted;
+    refused_over_limit += other.refused_over_limit;
+    evicted += other.evicted;
+    failed_accepts += other.failed_accepts;
+    malformed += other.malformed;
+    timed_out += other.timed_out;
+    return *this;
+}
+
 HttpListener::HttpListener(EventLoop& loop, const Poco::Net::ServerSocket& socket,
                            const HttpListenerOptions& options, HttpRequestHandler handler)
     : m_loop(loop), m_socket(socket), m_options(options), m_handler(std::move(handler)) {}
@@ -40,6 +75,10 @@
     m_options = options;
 }
 
+void HttpListener::set_max_connections(std::size_t connections) {
+    m_options.max_connections = connections;
+}
+
 void HttpListener::on_ready(int /*modes*/) {
     accept_one();
 }
@@ -47,24 +86,69 @@
 bool HttpListener::accept_one() {
     try {
         TcpStream stream(m_socket.acceptConnection());
-        if (m_connections.size() >= m_options.max_connections) {
+        if (m_connections.size() >= m_options.max_connections && !make_room()) {
             ++m_counts.refused_over_limit;
             stream.close();
-            return true;
+        } else {
+            add_connection(std::move(stream));
         }
-        ++m_counts.accepted;
-        stream.detect_dead_peer();
-        const std::shared_ptr<HttpServerConnection> connection(
-            new HttpServerConnection(shared_from_this(), std::move(stream)));
-        m_connections.emplace(connection.get(), connection);
-        connection->start();
         return true;
-    } catch (const Poco::Exception&) {
+    } catch (const Poco::Exception& error) {
         // None is waiting, or the caller disconnected before the accept.
+        if (is_out_of_resources(error.code())) {
+            ++m_counts.failed_accepts;
+            pause_accepting();
+        }
         return false;
     }
 }
 
+void HttpListener::add_connection(TcpStream stream) {
+    ++m_counts.accepted;
+    stream.detect_dead_peer();
+    const std::shared_ptr<HttpServerConnection> connection(
+        new HttpServerConnection(shared_from_this(), std::move(stream)));
+    m_connections.emplace(connection.get(), connection);
+    connection->start();
+}
+
+bool HttpListener::make_room() {
+    std::vector<WaitingConnection> waiting;
+    const Time now = monotonic_now();
+    for (const auto& [key, weak] : m_connections) {
+        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
+        if (connection != nullptr && connection->is_waiting(now)) {
+            waiting.push_back(
+                {connection->has_completed_request(), connection->waiting_since(), connection});
+        }
+    }
+    const std::size_t closed =
+        std::min(waiting.size(), 1 + m_options.max_connections / EVICTED_TOGETHER_DIVISOR);
+    const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(closed);
+    std::partial_sort(waiting.begin(), end, waiting.end(), is_evicted_before);
+    for (auto candidate = waiting.begin(); candidate != end; ++candidate) {
+        ++m_counts.evicted;
+        candidate->connection->close();
+    }
+    return closed > 0;
+}
+
+void HttpListener::pause_accepting() {
+    if (m_is_paused || !m_accepting) {
+        return;
+    }
+    m_is_paused = true;
+    m_loop.unwatch(m_socket);
+    const std::weak_ptr<HttpListener> weak = weak_from_this();
+    m_loop.run_at(monotonic_now() + ACCEPT_PAUSE, [weak] {
+        const std::shared_ptr<HttpListener> listener = weak.lock();
+        if (listener != nullptr && listener->m_accepting) {
+            listener->m_is_paused = false;
+            listener->m_loop.watch(listener->m_socket, Poco::Net::PollSet::POLL_READ, listener);
+        }
+    });
+}
+
 void HttpListener::close_after_responses() {
     m_close_after_responses = true;
 }
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -37,10 +37,16 @@
 /// Counts of accepted connections, and of connections ended by this side, by reason.
 struct HttpListenerCounts {
     std::int64_t accepted = 0;
+    /// Closed at once, as the limit was reached and all others were in use.
     std::int64_t refused_over_limit = 0;
+    /// Closed without a request in progress, to make room for new connections.
+    std::int64_t evicted = 0;
+    /// Failed accepts, as the process or the system had no descriptor or memory left.
+    std::int64_t failed_accepts = 0;
     std::int64_t malformed = 0;
     std::int64_t timed_out = 0;
 
+    HttpListenerCounts& operator+=(const HttpListenerCounts& other);
     friend bool operator==(const HttpListenerCounts&, const HttpListenerCounts&) = default;
 };
 
@@ -55,6 +61,9 @@
     /// Replaces the options. Message limits apply to new connections, the rest at once.
     void set_options(const HttpListenerOptions& options);
 
+    /// Replaces one option. Connections over the limit are kept until others make room for them.
+    void set_max_connections(std::size_t connections);
+
     /// Closes every connection after its next response, including connections accepted later.
     void close_after_responses();
 
@@ -89,6 +98,13 @@
                  const HttpListenerOptions& options, HttpRequestHandler handler);
     /// False if no connection was accepted.
     bool accept_one();
+    void add_connection(TcpStream stream);
+    /// Closes connections that wait for their callers, those first that have never completed a
+    /// request, and then those that have waited longest. False if all are in use.
+    bool make_room();
+    /// Accepts nothing for a while. The listening socket stays readable, so the event loop would
+    /// otherwise do nothing but try to accept.
+    void pause_accepting();
     void remove_connection(HttpServerConnection& connection);
 
     EventLoop& m_loop;
@@ -99,6 +115,7 @@
     std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> m_connections;
     bool m_close_after_responses = false;
     bool m_accepting = true;
+    bool m_is_paused = false;
 };
 
 }  // namespace ebonymount
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -14,6 +14,9 @@
 /// are ended within a round of the event loop.
 constexpr const char* OVERLOAD_RETRY_S = "0.5";
 
+/// A caller that has taken no byte of a response for this long may make room for others.
+constexpr Duration STUCK_TIME = from_ms(1000);
+
 /// Until the response to a request is sent, reading stops once this many bytes of pipelined
 /// requests are buffered.
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
@@ -27,8 +30,10 @@
     : m_listener(std::move(listener)),
       m_stream(std::move(stream)),
       m_reader(m_listener->m_options.limits),
-      m_last_byte_at(monotonic_now()),
-      m_request_started_at(m_last_byte_at) {}
+      m_ready_since(monotonic_now()),
+      m_last_byte_at(m_ready_since),
+      m_last_sent_at(m_ready_since),
+      m_request_started_at(m_ready_since) {}
 
 void HttpServerConnection::start() {
     if (m_listener->m_options.memory != nullptr) {
@@ -101,6 +106,19 @@
            (m_phase == Phase::reading && m_read_state == ReadState::nothing && m_input.empty());
 }
 
+bool HttpServerConnection::is_waiting(Time now) const {
+    return m_phase == Phase::reading || m_phase == Phase::lingering ||
+           (m_phase == Phase::writing && now - m_last_sent_at > STUCK_TIME);
+}
+
+Time HttpServerConnection::waiting_since() const {
+    return m_phase == Phase::writing ? m_last_sent_at : m_ready_since;
+}
+
+bool HttpServerConnection::has_completed_request() const {
+    return m_requests > 0;
+}
+
 Time HttpServerConnection::request_started_at() const {
     return m_request_started_at;
 }
@@ -122,7 +140,8 @@
             return;
         }
         if (m_stream.sent_bytes() > sent_before) {
-            m_memory.record_progress(monotonic_now());
+            m_last_sent_at = monotonic_now();
+            m_memory.record_progress(m_last_sent_at);
         }
         charge_memory();
         if (!m_stream.has_unsent() && m_phase == Phase::writing) {
@@ -229,7 +248,8 @@
         close();
         return;
     }
-    m_memory.record_progress(monotonic_now());
+    m_last_sent_at = monotonic_now();
+    m_memory.record_progress(m_last_sent_at);
     charge_memory();
     if (m_stream.has_unsent()) {
         watch();
@@ -252,6 +272,7 @@
 
 void HttpServerConnection::finish_response() {
     m_last_byte_at = monotonic_now();
+    m_ready_since = m_last_byte_at;
     if (!m_keep_alive) {
         m_phase = Phase::lingering;
         m_input.clear();
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -64,6 +64,11 @@
     void close();
     void sweep(Time now);
     bool is_idle() const;
+    /// True if no request is in progress and the next step is the caller's: to send, or to read.
+    bool is_waiting(Time now) const;
+    /// When the connection was accepted, or its last response was sent or got stuck.
+    Time waiting_since() const;
+    bool has_completed_request() const;
 
     std::shared_ptr<HttpListener> m_listener;
     TcpStream m_stream;
@@ -79,7 +84,11 @@
     std::function<void()> m_on_caller_gone;
     MemoryCharge m_memory;
     std::int64_t m_requests = 0;
+    /// When the connection was accepted or the last response was sent.
+    Time m_ready_since;
     Time m_last_byte_at;
+    /// When the system last accepted bytes of a response.
+    Time m_last_sent_at;
     Time m_request_started_at;
 };
 
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -50,9 +50,8 @@
         shards.push_back("shard-" + std::to_string(shard));
         services.push_back({shards.back(), LARGE_PART_BYTES});
     }
-    REQUIRE(front.start(services, {{"small", {"small"}},
-                                   {"large", {"large"}},
-                                   {"fan", shards, true}}));
+    REQUIRE(
+        front.start(services, {{"small", {"small"}}, {"large", {"large"}}, {"fan", shards, true}}));
 }
 
 /// What must hold whatever clients do.
@@ -159,6 +158,36 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients that hold connections without a request") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(1200, FrontListener::callers, CrowdBehaviour{}, false);
+    check_health(front, machine);
+}
+
+TEST_CASE("clients that send a byte of a body now and then") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    CrowdBehaviour behaviour;
+    behaviour.request = post_head("/small/trickle", MAX_BODY_BYTES);
+    behaviour.trickle = "b";
+    front.add_crowd(1200, FrontListener::callers, behaviour, false);
+    check_health(front, machine);
+}
+
+TEST_CASE("clients at all listeners at once") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    for (const FrontListener listener :
+         {FrontListener::metrics, FrontListener::readiness, FrontListener::callers}) {
+        front.add_crowd(700, listener, CrowdBehaviour{}, false);
+    }
+    check_health(front, machine);
+}
+
 TEST_CASE("clients that send many requests at once and do not read") {
     const FrontMachine machine;
     CrowdedFront front(machine);
