Listener: what happens at the limit of connections is an option

The stand-in of a target is a listener too, and a target resets connections beyond its limit. With the commit before, it would have closed idle ones instead, and tests of rejected connections would have tested nothing.

--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -113,6 +113,9 @@
 }
 
 bool HttpListener::make_room() {
+    if (m_options.at_connection_limit == AtConnectionLimit::refuse_new) {
+        return false;
+    }
     std::vector<WaitingConnection> waiting;
     const Time now = monotonic_now();
     for (const auto& [key, weak] : m_connections) {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -21,6 +21,12 @@
 using HttpRequestHandler =
     std::function<void(const std::shared_ptr<HttpServerConnection>&, HttpRequestMessage)>;
 
+/// What a listener does with a new connection at its limit.
+enum class AtConnectionLimit : std::uint8_t {
+    make_room,   ///< Closes others that wait for their callers; refuses it only if there are none.
+    refuse_new,  ///< Closes the new connection.
+};
+
 /// Limits and timeouts of a listener's connections.
 struct HttpListenerOptions {
     HttpLimits limits;
@@ -30,6 +36,7 @@
     /// is being written.
     Duration idle_timeout = from_ms(60000);
     std::size_t max_connections = 10000;
+    AtConnectionLimit at_connection_limit = AtConnectionLimit::make_room;
     /// Budget of the memory that is held for callers; null for no limit.
     std::shared_ptr<MemoryBudget> memory;
 };
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -42,6 +42,7 @@
     const std::weak_ptr<PlatformTarget> weak = weak_from_this();
     ebonymount::HttpListenerOptions options;
     options.max_connections = m_parameters.max_connections;
+    options.at_connection_limit = ebonymount::AtConnectionLimit::refuse_new;
     const auto handler = [weak](const Connection& connection, const HttpRequestMessage& request) {
         const std::shared_ptr<PlatformTarget> self = weak.lock();
         if (self != nullptr && !self->m_down) {
