Front: connections to targets have a share of the descriptors

300 clients that asked for a fan-out over ten shards whose targets do not answer took all 2,048 descriptors of the process.

Cause: the pool opened connections up to each target's own limit, and nothing bounded their sum.

Change: the pool holds at most the share for targets. Beyond it a new connection takes the place of the one that has been idle longest; if none is idle the attempt counts as not sent, and not as a failure of its target.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -170,6 +170,7 @@
     if (m_metrics_listener != nullptr) {
         m_metrics_listener->set_max_connections(shares.metrics);
     }
+    m_state.pool.set_max_connections(shares.targets);
 }
 
 void Front::split_fleet_limits() {
@@ -221,6 +222,8 @@
         m_state.pool.opened_connections();
     m_metrics.counter("ebonymount_front_caller_memory_bytes") = m_state.memory->held_bytes();
     m_metrics.counter("ebonymount_front_caller_memory_releases_total") = m_state.memory->releases();
+    m_metrics.counter("ebonymount_front_target_connections_refused_total") =
+        m_state.pool.refused_connections();
     m_metrics.counter("ebonymount_log_lines_dropped_total") = dropped_log_lines();
     HttpResponseMessage response;
     response.status = http::OK;
@@ -283,7 +286,8 @@
     m_next_limit_report = now + LIMIT_REPORT_INTERVAL;
     const HttpListenerCounts listeners = counts_of_all_listeners();
     const ClientLimitCounts counts{m_state.memory->releases(), listeners.evicted,
-                                   listeners.refused_over_limit, listeners.failed_accepts};
+                                   listeners.refused_over_limit, listeners.failed_accepts,
+                                   m_state.pool.refused_connections()};
     if (counts != m_reported_limits) {
         LogEvent(LogLevel::warning, "front", "client_limits")
             .add("memory_releases", counts.memory_releases - m_reported_limits.memory_releases)
@@ -291,6 +295,9 @@
             .add("evicted", counts.evicted - m_reported_limits.evicted)
             .add("refused", counts.refused - m_reported_limits.refused)
             .add("failed_accepts", counts.failed_accepts - m_reported_limits.failed_accepts)
+            .add("refused_to_targets",
+                 counts.refused_to_targets - m_reported_limits.refused_to_targets)
+            .add("to_targets", static_cast<std::int64_t>(m_state.pool.connections()))
             .add("connections", static_cast<std::int64_t>(m_caller_listener->connections()))
             .write();
         m_reported_limits = counts;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -33,6 +33,8 @@
     std::int64_t evicted = 0;
     std::int64_t refused = 0;
     std::int64_t failed_accepts = 0;
+    /// Connections to targets that could not be opened.
+    std::int64_t refused_to_targets = 0;
 
     friend bool operator==(const ClientLimitCounts&, const ClientLimitCounts&) = default;
 };
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -444,7 +444,8 @@
             on_refusal(target, now);
             return;
         case FanOutAttemptStatus::not_connected:
-            if (!may_still_send(attempt.target, service, attempt.is_trial)) {
+            if (!may_still_send(attempt.target, service, attempt.is_trial) ||
+                m_front.pool.is_full(attempt.target)) {
                 // Not sent for another reason than the connection.
                 on_not_sent(attempt.target);
                 return;
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -20,6 +20,10 @@
 /// ms.
 constexpr Duration CONNECT_TIMEOUT = from_ms(400);
 
+/// This part of the connections is for targets with fewer than `FEW_CONNECTIONS`.
+constexpr std::size_t FEW_CONNECTIONS_DIVISOR = 8;
+constexpr std::size_t FEW_CONNECTIONS = 2;
+
 }  // namespace
 
 TargetPool::TargetPool(EventLoop& loop, TargetTable& targets) : m_loop(loop), m_targets(targets) {}
@@ -139,7 +143,50 @@
     return best;
 }
 
+void TargetPool::set_max_connections(std::size_t connections) {
+    m_max_connections = connections;
+}
+
+std::size_t TargetPool::max_connections_for(TargetIndex target) const {
+    const bool has_few = target >= m_channels.size() || m_channels[target].size() < FEW_CONNECTIONS;
+    return has_few ? m_max_connections
+                   : m_max_connections - m_max_connections / FEW_CONNECTIONS_DIVISOR;
+}
+
+bool TargetPool::is_full(TargetIndex target) const {
+    return m_connections >= max_connections_for(target) && find_longest_idle() == nullptr;
+}
+
+std::size_t TargetPool::connections() const {
+    return m_connections;
+}
+
+std::int64_t TargetPool::refused_connections() const {
+    return m_refused_connections;
+}
+
+TargetPool::Channel TargetPool::find_longest_idle() const {
+    Channel longest;
+    for (const std::vector<Channel>& channels : m_channels) {
+        for (const Channel& channel : channels) {
+            if (channel->is_idle() &&
+                (longest == nullptr || channel->last_used() < longest->last_used())) {
+                longest = channel;
+            }
+        }
+    }
+    return longest;
+}
+
 TargetPool::Channel TargetPool::open(TargetIndex target) {
+    if (m_connections >= max_connections_for(target)) {
+        const Channel idle = find_longest_idle();
+        if (idle == nullptr) {
+            ++m_refused_connections;
+            return nullptr;
+        }
+        idle->close();
+    }
     const Channel channel = HttpChannel::open(
         m_loop, m_targets.states[target].entry.address,
         [this, target](HttpChannel& changed) { on_channel_change(target, changed); });
@@ -147,6 +194,7 @@
         return nullptr;
     }
     ++m_opened_connections;
+    ++m_connections;
     if (m_channels.size() <= target) {
         m_channels.resize(target + 1);
     }
@@ -156,8 +204,8 @@
 
 void TargetPool::on_channel_change(TargetIndex target, HttpChannel& channel) {
     if (channel.is_closed()) {
-        std::erase_if(m_channels[target],
-                      [&channel](const Channel& kept) { return kept.get() == &channel; });
+        m_connections -= std::erase_if(
+            m_channels[target], [&channel](const Channel& kept) { return kept.get() == &channel; });
     }
     update_counts(target);
     end_probe(channel);
--- a/src/front/target_pool.h
+++ b/src/front/target_pool.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -60,8 +61,19 @@
     /// idle for too long or belong to targets that accept no work.
     void sweep(Time now);
 
+    /// Limits the connections to all targets together. At the limit, a new connection takes the
+    /// place of the one that has been idle longest; if none is idle, it cannot be opened. A part of
+    /// them is only for targets with few connections, so that requests that wait at some targets
+    /// do not keep others from theirs.
+    void set_max_connections(std::size_t connections);
+    /// True if no further connection to the target can be opened now.
+    bool is_full(TargetIndex target) const;
+    std::size_t connections() const;
+
     /// Number of connections opened since the start.
     std::int64_t opened_connections() const;
+    /// Number of connections that could not be opened because of the limit.
+    std::int64_t refused_connections() const;
 
 private:
     using Channel = std::shared_ptr<HttpChannel>;
@@ -73,6 +85,10 @@
 
     Channel find_idle(TargetIndex target, Duration max_idle, Time now);
     Channel open(TargetIndex target);
+    /// Limit of all connections that applies to a new one to this target.
+    std::size_t max_connections_for(TargetIndex target) const;
+    /// The connection that has been idle longest; null if none is idle.
+    Channel find_longest_idle() const;
     void end_probe(const HttpChannel& channel);
     void on_channel_change(TargetIndex target, HttpChannel& channel);
     void update_counts(TargetIndex target);
@@ -83,7 +99,10 @@
     std::unordered_map<PoolCallId, RunningCall> m_running_calls;
     std::unordered_map<const HttpChannel*, std::function<void(ConnectResult)>> m_probes;
     PoolCallId m_next_call = 1;
+    std::size_t m_max_connections = std::numeric_limits<std::size_t>::max();
+    std::size_t m_connections = 0;
     std::int64_t m_opened_connections = 0;
+    std::int64_t m_refused_connections = 0;
 };
 
 }  // namespace ebonymount
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -198,4 +198,18 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients whose requests wait for many targets") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    std::vector<CrowdService> services = {{"small", 100}};
+    std::vector<std::string> shards;
+    for (std::size_t shard = 0; shard < SHARDS; ++shard) {
+        shards.push_back("silent-" + std::to_string(shard));
+        services.push_back({shards.back(), 0, false});
+    }
+    REQUIRE(front.start(services, {{"small", {"small"}}, {"silent", shards, true}}));
+    front.add_crowd(300, FrontListener::callers, unread_answers("/silent/x"), false);
+    check_health(front, machine);
+}
+
 }  // namespace ebonymount
--- a/test/support/crowded_front.cpp
+++ b/test/support/crowded_front.cpp
@@ -98,6 +98,7 @@
     });
     // The store has timers on the loop, so it may end only after it.
     m_loop.stop();
+    std::filesystem::remove_all(m_directory);
 }
 
 void CrowdedFront::run_on_loop(const std::function<void()>& task) {
@@ -113,9 +114,12 @@
 std::shared_ptr<HttpListener> CrowdedFront::open_target(const CrowdService& service) {
     // Records of equal bytes; a fan-out of several such services has equal records.
     const std::string body(service.body_bytes, 'r');
-    const auto handler = [name = service.name, body](
+    const auto handler = [name = service.name, answers = service.answers, body](
                              const std::shared_ptr<HttpServerConnection>& connection,
                              const HttpRequestMessage& request) {
+        if (!answers) {
+            return;
+        }
         HttpResponseMessage response;
         response.status = http::OK;
         response.headers = {
--- a/test/support/crowded_front.h
+++ b/test/support/crowded_front.h
@@ -22,10 +22,11 @@
 
 namespace ebonymount {
 
-/// A service with one target that answers every request at once.
+/// A service with one target that answers every request at once, or none.
 struct CrowdService {
     std::string name;
     std::size_t body_bytes = 0;
+    bool answers = true;
 };
 
 /// Route `/NAME/` to a single service, or to the shards of a fan-out.
