Front: of each part of a fan-out only the records that can be sent are kept

Cause: every part stood whole in memory until the last one had come, and all were merged in one step of the event loop, 5 MB of records for each request.

Change: a part is cut to the greatest top_k records as it arrives, as the merged response cannot contain more of it, and its other headers are dropped. The work of the merge is spread over the arrivals of the parts.

The answers' records are the same: test_fan_out and merge tests are unchanged.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -483,12 +483,23 @@
     if (outcome == FanOutAttemptStatus::answered ? !m_state.shards[attempt.shard].answered
                                                  : keeps_failure) {
         const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
+        if (m_state.parameters.fan_out) {
+            keep_merged_records_only(response);
+        }
         part = Part{headers.signature, std::move(response)};
         m_parts_memory += memory_of(part->response);
         charge_memory();
     }
 }
 
+void RequestHandler::keep_merged_records_only(HttpResponseMessage& response) const {
+    response.headers = HttpHeaders{};
+    const std::size_t max_records = m_view->table.routes[m_route].top_k;
+    if (response.body.size() / RECORD_BYTES > max_records) {
+        response.body = merge_records({response.body}, max_records);
+    }
+}
+
 void RequestHandler::open_memory_account() {
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     m_account = m_front.memory->open_account([weak] {
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -80,6 +80,9 @@
                         CallStatus call_status);
     void keep_part(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                    HttpResponseMessage response);
+    /// Drops what the merged response cannot contain: of one part, at most as many records as of
+    /// all.
+    void keep_merged_records_only(HttpResponseMessage& response) const;
     void finish(const EndRequest& action);
     HttpResponseMessage response_for(const EndRequest& action);
     void merge_parts(HttpResponseMessage& response);
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -158,6 +158,14 @@
     check_health(front, machine);
 }
 
+TEST_CASE("clients that do not read the answers of a fan-out with large parts") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(60, FrontListener::callers, unread_answers("/fan/x"), true);
+    check_health(front, machine);
+}
+
 TEST_CASE("clients that hold connections without a request") {
     const FrontMachine machine;
     CrowdedFront front(machine);
