--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -220,4 +220,19 @@
     check_health(front, machine);
 }
 
+TEST_CASE("crowds of all kinds together") {
+    const FrontMachine machine;
+    CrowdedFront front(machine);
+    start(front);
+    front.add_crowd(200, FrontListener::metrics, CrowdBehaviour{}, false);
+    front.add_crowd(200, FrontListener::readiness, CrowdBehaviour{}, false);
+    front.add_crowd(200, FrontListener::callers, CrowdBehaviour{}, false);
+    front.add_crowd(12, FrontListener::callers, unread_answers("/large/x"), false);
+    front.add_crowd(30, FrontListener::callers, unread_answers("/fan/x"), false);
+    front.add_crowd(300, FrontListener::callers, unfinished_bodies(), false);
+    front.add_crowd(300, FrontListener::callers, unfinished_headers(), false);
+    front.add_crowd(4, FrontListener::callers, flood_while_answered(), false);
+    check_health(front, machine);
+}
+
 }  // namespace ebonymount
