Listener: while a response is being sent, only what the caller takes counts

Callers that took a long response slowly but steadily lost their connection at the idle timeout, and callers that took nothing of it kept it for as long as they sent on.

Cause: the idle timeout ran from the last received byte in every phase.

Change: while a response is being sent it runs from the last byte that the system accepted.

Evidence: two cases of failure/test_http_sessions.

--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <tuple>
 #include <vector>
 
 #include "io/server_socket.h"
@@ -26,18 +25,6 @@
     return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
-/// A connection without a request in progress.
-struct WaitingConnection {
-    bool has_completed_request = false;
-    Time since{};
-    std::shared_ptr<HttpServerConnection> connection;
-};
-
-bool is_evicted_before(const WaitingConnection& left, const WaitingConnection& right) {
-    return std::tie(left.has_completed_request, left.since) <
-           std::tie(right.has_completed_request, right.since);
-}
-
 }  // namespace
 
 HttpListenerCounts& HttpListenerCounts::operator+=(const HttpListenerCounts& other) {
@@ -116,22 +103,23 @@
     if (m_options.at_connection_limit == AtConnectionLimit::refuse_new) {
         return false;
     }
-    std::vector<WaitingConnection> waiting;
     const Time now = monotonic_now();
-    for (const auto& [key, weak] : m_connections) {
-        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-        if (connection != nullptr && connection->is_waiting(now)) {
-            waiting.push_back(
-                {connection->has_completed_request(), connection->waiting_since(), connection});
-        }
-    }
+    const auto is_waiting = [now](const HttpServerConnection& connection) {
+        return connection.is_waiting(now);
+    };
+    std::vector<std::shared_ptr<HttpServerConnection>> waiting = connections_that(is_waiting);
     const std::size_t closed =
         std::min(waiting.size(), 1 + m_options.max_connections / EVICTED_TOGETHER_DIVISOR);
     const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(closed);
+    const auto is_evicted_before = [](const std::shared_ptr<HttpServerConnection>& left,
+                                      const std::shared_ptr<HttpServerConnection>& right) {
+        return std::make_pair(left->has_completed_request(), left->waiting_since()) <
+               std::make_pair(right->has_completed_request(), right->waiting_since());
+    };
     std::partial_sort(waiting.begin(), end, waiting.end(), is_evicted_before);
     for (auto candidate = waiting.begin(); candidate != end; ++candidate) {
         ++m_counts.evicted;
-        candidate->connection->close();
+        (*candidate)->close();
     }
     return closed > 0;
 }
@@ -156,15 +144,23 @@
     m_close_after_responses = true;
 }
 
-void HttpListener::close_idle() {
-    std::vector<std::shared_ptr<HttpServerConnection>> idle;
+std::vector<std::shared_ptr<HttpServerConnection>> HttpListener::connections_that(
+    const std::function<bool(const HttpServerConnection&)>& condition) const {
+    std::vector<std::shared_ptr<HttpServerConnection>> found;
     for (const auto& [key, weak] : m_connections) {
         const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-        if (connection != nullptr && connection->is_idle()) {
-            idle.push_back(connection);
+        if (connection != nullptr && condition(*connection)) {
+            found.push_back(connection);
         }
     }
-    for (const std::shared_ptr<HttpServerConnection>& connection : idle) {
+    return found;
+}
+
+void HttpListener::close_idle() {
+    const auto is_idle = [](const HttpServerConnection& connection) {
+        return connection.is_idle();
+    };
+    for (const std::shared_ptr<HttpServerConnection>& connection : connections_that(is_idle)) {
         connection->close();
     }
 }
@@ -182,34 +178,28 @@
 
 void HttpListener::close() {
     stop_accepting();
-    const std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> connections =
-        m_connections;
-    for (const auto& [key, weak] : connections) {
-        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-        if (connection != nullptr) {
-            connection->close();
-        }
+    const auto is_any = [](const HttpServerConnection& /*connection*/) {
+        return true;
+    };
+    for (const std::shared_ptr<HttpServerConnection>& connection : connections_that(is_any)) {
+        connection->close();
     }
 }
 
 void HttpListener::sweep(Time now) {
-    const std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> connections =
-        m_connections;
-    for (const auto& [key, weak] : connections) {
-        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-        if (connection != nullptr) {
-            connection->sweep(now);
-        }
+    const auto is_overdue = [now](const HttpServerConnection& connection) {
+        return connection.overdue(now) != HttpServerConnection::Overdue::nothing;
+    };
+    for (const std::shared_ptr<HttpServerConnection>& connection : connections_that(is_overdue)) {
+        connection->end_overdue(now);
     }
 }
 
 std::size_t HttpListener::busy_connections() const {
-    std::size_t busy = 0;
-    for (const auto& [key, weak] : m_connections) {
-        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-        busy += connection != nullptr && !connection->is_idle() ? 1 : 0;
-    }
-    return busy;
+    const auto is_busy = [](const HttpServerConnection& connection) {
+        return !connection.is_idle();
+    };
+    return connections_that(is_busy).size();
 }
 
 std::size_t HttpListener::connections() const {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
@@ -32,8 +33,8 @@
     HttpLimits limits;
     /// Maximum time from the first byte of a request to the end of its header.
     Duration header_timeout = from_ms(10000);
-    /// Maximum time without a received byte between requests or within a body, or while a response
-    /// is being written.
+    /// Maximum time without a received byte between requests or within a body, and without a byte
+    /// that the caller takes of a response.
     Duration idle_timeout = from_ms(60000);
     std::size_t max_connections = 10000;
     AtConnectionLimit at_connection_limit = AtConnectionLimit::make_room;
@@ -113,6 +114,8 @@
     /// otherwise do nothing but try to accept.
     void pause_accepting();
     void remove_connection(HttpServerConnection& connection);
+    std::vector<std::shared_ptr<HttpServerConnection>> connections_that(
+        const std::function<bool(const HttpServerConnection&)>& condition) const;
 
     EventLoop& m_loop;
     Poco::Net::ServerSocket m_socket;
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -324,29 +324,50 @@
     return m_stream.peer_address();
 }
 
-void HttpServerConnection::sweep(Time now) {
+HttpServerConnection::Overdue HttpServerConnection::overdue(Time now) const {
     const HttpListenerOptions& options = m_listener->m_options;
-    if (m_phase == Phase::lingering) {
-        if (now - m_last_byte_at > LINGER_TIME) {
-            close();
-        }
-    } else if (m_phase == Phase::reading) {
-        const bool in_header = m_read_state == ReadState::header;
-        if (in_header && now - m_request_started_at > options.header_timeout) {
-            ++m_listener->m_counts.timed_out;
-            ++m_listener->m_counts.malformed;
-            reject(http::REQUEST_TIMEOUT, "the request's header did not arrive in time");
-        } else if (now - m_last_byte_at > options.idle_timeout) {
+    switch (m_phase) {
+        case Phase::lingering:
+            return now - m_last_byte_at > LINGER_TIME ? Overdue::connection : Overdue::nothing;
+        case Phase::writing:
+            return now - m_last_sent_at > options.idle_timeout ? Overdue::connection
+                                                               : Overdue::nothing;
+        case Phase::reading: {
+            const Duration request_time = now - m_request_started_at;
+            if (m_read_state == ReadState::header && request_time > options.header_timeout) {
+                return Overdue::header;
+            }
+            const bool is_idle = now - m_last_byte_at > options.idle_timeout;
             if (m_read_state == ReadState::body) {
-                ++m_listener->m_counts.timed_out;
-                ++m_listener->m_counts.malformed;
-                reject(http::REQUEST_TIMEOUT, "the request's body did not arrive in time");
-            } else {
-                close();
+                return is_idle ? Overdue::body : Overdue::nothing;
             }
+            return is_idle ? Overdue::connection : Overdue::nothing;
         }
-    } else if (m_phase == Phase::writing && now - m_last_byte_at > options.idle_timeout) {
-        close();
+        case Phase::serving:
+        case Phase::closed:
+            return Overdue::nothing;
+    }
+    return Overdue::nothing;
+}
+
+void HttpServerConnection::end_overdue(Time now) {
+    HttpListenerCounts& counts = m_listener->m_counts;
+    switch (overdue(now)) {
+        case Overdue::nothing:
+            break;
+        case Overdue::header:
+            ++counts.timed_out;
+            ++counts.malformed;
+            reject(http::REQUEST_TIMEOUT, "the request's header did not arrive in time");
+            break;
+        case Overdue::body:
+            ++counts.timed_out;
+            ++counts.malformed;
+            reject(http::REQUEST_TIMEOUT, "the request's body did not arrive in time");
+            break;
+        case Overdue::connection:
+            close();
+            break;
     }
 }
 
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -45,6 +45,8 @@
 private:
     friend class HttpListener;
     enum class Phase : std::uint8_t { reading, serving, writing, lingering, closed };
+    /// What has exceeded its time limit.
+    enum class Overdue : std::uint8_t { nothing, header, body, connection };
 
     HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream);
     /// Opens the connection's account and starts to read.
@@ -62,7 +64,9 @@
     StreamState send(HttpResponseMessage response);
     void finish_response();
     void close();
-    void sweep(Time now);
+    Overdue overdue(Time now) const;
+    /// Ends what has exceeded a time limit.
+    void end_overdue(Time now);
     bool is_idle() const;
     /// True if no request is in progress and the next step is the caller's: to send, or to read.
     bool is_waiting(Time now) const;
--- a/test/failure/test_http_sessions.cpp
+++ b/test/failure/test_http_sessions.cpp
@@ -10,6 +10,10 @@
 namespace ebonymount {
 namespace {
 
+/// Bytes of a long response, more than twice what the system buffers for a connection.
+constexpr std::size_t RESPONSE = 16 << 20;
+constexpr int READ_AT_ONCE = 32768;
+
 HttpResponseMessage ok(const std::string& body) {
     HttpResponseMessage response;
     response.status = 200;
@@ -242,4 +246,62 @@
     listener->close();
 }
 
+namespace {
+
+/// Runs a caller that gets a long response and does `act` every few milliseconds, while the
+/// listener is swept as if almost the idle timeout had passed. Ends when `is_done`; false if the
+/// listener has closed the connection.
+bool keeps_connection(const std::function<void(RawPeer&)>& act,
+                      const std::function<bool()>& is_done) {
+    constexpr Duration INTERVAL = from_ms(15);
+    constexpr Duration MARGIN = from_ms(1500);
+    Harness harness;
+    HttpListenerOptions options;
+    options.idle_timeout = from_ms(60000);
+    const std::shared_ptr<HttpListener> listener = harness.listen(
+        options,
+        [](const std::shared_ptr<HttpServerConnection>& connection, const HttpRequestMessage&) {
+            connection->respond(ok(std::string(RESPONSE, 'x')));
+        });
+    const std::shared_ptr<RawPeer> caller = harness.caller(listener->address(), READ_AT_ONCE);
+    harness.loop.unwatch(caller->socket());
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    bool is_kept = true;
+    bool was_open = false;
+    std::function<void()> repeat = [&] {
+        act(*caller);
+        listener->sweep(monotonic_now() + options.idle_timeout - MARGIN);
+        was_open = was_open || listener->connections() == 1;
+        is_kept = !was_open || listener->connections() == 1;
+        if (!is_kept || is_done()) {
+            harness.loop.stop();
+        } else {
+            harness.loop.run_at(monotonic_now() + INTERVAL, repeat);
+        }
+    };
+    harness.loop.run_at(monotonic_now() + INTERVAL, repeat);
+    harness.loop.run();
+    CHECK_FALSE(harness.hung);
+    listener->close();
+    return is_kept;
+}
+
+}  // namespace
+
+// Guards against a time limit that counts received bytes while a response is being sent.
+TEST_CASE("a caller that takes a response slowly but steadily keeps its connection") {
+    std::size_t taken = 0;
+    const bool is_kept =
+        keeps_connection([&taken](RawPeer& caller) { taken += caller.receive_some(READ_AT_ONCE); },
+                         [&taken] { return taken >= RESPONSE / 2; });
+    CHECK(is_kept);
+    CHECK(taken >= RESPONSE / 2);
+}
+
+TEST_CASE("a caller that takes nothing of a response loses its connection, though it sends") {
+    const bool is_kept =
+        keeps_connection([](RawPeer& caller) { caller.send("GET"); }, [] { return false; });
+    CHECK_FALSE(is_kept);
+}
+
 }  // namespace ebonymount
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -38,6 +38,19 @@
         m_loop.unwatch(m_stream.socket());
         m_stream.close();
     }
+    /// Receives up to that many bytes, and drops them.
+    std::size_t receive_some(std::size_t bytes) {
+        std::size_t total = 0;
+        std::string buffer;
+        while (total < bytes && m_stream.receive(buffer) == StreamState::open && !buffer.empty()) {
+            total += buffer.size();
+            buffer.clear();
+        }
+        return total;
+    }
+    const Poco::Net::StreamSocket& socket() const {
+        return m_stream.socket();
+    }
     void on_ready(int /*modes*/) override {
         const std::shared_ptr<RawPeer> self = shared_from_this();
         if (m_stream.receive(received) != StreamState::open) {
@@ -99,8 +112,12 @@
         });
     }
 
-    std::shared_ptr<RawPeer> caller(const std::string& address) {
-        Poco::Net::StreamSocket socket;
+    /// Connects a caller; `receive_buffer_bytes` of 0 leaves the size to the system.
+    std::shared_ptr<RawPeer> caller(const std::string& address, int receive_buffer_bytes = 0) {
+        Poco::Net::StreamSocket socket(Poco::Net::SocketAddress::IPv4);
+        if (receive_buffer_bytes > 0) {
+            socket.setReceiveBufferSize(receive_buffer_bytes);
+        }
         socket.connect(Poco::Net::SocketAddress(address));
         const std::shared_ptr<RawPeer> peer = std::make_shared<RawPeer>(loop, socket);
         peer->watch();
