Front: the whole of a request has a time limit

Callers that sent a byte of a body now and then kept their connection for as long as they did so.

Cause: only the time between two bytes was bounded. And a connection that had got its last response was read on for a second from its last byte, not from the response, so that a caller that went on sending kept it as well.

Change: a request whose body is not complete after callers.request_timeout_ms gets 408, which is true, as it was not run. By default that is the configuration's time for a header and the longest time limit of a route: a request that takes longer could only get 504. The second after the last response runs from that response.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -50,6 +50,15 @@
 /// Hedges and retries per request if the platform sets no bound on extra arrivals.
 constexpr double DEFAULT_RETRY_RATIO = 0.1;
 
+/// A request that takes longer than the longest time limit cannot be served any more.
+Duration longest_timeout(const RouteTable& table) {
+    Duration longest{};
+    for (const Route& route : table.routes) {
+        longest = std::max(longest, route.timeout);
+    }
+    return longest;
+}
+
 /// Memory that may be held for callers. Refusals and small messages need some in any case.
 std::int64_t caller_memory_bytes(const platform::Settings& settings) {
     constexpr double BYTES_PER_MB = 1048576.0;
@@ -144,20 +153,24 @@
     const FleetWatcherOptions options{feed, m_settings.regions};
     m_fleet_watcher = std::make_unique<FleetWatcher>(
         m_state, options,
-        FleetWatcherHandlers{[this](const RouteTable& table) { apply_caller_limits(table.limits); },
+        FleetWatcherHandlers{[this](const RouteTable& table) { apply_caller_limits(table); },
                              [this](const std::vector<std::string>& names) {
                                  m_node_names = names;
                                  split_fleet_limits();
                              }});
 }
 
-void Front::apply_caller_limits(const CallerLimits& limits) {
+void Front::apply_caller_limits(const RouteTable& table) {
+    const CallerLimits& limits = table.limits;
     HttpListenerOptions options;
     options.memory = m_state.memory;
     options.limits.max_header_bytes = limits.max_header_bytes;
     options.limits.max_body_bytes = limits.max_body_bytes;
     options.header_timeout = limits.header_timeout;
     options.idle_timeout = limits.idle_timeout;
+    options.request_timeout = m_settings.caller_request_timeout > Duration::zero()
+                                  ? m_settings.caller_request_timeout
+                                  : limits.header_timeout + longest_timeout(table);
     options.max_connections = share_descriptors(m_settings.max_open_files).callers;
     m_caller_listener->set_options(options);
 }
@@ -285,9 +298,9 @@
     }
     m_next_limit_report = now + LIMIT_REPORT_INTERVAL;
     const HttpListenerCounts listeners = counts_of_all_listeners();
-    const ClientLimitCounts counts{m_state.memory->releases(), listeners.evicted,
-                                   listeners.refused_over_limit, listeners.failed_accepts,
-                                   m_state.pool.refused_connections()};
+    const ClientLimitCounts counts{
+        m_state.memory->releases(), listeners.evicted,   listeners.refused_over_limit,
+        listeners.failed_accepts,   listeners.timed_out, m_state.pool.refused_connections()};
     if (counts != m_reported_limits) {
         LogEvent(LogLevel::warning, "front", "client_limits")
             .add("memory_releases", counts.memory_releases - m_reported_limits.memory_releases)
@@ -295,6 +308,7 @@
             .add("evicted", counts.evicted - m_reported_limits.evicted)
             .add("refused", counts.refused - m_reported_limits.refused)
             .add("failed_accepts", counts.failed_accepts - m_reported_limits.failed_accepts)
+            .add("timed_out", counts.timed_out - m_reported_limits.timed_out)
             .add("refused_to_targets",
                  counts.refused_to_targets - m_reported_limits.refused_to_targets)
             .add("to_targets", static_cast<std::int64_t>(m_state.pool.connections()))
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -33,6 +33,8 @@
     std::int64_t evicted = 0;
     std::int64_t refused = 0;
     std::int64_t failed_accepts = 0;
+    /// Requests that did not arrive in time.
+    std::int64_t timed_out = 0;
     /// Connections to targets that could not be opened.
     std::int64_t refused_to_targets = 0;
 
@@ -61,7 +63,7 @@
           FrontSignals& signals);
     Result<Done> listen(std::int64_t metrics_port);
     void start_fleet_watcher();
-    void apply_caller_limits(const CallerLimits& limits);
+    void apply_caller_limits(const RouteTable& table);
     /// Divides the memory and the descriptors of the machine that the settings state.
     void apply_machine_limits();
     void split_fleet_limits();
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -33,6 +33,8 @@
     HttpLimits limits;
     /// Maximum time from the first byte of a request to the end of its header.
     Duration header_timeout = from_ms(10000);
+    /// Maximum time from the first byte of a request to the end of its body.
+    Duration request_timeout = from_ms(3600000);
     /// Maximum time without a received byte between requests or within a body, and without a byte
     /// that the caller takes of a response.
     Duration idle_timeout = from_ms(60000);
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -328,7 +328,7 @@
     const HttpListenerOptions& options = m_listener->m_options;
     switch (m_phase) {
         case Phase::lingering:
-            return now - m_last_byte_at > LINGER_TIME ? Overdue::connection : Overdue::nothing;
+            return now - m_ready_since > LINGER_TIME ? Overdue::connection : Overdue::nothing;
         case Phase::writing:
             return now - m_last_sent_at > options.idle_timeout ? Overdue::connection
                                                                : Overdue::nothing;
@@ -339,7 +339,8 @@
             }
             const bool is_idle = now - m_last_byte_at > options.idle_timeout;
             if (m_read_state == ReadState::body) {
-                return is_idle ? Overdue::body : Overdue::nothing;
+                return is_idle || request_time > options.request_timeout ? Overdue::body
+                                                                         : Overdue::nothing;
             }
             return is_idle ? Overdue::connection : Overdue::nothing;
         }
--- a/test/failure/test_client_crowds.cpp
+++ b/test/failure/test_client_crowds.cpp
@@ -185,6 +185,20 @@
     check_health(front, machine);
 }
 
+TEST_CASE("a body that takes too long ends its connection") {
+    FrontMachine machine;
+    machine.settings = "callers.request_timeout_ms=500";
+    CrowdedFront front(machine);
+    start(front);
+    CrowdBehaviour behaviour;
+    behaviour.request = post_head("/small/trickle", MAX_BODY_BYTES);
+    behaviour.trickle = "b";
+    front.add_crowd(50, FrontListener::callers, behaviour, false);
+    CHECK(front.wait_until_connected(0));
+    CHECK(front.counter("ebonymount_front_stalled_requests_total") >= 50);
+    check_health(front, machine);
+}
+
 TEST_CASE("clients at all listeners at once") {
     const FrontMachine machine;
     CrowdedFront front(machine);
