Channel: a status that HTTP does not have is no response

Here a caller got no 000: a status below 100 was taken for an interim response and skipped, so that the caller waited for a final one until its time was over and got 504. A status from 600 to 999 was passed on as the answer.

Cause: the reader skipped every status below 200 and bounded none above.

Change: a response whose status is not between 100 and 599 is malformed as soon as its header is complete. The request goes on with another target if it may be repeated, or ends with 502.

--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -359,18 +359,27 @@
 }
 
 ReadState HttpResponseReader::consume(std::string& buffer) {
-    ReadState state = m_parser->consume(buffer);
+    ReadState state = consume_one(buffer);
     // Interim (1xx) responses are skipped; the final response follows.
     while (state == ReadState::complete && m_parser->message.status < http::OK) {
         if (++m_interim_responses > MAX_INTERIM_RESPONSES) {
             return ReadState::malformed;
         }
         restart();
-        state = m_parser->consume(buffer);
+        state = consume_one(buffer);
     }
     return state;
 }
 
+ReadState HttpResponseReader::consume_one(std::string& buffer) {
+    const ReadState state = m_parser->consume(buffer);
+    const int status = m_parser->message.status;
+    const bool has_status = m_parser->is_header_done();
+    return has_status && (status < http::CONTINUE || status > http::LAST_STATUS)
+               ? ReadState::malformed
+               : state;
+}
+
 ReadState HttpResponseReader::end_of_stream() {
     return m_parser->finish();
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -114,7 +114,8 @@
     std::unique_ptr<Parser> m_parser;
 };
 
-/// Parses responses from a byte stream, one after the other. Interim (1xx) responses are skipped.
+/// Parses responses from a byte stream, one after the other. Interim (1xx) responses are skipped. A
+/// response whose status is not between 100 and 599 is malformed.
 class HttpResponseReader {
 public:
     explicit HttpResponseReader(const HttpLimits& limits);
@@ -144,6 +145,8 @@
 private:
     class Parser;
     void restart();
+    /// Consumes one response, interim or final.
+    ReadState consume_one(std::string& buffer);
 
     HttpLimits m_limits;
     bool m_no_body = false;
--- a/src/io/http_status.h
+++ b/src/io/http_status.h
@@ -24,5 +24,7 @@
 constexpr int BAD_GATEWAY = 502;
 constexpr int UNAVAILABLE = 503;
 constexpr int TIMEOUT = 504;
+/// No status is greater.
+constexpr int LAST_STATUS = 599;
 
 }  // namespace ebonymount::http
--- a/test/failure/test_http_sessions.cpp
+++ b/test/failure/test_http_sessions.cpp
@@ -64,6 +64,30 @@
     CHECK(run.status == CallStatus::malformed);
 }
 
+// Guards against a status below 100 that is taken for an interim response, so that the caller waits
+// for a final one, and against one above 599 that is passed on.
+TEST_CASE("a response with a status that HTTP does not have is malformed") {
+    for (const std::string status : {"000", "001", "099", "600", "700", "999"}) {
+        for (const std::string body : {"", "Content-Length: 2\r\n", "Content-Length: 9\r\n"}) {
+            INFO(status << " " << body);
+            const ChannelRun run = call([&](RawPeer& peer) {
+                peer.send("HTTP/1.1 " + status + " X\r\n" + body + "\r\nok");
+            });
+            CHECK(run.status == CallStatus::malformed);
+            CHECK_FALSE(run.reusable);
+        }
+    }
+    for (const std::string status : {"200", "299", "404", "599"}) {
+        INFO(status);
+        const ChannelRun run = call([&status](RawPeer& peer) {
+            peer.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status +
+                      " X\r\nContent-Length: 2\r\n\r\nok");
+        });
+        CHECK(run.status == CallStatus::answered);
+        CHECK(run.response.status == std::stoi(status));
+    }
+}
+
 TEST_CASE("a call to a port without a listener ends as not sent") {
     Harness harness;
     std::string address;
