Listener: requests that many callers send ahead take turns with everything else

Ordinary callers waited for a round of the event loop that was as long as a crowd made it: with 200 callers that had each sent 1,000 requests at once, 802 of theirs were served before one that came new. New connections also waited for a round each.

Cause: the next request of each connection that had one buffered was a task of its own, and a round runs all tasks. One connection was accepted in a round.

Change: the listener queues connections with a buffered request and lets 16 of them read theirs in a round. Until its turn such a connection reads no request from its socket either, and its read-ahead is bounded. Up to 16 connections are accepted in a round.

--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -18,6 +18,11 @@
 /// compared again for each new one.
 constexpr std::size_t EVICTED_TOGETHER_DIVISOR = 64;
 
+/// Connections accepted, and requests read that were received together with earlier ones, in a
+/// round of the event loop: those of a crowd take turns with everything else.
+constexpr int MAX_ACCEPTS_PER_ROUND = 16;
+constexpr std::size_t MAX_BUFFERED_PER_ROUND = 16;
+
 /// How long nothing is accepted when the system has no descriptor or memory for a connection.
 constexpr Duration ACCEPT_PAUSE = from_ms(100);
 
@@ -67,7 +72,36 @@
 }
 
 void HttpListener::on_ready(int /*modes*/) {
-    accept_one();
+    int accepted = 0;
+    while (accept_one() && ++accepted < MAX_ACCEPTS_PER_ROUND && has_waiting_connection()) {
+    }
+}
+
+void HttpListener::queue_buffered(const std::shared_ptr<HttpServerConnection>& connection) {
+    m_buffered.push_back(connection);
+    if (m_buffered.size() == 1) {
+        m_loop.post([self = shared_from_this()] { self->read_buffered(); });
+    }
+}
+
+void HttpListener::read_buffered() {
+    // A connection that is answered at once queues itself again.
+    const std::size_t count = std::min(m_buffered.size(), MAX_BUFFERED_PER_ROUND);
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::shared_ptr<HttpServerConnection> connection = m_buffered.front().lock();
+        // Popped last, so that the queue does not become empty and is not posted once more.
+        if (connection != nullptr) {
+            connection->read_buffered();
+        }
+        m_buffered.pop_front();
+    }
+    if (!m_buffered.empty()) {
+        m_loop.post([self = shared_from_this()] { self->read_buffered(); });
+    }
+}
+
+bool HttpListener::has_waiting_connection() const {
+    return m_socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
 }
 
 bool HttpListener::accept_one() {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -3,6 +3,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -106,6 +107,7 @@
 
     HttpListener(EventLoop& loop, const Poco::Net::ServerSocket& socket,
                  const HttpListenerOptions& options, HttpRequestHandler handler);
+    bool has_waiting_connection() const;
     /// False if no connection was accepted.
     bool accept_one();
     void add_connection(TcpStream stream);
@@ -116,6 +118,10 @@
     /// otherwise do nothing but try to accept.
     void pause_accepting();
     void remove_connection(HttpServerConnection& connection);
+    /// Lets the connection read its next request, which is already buffered, after those of the
+    /// connections that were queued before.
+    void queue_buffered(const std::shared_ptr<HttpServerConnection>& connection);
+    void read_buffered();
     std::vector<std::shared_ptr<HttpServerConnection>> connections_that(
         const std::function<bool(const HttpServerConnection&)>& condition) const;
 
@@ -125,6 +131,7 @@
     HttpRequestHandler m_handler;
     HttpListenerCounts m_counts;
     std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> m_connections;
+    std::deque<std::weak_ptr<HttpServerConnection>> m_buffered;
     bool m_close_after_responses = false;
     bool m_accepting = true;
     bool m_is_paused = false;
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -97,7 +97,7 @@
 }
 
 bool HttpServerConnection::is_read_ahead_full() const {
-    return (m_phase == Phase::serving || m_phase == Phase::writing) &&
+    return (m_phase == Phase::serving || m_phase == Phase::writing || m_is_queued) &&
            m_input.size() >= MAX_READ_AHEAD_BYTES;
 }
 
@@ -167,7 +167,7 @@
     if (m_phase == Phase::lingering || !m_keep_alive) {
         m_input.clear();
     }
-    if (m_phase == Phase::reading) {
+    if (m_phase == Phase::reading && !m_is_queued) {
         read_request();
     }
     if (state != StreamState::open && m_phase != Phase::closed) {
@@ -283,16 +283,19 @@
     m_phase = Phase::reading;
     watch();
     if (!m_input.empty()) {
-        // The next request is already buffered (pipelined). It is read in a posted task, because a
-        // handler that responds at once would otherwise recurse for each pipelined request.
-        const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
-        m_listener->m_loop.post([weak] {
-            const std::shared_ptr<HttpServerConnection> connection = weak.lock();
-            if (connection != nullptr && connection->m_phase == Phase::reading) {
-                connection->read_request();
-                connection->charge_memory();
-            }
-        });
+        m_is_queued = true;
+        m_listener->queue_buffered(shared_from_this());
+    }
+}
+
+void HttpServerConnection::read_buffered() {
+    m_is_queued = false;
+    if (m_phase == Phase::reading) {
+        read_request();
+        if (m_phase != Phase::closed) {
+            charge_memory();
+            watch();
+        }
     }
 }
 
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -60,6 +60,8 @@
     void discard_input();
     void read();
     void read_request();
+    /// Reads a request that was received together with an earlier one.
+    void read_buffered();
     void reject(int status, const std::string& message, const char* retry_after_s = nullptr);
     StreamState send(HttpResponseMessage response);
     void finish_response();
@@ -85,6 +87,8 @@
     bool m_sent_continue = false;
     bool m_is_head = false;
     bool m_keep_alive = true;
+    /// The listener will call `read_buffered`.
+    bool m_is_queued = false;
     std::function<void()> m_on_caller_gone;
     MemoryCharge m_memory;
     std::int64_t m_requests = 0;
--- a/test/failure/test_http_sessions.cpp
+++ b/test/failure/test_http_sessions.cpp
@@ -328,4 +328,52 @@
     CHECK_FALSE(is_kept);
 }
 
+// Guards against a round of the event loop that is as long as a crowd of callers makes it.
+TEST_CASE("callers that send many requests at once do not hold up others") {
+    constexpr std::size_t CROWD = 200;
+    constexpr std::size_t REQUESTS = 1000;
+    /// Requests of the crowd that may be served before one that arrives now: in some rounds of the
+    /// loop, for the accept, the request and the response, 16 each.
+    constexpr std::size_t MAX_SERVED_BEFORE = 100;
+    Harness harness;
+    std::size_t crowd_served = 0;
+    std::optional<std::size_t> served_before;
+    std::size_t served_at_connect = 0;
+    const std::shared_ptr<HttpListener> listener = harness.listen(
+        HttpListenerOptions{}, [&](const std::shared_ptr<HttpServerConnection>& connection,
+                                   const HttpRequestMessage& request) {
+            crowd_served += request.target == "/crowd" ? 1 : 0;
+            connection->respond(ok(""));
+        });
+    std::string requests;
+    for (std::size_t i = 0; i < REQUESTS; ++i) {
+        requests += "GET /crowd HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    std::vector<std::shared_ptr<RawPeer>> crowd;
+    for (std::size_t i = 0; i < CROWD; ++i) {
+        crowd.push_back(harness.caller(listener->address()));
+        crowd.back()->send(requests);
+    }
+    std::shared_ptr<RawPeer> ordinary;
+    std::function<void()> connect_ordinary = [&] {
+        if (listener->connections() < CROWD) {
+            harness.loop.run_at(monotonic_now(), connect_ordinary);
+            return;
+        }
+        served_at_connect = crowd_served;
+        ordinary = harness.caller(listener->address());
+        ordinary->on_bytes = [&] {
+            served_before = crowd_served - served_at_connect;
+            harness.loop.stop();
+        };
+        ordinary->send("GET /ordinary HTTP/1.1\r\nHost: h\r\n\r\n");
+    };
+    connect_ordinary();
+    harness.loop.run();
+    REQUIRE_FALSE(harness.hung);
+    REQUIRE(served_before.has_value());
+    CHECK(*served_before <= MAX_SERVED_BEFORE);
+    listener->close();
+}
+
 }  // namespace ebonymount
