Memory budget: what is held only for a moment releases nothing

Reading the change again: a budget that was exceeded for part of a round, as when a buffer is charged to its old and its new holder, released down to 85% of the limit all the same. And an account that cannot let go would have stopped all others from reading for good, and the loop from resting. Neither was seen.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -561,28 +561,29 @@
         case FanOutStatus::target_error:
             return platform::response_for_caller(std::move(m_parts.front()->response));
         case FanOutStatus::not_run:
-            return platform::local_response(http::UNAVAILABLE, m_caller_headers.request_id,
-                                            m_short_of_memory
-                                                ? "the node is short of memory; the request was "
-                                                  "not run"
-                                                : "no target is available; the request was not run",
-                                            action.retry_after);
+            return failure_response(
+                http::UNAVAILABLE,
+                m_short_of_memory ? "the node is short of memory" : "no target is available",
+                "; the request was not run", action.retry_after);
         case FanOutStatus::failed:
-            return platform::local_response(http::BAD_GATEWAY, m_caller_headers.request_id,
-                                            m_short_of_memory
-                                                ? "the node is short of memory; the request may "
-                                                  "have run"
-                                                : "too many targets failed; the request may have "
-                                                  "run",
-                                            Duration::zero());
+            return failure_response(
+                http::BAD_GATEWAY,
+                m_short_of_memory ? "the node is short of memory" : "too many targets failed",
+                "; the request may have run", Duration::zero());
         case FanOutStatus::out_of_time:
-            return platform::local_response(http::TIMEOUT, m_caller_headers.request_id,
-                                            "no response in time; the request may have run",
-                                            Duration::zero());
+            return failure_response(http::TIMEOUT, "no response in time",
+                                    "; the request may have run", Duration::zero());
     }
     return response;
 }
 
+HttpResponseMessage RequestHandler::failure_response(int status, const std::string& cause,
+                                                     const std::string& verdict,
+                                                     Duration retry_after) const {
+    return platform::local_response(status, m_caller_headers.request_id, cause + verdict,
+                                    retry_after);
+}
+
 void RequestHandler::finish(const EndRequest& action) {
     m_front.open_requests.erase(this);
     ++counter_for(m_front.counters, action.status);
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -85,6 +85,8 @@
     void keep_merged_records_only(HttpResponseMessage& response) const;
     void finish(const EndRequest& action);
     HttpResponseMessage response_for(const EndRequest& action);
+    HttpResponseMessage failure_response(int status, const std::string& cause,
+                                         const std::string& verdict, Duration retry_after) const;
     void merge_parts(HttpResponseMessage& response);
     void respond_at_once(int status, const char* reason, Duration retry_after);
     void on_caller_gone();
--- a/src/io/memory_budget.cpp
+++ b/src/io/memory_budget.cpp
@@ -32,7 +32,7 @@
 }
 
 bool MemoryAccount::must_wait() const {
-    return m_budget->is_exceeded();
+    return m_budget->m_release_is_due;
 }
 
 void MemoryAccount::change(std::int64_t bytes) {
@@ -129,6 +129,10 @@
 }
 
 void MemoryBudget::release_most_costly() {
+    m_release_is_due = false;
+    if (!is_exceeded()) {
+        return;
+    }
     struct Candidate {
         double cost = 0.0;
         std::weak_ptr<MemoryAccount> account;
@@ -155,8 +159,6 @@
             release();
         }
     }
-    m_release_is_due = false;
-    change(0);
 }
 
 }  // namespace ebonymount
--- a/src/io/memory_budget.h
+++ b/src/io/memory_budget.h
@@ -34,8 +34,8 @@
     /// Records that bytes were received or sent, so that the holder is not taken to be stalled.
     void record_progress(Time now);
 
-    /// True while the budget is exceeded. The holder should receive no more bytes until the next
-    /// round of the event loop, when memory has been released.
+    /// True from the moment at which the budget is exceeded until memory has been released, in the
+    /// same round of the event loop. The holder should receive no more bytes in between.
     bool must_wait() const;
 
 private:
