Requests that a node cannot hold: tests of what they end with

A request that was not sent ends as not run, with Retry-After; one that was sent ends as failed; a fan-out ends with its parts if they are enough. A connection that has dropped what was sent ahead reads on, as it would otherwise not notice that its caller is gone (found by reading).

--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -68,6 +68,7 @@
             // has sent ahead again, as none of them was read.
             m_keep_alive = false;
             discard_input();
+            watch();
             break;
         case Phase::writing:
             // The rest of the response is lost with the connection; the length in its header shows
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -28,6 +28,9 @@
     std::vector<FanOutAction> tick(Time now) {
         return step(state, ClockTick{}, fleet.context(now));
     }
+    std::vector<FanOutAction> exhaust_resources(Time now) {
+        return step(state, ResourcesExhausted{}, fleet.context(now));
+    }
 };
 
 FanOutParameters single_shard_parameters(FleetFixture& fleet, bool idempotent) {
@@ -289,6 +292,37 @@
     CHECK(ended(actions)->retry_after > Duration::zero());
 }
 
+TEST_CASE("a request that the node cannot hold says truly whether it may have run") {
+    FleetFixture fleet(1, 3);
+    Request unsent(fleet, single_shard_parameters(fleet, false));
+    unsent.begin();
+    const std::vector<FanOutAction> refused = unsent.exhaust_resources(START + from_ms(1));
+    REQUIRE(ended(refused));
+    CHECK(ended(refused)->status == FanOutStatus::not_run);
+    CHECK(ended(refused)->retry_after > Duration::zero());
+    Request sent(fleet, single_shard_parameters(fleet, false));
+    sent.sent(started(sent.begin())[0].id, START);
+    const std::vector<FanOutAction> failed = sent.exhaust_resources(START + from_ms(1));
+    REQUIRE(ended(failed));
+    CHECK(ended(failed)->status == FanOutStatus::failed);
+    CHECK(sent.exhaust_resources(START + from_ms(2)).empty());
+}
+
+TEST_CASE("a fan-out that the node cannot hold ends with its parts if they are enough") {
+    FleetFixture fleet(2, 3);
+    FanOutParameters parameters = fleet.parameters(START);
+    parameters.min_coverage = 0.5;
+    Request request(fleet, parameters);
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    for (const StartAttempt& attempt : attempts) {
+        request.sent(attempt.id, START);
+    }
+    request.end(attempts[0].id, FanOutAttemptStatus::answered, START + from_ms(5));
+    const std::vector<FanOutAction> actions = request.exhaust_resources(START + from_ms(6));
+    REQUIRE(ended(actions));
+    CHECK(ended(actions)->status == FanOutStatus::partial);
+}
+
 TEST_CASE("a target's failure response is passed on when no other attempt is allowed") {
     FleetFixture fleet(1, 1);
     Request request(fleet, single_shard_parameters(fleet, false));
