Front: a connection to a target carries a request once

Cause: a response names the caller's attempt, not the sending. A refused request was sent again on the connection that was used last; a second copy of the first refusal, which a faulty target may send late, was then taken for the answer to the second sending.

Change: the pool leaves out the connections on which an attempt of the same request was answered without success; it uses another idle one or a new one. If the target has no room for one more, an idle one that could not be used makes room. A response without an id is used, but its connection is not used again, as a copy of it could be taken for the response to any request; it is counted.

Why it works: on a connection that has carried the request once, a second copy of its response meets another id and is skipped. Not to use a connection again after a copy was seen would not help: the copy comes after the second sending.

--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -55,6 +55,8 @@
     Counter& turned_away;
     /// Targets that said that they are leaving.
     Counter& targets_leaving;
+    /// Responses that name no request; their connections are not used again.
+    Counter& responses_without_id;
     /// Connections that broke while a request ran, by what became of them.
     Counter& crash_evidence_broken;
     Counter& crash_evidence_confirmed;
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -140,9 +140,6 @@
     request.make_request = [path, address = m_options.store_address] {
         return encode(HttpRequestMessage{"GET", path, {{"Host", address}}, "", true});
     };
-    request.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     request.on_sent = [] {
     };
     request.on_end = [weak, timer, number, on_end](CallStatus status,
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -273,9 +273,9 @@
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
     };
-    call.call.is_own_response = [self](const HttpResponseMessage& response) {
-        const std::string_view request_id = platform::request_id_of(response);
-        return request_id.empty() || request_id == self->m_caller_headers.request_id;
+    call.excluded = used_connections_to(action.target);
+    call.call.owner_of = [self](const HttpResponseMessage& response) {
+        return self->owner_of(response);
     };
     call.call.on_sent = [self, id] {
         self->on_attempt_sent(id);
@@ -287,10 +287,21 @@
     for (OpenAttempt& open : m_open_attempts) {
         if (open.id == id) {
             open.call = pool_call;
+            open.connection = m_front.pool.connection_of(pool_call);
         }
     }
 }
 
+ResponseOwner RequestHandler::owner_of(const HttpResponseMessage& response) const {
+    const std::string_view request_id = platform::request_id_of(response);
+    if (request_id.empty()) {
+        ++m_front.counters.responses_without_id;
+        return ResponseOwner::unknown;
+    }
+    return request_id == m_caller_headers.request_id ? ResponseOwner::this_call
+                                                     : ResponseOwner::other_call;
+}
+
 bool RequestHandler::may_still_send(TargetIndex target, ServiceIndex service, bool is_trial) const {
     const TargetState& state = m_front.targets.states[target];
     const Time now = monotonic_now();
@@ -340,6 +351,16 @@
                        [](const OpenAttempt& attempt) { return attempt.is_trial; });
 }
 
+std::vector<PoolConnection> RequestHandler::used_connections_to(TargetIndex target) const {
+    std::vector<PoolConnection> connections;
+    for (const UsedConnection& used : m_used_connections) {
+        if (used.target == target) {
+            connections.push_back(used.connection);
+        }
+    }
+    return connections;
+}
+
 void RequestHandler::withdraw_attempt(const WithdrawAttempt& action) {
     for (std::size_t i = 0; i < m_open_attempts.size(); ++i) {
         if (m_open_attempts[i].id == action.id && m_front.pool.withdraw(m_open_attempts[i].call)) {
@@ -375,6 +396,9 @@
     const FanOutAttemptStatus outcome = classify_outcome(attempt, call_status, response);
     record_outcome(attempt, outcome, call_status);
     if (outcome != FanOutAttemptStatus::answered) {
+        if (call_status == CallStatus::answered) {
+            m_used_connections.push_back({attempt.target, attempt.connection});
+        }
         log_attempt(log_context(),
                     {"try_failed", name_of(outcome), attempt.id, attempt.shard, attempt.target});
     }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -41,6 +41,7 @@
         std::uint32_t shard = 0;
         TargetIndex target = 0;
         PoolCallId call = 0;
+        PoolConnection connection;
         Time sent_at{};
         /// Number of requests ahead of this one at the target when it was sent.
         std::int64_t ahead = 0;
@@ -49,6 +50,13 @@
         bool is_trial = false;
     };
 
+    /// A connection on which an attempt was answered without success. Later attempts carry the same
+    /// request id, so a late copy of that response could not be told from their own.
+    struct UsedConnection {
+        TargetIndex target = 0;
+        PoolConnection connection;
+    };
+
     RequestHandler(FrontState& front, std::shared_ptr<HttpServerConnection> connection,
                    HttpRequestMessage request);
     bool route_or_refuse();
@@ -62,6 +70,7 @@
     /// False if, since the target was chosen, it was withdrawn, is leaving or turned this node
     /// away, or the request ran out of time or became suspected.
     bool may_still_send(TargetIndex target, ServiceIndex service, bool is_trial) const;
+    ResponseOwner owner_of(const HttpResponseMessage& response) const;
     const std::string& service_name(ServiceIndex service) const;
     /// True if the request has crashed targets of so many of the services that the others cannot
     /// serve it.
@@ -70,6 +79,7 @@
     /// quarantined, or this node has no trial yet, which it then claims if one is due.
     bool take_trial_if_quarantined(const std::vector<ServiceIndex>& services);
     bool has_open_trial() const;
+    std::vector<PoolConnection> used_connections_to(TargetIndex target) const;
     void withdraw_attempt(const WithdrawAttempt& action);
     void report_if_trial(const OpenAttempt& attempt, TrialEnd end);
     void on_attempt_sent(std::uint32_t id);
@@ -114,6 +124,7 @@
     std::uint64_t m_fingerprint = 0;
     FanOutState m_state;
     std::vector<OpenAttempt> m_open_attempts;
+    std::vector<UsedConnection> m_used_connections;
     std::vector<std::optional<Part>> m_parts;
     std::size_t m_parts_memory = 0;
     /// What the request holds itself and what its attempts hold are charged to this account.
--- a/src/front/store_call.cpp
+++ b/src/front/store_call.cpp
@@ -24,9 +24,6 @@
         const HttpHeaders headers = {{"Host", call.address}, {"Content-Type", "application/json"}};
         return encode(HttpRequestMessage{call.method, call.path, headers, call.body, false});
     };
-    request.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     request.on_sent = [] {
     };
     request.on_end = std::move(on_end);
--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -10,6 +10,13 @@
     return channel.is_idle() || (channel.is_connecting() && !channel.has_call());
 }
 
+bool contains(const std::vector<PoolConnection>& connections,
+              const std::shared_ptr<HttpChannel>& channel) {
+    return std::any_of(
+        connections.begin(), connections.end(),
+        [&channel](const PoolConnection& connection) { return connection.lock() == channel; });
+}
+
 /// Idle connections to a target are closed after this time, except one if `may_keep_idle` allows
 /// it: a node that loses power leaves its connections open at the target, where they count against
 /// the connection limit.
@@ -30,8 +37,10 @@
 
 PoolCallId TargetPool::start(PoolCall call) {
     const PoolCallId id = m_next_call++;
-    Channel channel = find_idle(call.target, call.max_idle, monotonic_now());
+    const Time now = monotonic_now();
+    Channel channel = find_idle(call.target, call.max_idle, call.excluded, now);
     if (channel == nullptr) {
+        make_room_at_target(call.target, now);
         channel = open(call.target);
     }
     std::function<void(CallStatus, HttpResponseMessage)> on_end = std::move(call.call.on_end);
@@ -49,6 +58,11 @@
     return id;
 }
 
+PoolConnection TargetPool::connection_of(PoolCallId call) const {
+    const auto found = m_running_calls.find(call);
+    return found != m_running_calls.end() ? found->second.channel : PoolConnection();
+}
+
 bool TargetPool::withdraw(PoolCallId call) {
     const auto found = m_running_calls.find(call);
     if (found == m_running_calls.end() || !found->second.channel->withdraw()) {
@@ -101,7 +115,7 @@
         if (m_channels[target].empty()) {
             continue;
         }
-        const Channel most_recent = find_idle(target, UNLIMITED_IDLE_TIME, now);
+        const Channel most_recent = find_idle(target, UNLIMITED_IDLE_TIME, {}, now);
         const bool may_keep_one = may_keep_idle(m_targets, m_targets.states[target]);
         for (const Channel& channel : m_channels[target]) {
             const bool is_spare = channel != most_recent || !may_keep_one;
@@ -127,7 +141,9 @@
     return m_opened_connections;
 }
 
-TargetPool::Channel TargetPool::find_idle(TargetIndex target, Duration max_idle, Time now) {
+TargetPool::Channel TargetPool::find_idle(TargetIndex target, Duration max_idle,
+                                          const std::vector<PoolConnection>& excluded,
+                                          Time now) const {
     if (target >= m_channels.size()) {
         return nullptr;
     }
@@ -135,7 +151,8 @@
     for (const Channel& channel : m_channels[target]) {
         const Duration idle = now - channel->last_used();
         const bool usable = is_free(*channel) && idle < channel->idle_limit() && idle < max_idle &&
-                            channel->address() == m_targets.states[target].entry.address;
+                            channel->address() == m_targets.states[target].entry.address &&
+                            !contains(excluded, channel);
         if (usable && (best == nullptr || channel->last_used() > best->last_used())) {
             best = channel;
         }
@@ -143,6 +160,19 @@
     return best;
 }
 
+void TargetPool::make_room_at_target(TargetIndex target, Time now) {
+    if (target >= m_channels.size() || may_connect(m_targets, m_targets.states[target], now)) {
+        return;
+    }
+    const std::vector<Channel>& channels = m_channels[target];
+    const auto idle = std::find_if(channels.begin(), channels.end(),
+                                   [](const Channel& channel) { return channel->is_idle(); });
+    if (idle != channels.end()) {
+        const Channel closing = *idle;
+        closing->close();
+    }
+}
+
 void TargetPool::set_max_connections(std::size_t connections) {
     m_max_connections = connections;
 }
--- a/src/front/target_pool.h
+++ b/src/front/target_pool.h
@@ -21,6 +21,9 @@
 /// Identifies a call of the pool.
 using PoolCallId = std::uint64_t;
 
+/// A connection of the pool, as a call refers to it.
+using PoolConnection = std::weak_ptr<HttpChannel>;
+
 /// One call to a target.
 struct PoolCall {
     TargetIndex target = 0;
@@ -30,6 +33,8 @@
     /// The call uses no connection that has been idle for longer, as it may have been closed
     /// without notice.
     Duration max_idle = from_ms(30000);
+    /// Connections that the call does not use.
+    std::vector<PoolConnection> excluded;
 };
 
 /// What a connect has shown about a target.
@@ -47,6 +52,9 @@
     /// from the event loop with `not_sent`.
     PoolCallId start(PoolCall call);
 
+    /// The connection of a call in progress; empty for any other.
+    PoolConnection connection_of(PoolCallId call) const;
+
     /// Withdraws a call that has not been sent; `on_end` is not called. False if it was sent.
     bool withdraw(PoolCallId call);
 
@@ -83,7 +91,11 @@
         Time deadline{};
     };
 
-    Channel find_idle(TargetIndex target, Duration max_idle, Time now);
+    Channel find_idle(TargetIndex target, Duration max_idle,
+                      const std::vector<PoolConnection>& excluded, Time now) const;
+    /// Closes an idle connection to the target of a call that can use none, if the target has no
+    /// room for one more.
+    void make_room_at_target(TargetIndex target, Time now);
     Channel open(TargetIndex target);
     /// Limit of all connections that applies to a new one to this target.
     std::size_t max_connections_for(TargetIndex target) const;
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -240,8 +240,9 @@
         if (state == ReadState::complete) {
             HttpResponseMessage response = m_reader.take();
             response.keep_alive = response.keep_alive && stream_state == StreamState::open;
-            if (m_call.is_own_response(response)) {
-                complete(std::move(response));
+            const ResponseOwner owner = owner_of(response);
+            if (owner != ResponseOwner::other_call) {
+                complete(std::move(response), owner);
             } else if (stream_state != StreamState::open) {
                 fail(CallStatus::broken);
             } else if (++m_skipped_responses > MAX_SKIPPED_RESPONSES) {
@@ -262,13 +263,18 @@
     }
 }
 
-void HttpChannel::complete(HttpResponseMessage response) {
+ResponseOwner HttpChannel::owner_of(const HttpResponseMessage& response) const {
+    return m_call.owner_of ? m_call.owner_of(response) : ResponseOwner::this_call;
+}
+
+void HttpChannel::complete(HttpResponseMessage response, ResponseOwner owner) {
     m_last_used = monotonic_now();
     m_has_responded = true;
     m_idle_limit = idle_limit_in(response, m_idle_limit);
     // A target may respond before it has read the whole request. If this side stopped sending
     // halfway, the target would read the next request as the rest of the body.
-    const bool reusable = response.keep_alive && m_input.empty() && !m_stream.has_unsent();
+    const bool reusable = response.keep_alive && m_input.empty() && !m_stream.has_unsent() &&
+                          owner == ResponseOwner::this_call;
     const ChannelCall call = std::move(m_call);
     m_call = ChannelCall{};
     m_memory = MemoryCharge();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -30,12 +30,21 @@
 /// Name of the value in logs.
 const char* name_of(CallStatus status);
 
+/// Which call a response on a channel belongs to.
+enum class ResponseOwner : std::uint8_t {
+    this_call,
+    other_call,  ///< An earlier call; the response is skipped.
+    /// The response does not say, and is taken for this call's. Its connection is not used again: a
+    /// second copy of it would be taken for the next call's response.
+    unknown,
+};
+
 /// One request on a channel.
 struct ChannelCall {
     /// Encodes the request; called at the moment of sending.
     std::function<std::string()> make_request;
-    /// True for a response that belongs to this call.
-    std::function<bool(const HttpResponseMessage&)> is_own_response;
+    /// Which call a response belongs to. May be empty: every response is this call's.
+    std::function<ResponseOwner(const HttpResponseMessage&)> owner_of;
     /// Called at most once, after the bytes were written to the connection or queued for it.
     std::function<void()> on_sent;
     /// Called once. The response is only set for `CallStatus::answered`.
@@ -101,7 +110,8 @@
     void read();
     void read_responses(StreamState stream_state);
     void charge_memory();
-    void complete(HttpResponseMessage response);
+    ResponseOwner owner_of(const HttpResponseMessage& response) const;
+    void complete(HttpResponseMessage response, ResponseOwner owner);
     void fail(CallStatus status);
     void close_socket();
 
--- a/src/policy/target_state.cpp
+++ b/src/policy/target_state.cpp
@@ -339,9 +339,7 @@
     if (now < state.unreachable_until) {
         return Availability::unreachable;
     }
-    const bool may_connect =
-        state.connections < connections_per_node(table, state) && now >= state.connect_again_at;
-    if (state.idle_connections == 0 && !may_connect) {
+    if (state.idle_connections == 0 && !may_connect(table, state, now)) {
         return Availability::no_connection;
     }
     if (cold_per_second > 0.0 && now < state.cold_until) {
@@ -362,6 +360,10 @@
     return availability(table, state, cold_per_second, now) == Availability::available;
 }
 
+bool may_connect(const TargetTable& table, const TargetState& state, Time now) {
+    return state.connections < connections_per_node(table, state) && now >= state.connect_again_at;
+}
+
 bool may_keep_idle(const TargetTable& table, const TargetState& state) {
     const double allowed = static_cast<double>(state.max_connections) * IDLE_SHARE;
     if (state.same_region || static_cast<double>(table.group.count) <= allowed) {
--- a/src/policy/target_state.h
+++ b/src/policy/target_state.h
@@ -179,6 +179,9 @@
 bool is_candidate(const TargetTable& table, const TargetState& state, double cold_per_second,
                   Time now);
 
+/// True if this node may open one more connection to the target.
+bool may_connect(const TargetTable& table, const TargetState& state, Time now);
+
 /// True if this node may keep an idle connection to the target: the target is in the node's region,
 /// its connection limit suffices for one idle connection of every node, or the node is one of the
 /// third of the nodes that are chosen by hash. Other nodes keep a connection only while they use
--- a/test/failure/test_http_sessions.cpp
+++ b/test/failure/test_http_sessions.cpp
@@ -105,9 +105,6 @@
     request.make_request = [] {
         return std::string("x");
     };
-    request.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     request.on_sent = [&sent] {
         sent = true;
     };
@@ -137,9 +134,6 @@
     request.make_request = [] {
         return encode(HttpRequestMessage{"GET", "/", {{"Host", "h"}}, "", true});
     };
-    request.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     request.may_send = [&accepts_work] {
         return accepts_work;
     };
--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -58,9 +58,6 @@
             return encode(HttpRequestMessage{
                 "GET", names::READINESS_PATH, {{"Host", "soak.example"}}, "", false});
         };
-        call.is_own_response = [](const HttpResponseMessage&) {
-            return true;
-        };
         call.on_sent = [] {
         };
         call.on_end = [answered](CallStatus status, const HttpResponseMessage& message) {
@@ -197,9 +194,6 @@
                                request.body,
                                true});
     };
-    call.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     call.on_sent = [] {
     };
     call.on_end = [this, id = request.id](CallStatus status, const HttpResponseMessage& message) {
--- a/test/support/crowded_front.cpp
+++ b/test/support/crowded_front.cpp
@@ -285,9 +285,6 @@
     call.make_request = [sent] {
         return encode(sent);
     };
-    call.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     call.on_sent = [] {
     };
     call.on_end = [outcome](CallStatus status, HttpResponseMessage response) {
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -90,18 +90,33 @@
         observer.on_cancelled = [](const std::string&) {
         };
         m_targets.push_back(standin::PlatformTarget::open(m_loop, parameters, observer));
-        m_store->put(names::TARGETS_KIND, parameters.id,
-                     {{"service", service},
-                      {"address", parameters.address},
-                      {"zone", parameters.data_centre},
-                      {"version", "v1"},
-                      {"max_concurrency", parameters.slots},
-                      {"state", "ready"},
-                      {"cold_remaining_ms", 0},
-                      {"sequence", 1}});
+        publish_target(parameters);
     }
 }
 
+void FrontFleet::register_target(const std::string& service, const std::string& target,
+                                 const std::string& address) {
+    ++m_services[service];
+    standin::PlatformTargetParameters parameters;
+    parameters.id = target;
+    parameters.service = service;
+    parameters.data_centre = DATA_CENTRES.front();
+    parameters.address = address;
+    publish_target(parameters);
+}
+
+void FrontFleet::publish_target(const standin::PlatformTargetParameters& parameters) {
+    m_store->put(names::TARGETS_KIND, parameters.id,
+                 {{"service", parameters.service},
+                  {"address", parameters.address},
+                  {"zone", parameters.data_centre},
+                  {"version", "v1"},
+                  {"max_concurrency", parameters.slots},
+                  {"state", "ready"},
+                  {"cold_remaining_ms", 0},
+                  {"sequence", 1}});
+}
+
 void FrontFleet::set_behaviour(const standin::TargetBehaviour& behaviour) {
     for (const std::shared_ptr<standin::PlatformTarget>& target : m_targets) {
         target->set_behaviour(behaviour);
@@ -241,9 +256,6 @@
             "",
             false});
     };
-    request.is_own_response = [](const HttpResponseMessage&) {
-        return true;
-    };
     request.on_sent = [] {
     };
     request.on_end = std::move(on_end);
@@ -314,4 +326,8 @@
     return *m_store;
 }
 
+EventLoop& FrontFleet::loop() {
+    return m_loop;
+}
+
 }  // namespace ebonymount
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -54,6 +54,9 @@
     void set_route_timeout(Duration time);
     /// Adds targets of a service, one data centre after the other. Before `start`.
     void add_targets(const std::string& service, std::size_t count);
+    /// Registers a target that the test itself plays. Before `start`.
+    void register_target(const std::string& service, const std::string& target,
+                         const std::string& address);
     /// Changes the behaviour of one target.
     void set_behaviour(const std::string& target, const standin::TargetBehaviour& behaviour);
     /// Changes the behaviour of all targets.
@@ -91,6 +94,7 @@
     /// Number of different requests that reached a target with that path after that time.
     std::size_t requests_reaching_targets(const std::string& path, Time after) const;
     standin::PlatformStore& store();
+    EventLoop& loop();
 
 private:
     struct Node {
@@ -102,6 +106,7 @@
         std::atomic<bool> stopped{false};
     };
 
+    void publish_target(const standin::PlatformTargetParameters& parameters);
     void publish_config(const std::vector<FleetRoute>& routes);
     void start_node(Node& node);
     void check_readiness(Node& node);
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -163,8 +163,9 @@
     request.make_request = [] {
         return encode(HttpRequestMessage{"GET", "/", {{"Host", "h"}, {"Id", "1"}}, "", true});
     };
-    request.is_own_response = [](const HttpResponseMessage& response) {
-        return find_header(response.headers, "Id") != "0";
+    request.owner_of = [](const HttpResponseMessage& response) {
+        return find_header(response.headers, "Id") == "0" ? ResponseOwner::other_call
+                                                          : ResponseOwner::this_call;
     };
     request.max_body_bytes = max_body_bytes;
     request.on_sent = [&run] {
