Messages: a field that can be read can be encoded, whatever its length

Cause: the parser takes fields of up to 64 KB from targets, and of any length that the configuration allows from callers. Heads were encoded from Beast's container of fields, which throws std::length_error for a value, name or target of 65,534 bytes or more; a merged field that joins the signatures of all parts gets there without any long head.

The new test throws at 65,534 bytes on the old encoder, and not at 65,533.

Change: a head is appended to a string field by field. The parser stays Beast's; its container and serializer cannot hold what the parser accepts, and no option raises their limit. Connection, Content-Length and Transfer-Encoding are written by the encoder alone, as before (a second test holds that, it passes on the old encoder too).

Why it works: nothing between reading a field and writing it has a limit of its own any more; the limits of what is read are the only ones.

--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/fields.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/status.hpp>
 #include <limits>
+#include <optional>
 
 #include "io/http_status.h"
 
@@ -20,7 +18,7 @@
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
-constexpr int HTTP_1_1 = 11;
+constexpr std::string_view LINE_END = "\r\n";
 
 beast::string_view view(std::string_view text) {
     return {text.data(), text.size()};
@@ -181,38 +179,33 @@
     void on_finish_impl(beast::error_code& /*error*/) override {}
 };
 
-/// Appends a serializer's output to a string.
-struct Appender {
-    std::string& bytes;
-
-    template <typename Buffers>
-    void operator()(beast::error_code& /*error*/, const Buffers& buffers) {
-        for (const boost::asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
-            bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
-            size += buffer.size();
-        }
-    }
+/// Headers that say how a message is framed; `encode_head` writes them itself.
+bool is_framing(const HttpHeader& header) {
+    return is_same_header(header.name, "Connection") ||
+           is_same_header(header.name, "Content-Length") ||
+           is_same_header(header.name, "Transfer-Encoding");
+}
 
-    std::size_t size = 0;
-};
+void append_header(std::string& head, std::string_view name, std::string_view value) {
+    head.append(name).append(": ").append(value).append(LINE_END);
+}
 
-template <bool is_request>
-std::string serialize_head(
-    const beast_http::message<is_request, beast_http::string_body, beast_http::fields>& message) {
-    beast_http::serializer<is_request, beast_http::string_body, beast_http::fields> serializer(
-        message);
-    serializer.split(true);
-    std::string bytes;
-    beast::error_code error;
-    while (!serializer.is_header_done()) {
-        Appender appender{bytes};
-        serializer.next(error, appender);
-        if (error) {
-            break;
+/// Appends the headers, those of the framing and the empty line. Beast's parser accepts fields that
+/// are too long for its container of fields, so they are written without one.
+void append_headers(std::string& head, const HttpHeaders& headers, bool keep_alive,
+                    std::optional<std::size_t> body_bytes) {
+    for (const HttpHeader& header : headers) {
+        if (!is_framing(header)) {
+            append_header(head, header.name, header.value);
         }
-        serializer.consume(appender.size);
     }
-    return bytes;
+    if (!keep_alive) {
+        append_header(head, "Connection", "close");
+    }
+    if (body_bytes.has_value()) {
+        append_header(head, "Content-Length", std::to_string(*body_bytes));
+    }
+    head.append(LINE_END);
 }
 
 }  // namespace
@@ -250,31 +243,22 @@
 }
 
 std::string encode_head(const HttpRequestMessage& request, std::size_t body_bytes) {
-    beast_http::request<beast_http::string_body> message;
-    message.version(HTTP_1_1);
-    message.method_string(view(request.method));
-    message.target(view(request.target));
-    for (const HttpHeader& header : request.headers) {
-        message.insert(view(header.name), view(header.value));
-    }
-    message.keep_alive(request.keep_alive);
+    std::string head;
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1");
+    head.append(LINE_END);
     const bool has_length = body_bytes > 0 || (request.method != "GET" && request.method != "HEAD");
-    if (has_length) {
-        message.content_length(body_bytes);
-    }
-    return serialize_head<true>(message);
+    append_headers(head, request.headers, request.keep_alive,
+                   has_length ? std::optional(body_bytes) : std::nullopt);
+    return head;
 }
 
 std::string encode_head(const HttpResponseMessage& response, std::size_t body_bytes) {
-    beast_http::response<beast_http::string_body> message;
-    message.version(HTTP_1_1);
-    message.result(static_cast<unsigned>(response.status));
-    for (const HttpHeader& header : response.headers) {
-        message.insert(view(header.name), view(header.value));
-    }
-    message.keep_alive(response.keep_alive);
-    message.content_length(body_bytes);
-    return serialize_head<false>(message);
+    const beast_http::status status =
+        beast_http::int_to_status(static_cast<unsigned>(response.status));
+    std::string head = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    head.append(text(beast_http::obsolete_reason(status))).append(LINE_END);
+    append_headers(head, response.headers, response.keep_alive, body_bytes);
+    return head;
 }
 
 std::string encode(const HttpRequestMessage& request) {
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -1,5 +1,4 @@
-// HTTP/1.1 messages and their codec, built on Boost.Beast's parser and serializer without its
-// sockets.
+// HTTP/1.1 messages and their codec, built on Boost.Beast's parser without its sockets.
 //
 // The codec works on byte buffers, so servers and clients on any transport share it, and tests
 // need no network. Bodies are buffered whole: a message is only delivered when it is complete.
@@ -53,7 +52,8 @@
     friend bool operator==(const HttpResponseMessage&, const HttpResponseMessage&) = default;
 };
 
-/// Encodes a message. A response, and a request that has a body or another method than GET or HEAD,
+/// Encodes a message with fields of any length; the framing headers are not taken from the message.
+/// A response, and a request that has a body or another method than GET or HEAD,
 /// gets a `Content-Length`; `without_body` omits the body, for the response to a HEAD request.
 std::string encode(const HttpRequestMessage& request);
 std::string encode(const HttpResponseMessage& response, bool without_body);
--- a/test/correctness/test_http_message.cpp
+++ b/test/correctness/test_http_message.cpp
@@ -132,6 +132,39 @@
     CHECK_FALSE(decoded_response.keep_alive);
 }
 
+// Guards against a limit of the encoder that the parser does not have: a field that was read and is
+// passed on must not end the process.
+TEST_CASE("a field that can be read can be encoded, whatever its length") {
+    const HttpLimits limits{1 << 20, 100};
+    for (const std::size_t length : {65532U, 65533U, 65534U, 65535U, 65536U, 390000U}) {
+        INFO(length);
+        const std::string value(length, 'v');
+        const HttpHeaders headers = {{"Host", "h"}, {"Long", value}, {value, "short"}};
+        HttpRequestReader request_reader(limits);
+        std::string bytes = encode(HttpRequestMessage{"GET", "/" + value, headers, "", true});
+        REQUIRE(request_reader.consume(bytes) == ReadState::complete);
+        const HttpRequestMessage request = request_reader.take();
+        CHECK(request.target == "/" + value);
+        CHECK(request.headers == headers);
+        HttpResponseReader response_reader(limits);
+        bytes = encode(HttpResponseMessage{200, headers, "ok", true}, false);
+        REQUIRE(response_reader.consume(bytes) == ReadState::complete);
+        const HttpResponseMessage response = response_reader.take();
+        CHECK(find_header(response.headers, "Long") == value);
+        CHECK(find_header(response.headers, value) == "short");
+        CHECK(response.body == "ok");
+    }
+}
+
+TEST_CASE("the framing headers of an encoded message are its own") {
+    const HttpHeaders headers = {
+        {"connection", "keep-alive"}, {"Content-Length", "9"}, {"Transfer-Encoding", "chunked"}};
+    CHECK(encode(HttpRequestMessage{"POST", "/", headers, "ab", false}) ==
+          "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab");
+    CHECK(encode(HttpResponseMessage{200, headers, "ab", true}, false) ==
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+}
+
 TEST_CASE("tokens of a list header are found regardless of case") {
     CHECK(lists_token("keep-alive, X-Secret", "x-secret"));
     CHECK_FALSE(lists_token("keep-alive, X-Secrets", "x-secret"));
