Messages: trailers are not headers

Callers could get a response whose signature, or any other field, came after its body; a target's "not executed" in a trailer counted too, and a caller's trailers were passed on to targets as headers.

Cause: the parser reports trailers and headers alike, and the reader appended both to the headers.

Change: a field that comes after the header is dropped. HTTP lets a recipient drop trailers, and asks it not to merge them into the header. The bound on their length stays.

--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -151,6 +151,10 @@
 
     void on_field_impl(beast_http::field /*field*/, beast::string_view name,
                        beast::string_view value, beast::error_code& /*error*/) override {
+        if (this->is_header_done()) {
+            // A trailer must not be taken for a header: it comes after the message was framed.
+            return;
+        }
         message.headers.push_back({text(name), text(value)});
         m_header_text_memory += heap_memory(message.headers.back());
     }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -19,7 +19,8 @@
     friend bool operator==(const HttpHeader&, const HttpHeader&) = default;
 };
 
-/// Headers in the order of the message; a name may occur more than once.
+/// Headers in the order of the message; a name may occur more than once. The trailers of a chunked
+/// message are dropped.
 using HttpHeaders = std::vector<HttpHeader>;
 
 /// Compares header names, ignoring case.
--- a/test/correctness/test_http_message.cpp
+++ b/test/correctness/test_http_message.cpp
@@ -41,6 +41,23 @@
     CHECK(reader.take().body == "abcde");
 }
 
+// Guards against trailers that are taken for headers: a signature, or a declaration that the
+// request has not run, which the header did not have.
+TEST_CASE("trailers of a chunked message are dropped") {
+    const std::string chunks = "Transfer-Encoding: chunked\r\nA: 1\r\n\r\n2\r\nok\r\n0\r\n";
+    const std::string trailers = "A: 2\r\nB: 3\r\n\r\n";
+    HttpResponseReader response_reader(HttpLimits{});
+    std::string bytes = "HTTP/1.1 200 OK\r\n" + chunks + trailers;
+    REQUIRE(response_reader.consume(bytes) == ReadState::complete);
+    const HttpResponseMessage response = response_reader.take();
+    CHECK(response.headers == HttpHeaders{{"Transfer-Encoding", "chunked"}, {"A", "1"}});
+    CHECK(response.body == "ok");
+    HttpRequestReader request_reader(HttpLimits{});
+    bytes = "POST / HTTP/1.1\r\n" + chunks + trailers;
+    REQUIRE(request_reader.consume(bytes) == ReadState::complete);
+    CHECK(find_header(request_reader.take().headers, "B").empty());
+}
+
 TEST_CASE("pipelined requests stay in the buffer") {
     HttpRequestReader reader(HttpLimits{});
     std::string buffer = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
