Front: a signature that cannot be one makes no response

Callers of a fan-out got a success that lists a malformed signature, which makes the whole response wrong, though the other parts were sound; with one service they got the target's spoiled signature as a success.

Cause: any text in the signature header counted as a good part.

Change: a signature that is longer than `targets.max_signature_bytes` (1,024; sound ones have some 30) or that could not be an item of the comma-separated list is malformed. Its response is not used, proves nothing, and counts as a broken one: another replica is asked where the request may run again. A line `malformed_signature` and a counter tell. The signatures of a merged response take several lines of 8,000 bytes, as the platform allows; a thousand sound parts are four lines. Memory of signatures is charged to the request.

Why it works: the bound stands where the part comes in, so the rest of the response is saved.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -201,6 +201,7 @@
         m_settings.retry_ratio > 0.0 ? m_settings.retry_ratio : DEFAULT_RETRY_RATIO;
     m_state.part_cpu_time =
         scaled(PART_CPU_TIME, 1.0 / std::max(m_settings.cpu_share, MIN_CPU_SHARE));
+    m_state.max_signature_bytes = static_cast<std::size_t>(m_settings.max_signature_bytes);
     m_state.retry_budget =
         node_share_of_budget(ratio, m_settings.retry_slack, m_settings.retry_window, nodes);
 }
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -45,6 +45,7 @@
       limits_ended(metrics.counter("ebonymount_front_target_limits_ended_total")),
       turned_away(metrics.counter("ebonymount_front_turned_away_total")),
       targets_leaving(metrics.counter("ebonymount_front_targets_leaving_total")),
+      malformed_signatures(metrics.counter("ebonymount_front_malformed_signatures_total")),
       responses_without_id(metrics.counter("ebonymount_front_responses_without_id_total")),
       crash_evidence_broken(crash_evidence_counter(metrics, "broken")),
       crash_evidence_confirmed(crash_evidence_counter(metrics, "confirmed")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -16,6 +16,7 @@
 #include "io/event_loop.h"
 #include "io/memory_budget.h"
 #include "io/metrics.h"
+#include "platform/call_headers.h"
 #include "policy/crash_quarantine.h"
 #include "policy/fleet_view.h"
 #include "policy/quarantine_trial.h"
@@ -55,6 +56,8 @@
     Counter& turned_away;
     /// Targets that said that they are leaving.
     Counter& targets_leaving;
+    /// Responses whose signature cannot be one.
+    Counter& malformed_signatures;
     /// Responses that name no request; their connections are not used again.
     Counter& responses_without_id;
     /// Connections that broke while a request ran, by what became of them.
@@ -96,6 +99,8 @@
     RetryBudgetLimits retry_budget;
     /// Time that this node needs to process a part that arrives near the end of a request.
     Duration part_cpu_time{};
+    /// A target's response with a longer signature is not used.
+    std::size_t max_signature_bytes = platform::MAX_SIGNATURE_BYTES;
     CrashQuarantine quarantine;
     QuarantineTrials trials;
     /// Requests whose callers wait for a response.
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -425,7 +425,12 @@
         return call_status == CallStatus::aborted ? FanOutAttemptStatus::timed_out
                                                   : FanOutAttemptStatus::broken;
     }
-    const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
+    const platform::TargetResponseHeaders headers =
+        platform::decode_target_headers(response, m_front.max_signature_bytes);
+    if (headers.malformed_signature_bytes > 0) {
+        report_malformed_signature(attempt, headers.malformed_signature_bytes);
+        return FanOutAttemptStatus::broken;
+    }
     if (!headers.misdirected) {
         const bool is_answer =
             is_success(response.status) && !headers.not_run && !headers.signature.empty();
@@ -446,6 +451,15 @@
                                        : FanOutAttemptStatus::target_error;
 }
 
+void RequestHandler::report_malformed_signature(const OpenAttempt& attempt, std::size_t bytes) {
+    ++m_front.counters.malformed_signatures;
+    LogEvent(LogLevel::warning, "targets", "malformed_signature")
+        .add("target", m_front.targets.states[attempt.target].entry.id)
+        .add("request", m_caller_headers.request_id)
+        .add("bytes", static_cast<std::int64_t>(bytes))
+        .write();
+}
+
 void RequestHandler::record_outcome(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                                     CallStatus call_status) {
     const Time now = monotonic_now();
@@ -506,12 +520,13 @@
         outcome == FanOutAttemptStatus::target_error && !m_state.parameters.fan_out;
     if (outcome == FanOutAttemptStatus::answered ? !m_state.shards[attempt.shard].answered
                                                  : keeps_failure) {
-        const platform::TargetResponseHeaders headers = platform::decode_target_headers(response);
+        std::string signature =
+            platform::decode_target_headers(response, m_front.max_signature_bytes).signature;
         if (m_state.parameters.fan_out) {
             keep_merged_records_only(response);
         }
-        part = Part{headers.signature, std::move(response)};
-        m_parts_memory += memory_of(part->response);
+        part = Part{std::move(signature), std::move(response)};
+        m_parts_memory += part->signature.capacity() + memory_of(part->response);
         charge_memory();
     }
 }
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -86,6 +86,7 @@
     void on_attempt_end(std::uint32_t id, CallStatus call_status, HttpResponseMessage response);
     FanOutAttemptStatus classify_outcome(const OpenAttempt& attempt, CallStatus call_status,
                                          HttpResponseMessage& response);
+    void report_malformed_signature(const OpenAttempt& attempt, std::size_t bytes);
     void record_outcome(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
                         CallStatus call_status);
     void keep_part(const OpenAttempt& attempt, FanOutAttemptStatus outcome,
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -256,6 +256,45 @@
     CHECK(response.body == "records");
 }
 
+// Guards against signatures that cannot be listed: one wrong item spoils the whole response.
+TEST_CASE("a signature that is too long, or no item of a list, is none") {
+    const auto decoded = [](const std::string& signature) {
+        return platform::decode_target_headers(
+            {200, {{"X-Ebonymount-Server-Stamp", signature}}, "", true}, 40);
+    };
+    CHECK(decoded("3e1b.07.5a2.600.0.c9f2a4d1").signature == "3e1b.07.5a2.600.0.c9f2a4d1");
+    CHECK(decoded(std::string(40, 's')).signature.size() == 40);
+    const std::vector<std::string> malformed = {
+        std::string(41, 's'), "a,b", "a b", "a, b", "a\tb", "\x01", "\xc3\xa9"};
+    for (const std::string& signature : malformed) {
+        INFO(signature);
+        CHECK(decoded(signature).signature.empty());
+        CHECK(decoded(signature).malformed_signature_bytes == signature.size());
+    }
+    CHECK(decoded("").malformed_signature_bytes == 0);
+}
+
+// Guards against a field that grows with the number of parts beyond what HTTP implementations take.
+TEST_CASE("the signatures of many parts take several lines") {
+    std::vector<std::string> signatures;
+    for (int part = 0; part < 2500; ++part) {
+        signatures.push_back(std::string(24, 's') + std::to_string(part));
+    }
+    const HttpResponseMessage response = platform::merged_response(signatures, 0, "");
+    std::string joined;
+    for (const HttpHeader& header : response.headers) {
+        if (header.name == "X-Ebonymount-Part-Stamps") {
+            CHECK(header.value.size() <= 8192);
+            joined += (joined.empty() ? "" : ", ") + header.value;
+        }
+    }
+    std::string expected;
+    for (const std::string& signature : signatures) {
+        expected += (expected.empty() ? "" : ", ") + signature;
+    }
+    CHECK(joined == expected);
+}
+
 TEST_CASE("Retry-After is given in seconds with fractions, and omitted if zero") {
     const HttpResponseMessage response = platform::local_response(503, "r1", "full", from_ms(250));
     CHECK(find_header(response.headers, "Retry-After") == "0.250");
--- a/test/standin/platform_target.cpp
+++ b/test/standin/platform_target.cpp
@@ -42,6 +42,7 @@
     const std::weak_ptr<PlatformTarget> weak = weak_from_this();
     ebonymount::HttpListenerOptions options;
     options.max_connections = m_parameters.max_connections;
+    options.limits.max_header_bytes = m_parameters.max_header_bytes;
     options.at_connection_limit = ebonymount::AtConnectionLimit::refuse_new;
     const auto handler = [weak](const Connection& connection, const HttpRequestMessage& request) {
         const std::shared_ptr<PlatformTarget> self = weak.lock();
@@ -180,7 +181,8 @@
         const bool success = uniform(m_random) >= m_behaviour.failed_share;
         HttpResponseMessage response;
         response.status = success ? ebonymount::http::OK : INTERNAL_ERROR;
-        const std::string signature = m_parameters.id + "." + std::to_string(++m_response_count);
+        const std::string signature = m_parameters.id + "." + std::to_string(++m_response_count) +
+                                      m_behaviour.signature_suffix;
         response.headers.push_back({names::REQUEST_ID, work->request_id});
         response.headers.push_back({names::SIGNATURE, signature});
         response.headers.push_back({names::LOAD, std::to_string(m_running) + "," +
--- a/test/standin/platform_target.h
+++ b/test/standin/platform_target.h
@@ -23,6 +23,7 @@
     /// Maximum number of requests that wait for a slot.
     std::size_t max_queued = 12;
     std::size_t max_connections = 30;
+    std::size_t max_header_bytes = 1048576;
     ebonymount::Duration service_time = ebonymount::from_ms(6);
     /// Number of records in a response.
     std::size_t records = 30;
@@ -44,6 +45,8 @@
     std::string limit;
     /// Refusals carry this Retry-After; empty for none.
     std::string retry_after;
+    /// Appended to the signature of each response.
+    std::string signature_suffix;
     /// Each response says that the target is leaving; it goes on serving.
     bool leaving = false;
 };
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -66,6 +66,10 @@
     m_route_timeout = time;
 }
 
+void FrontFleet::set_max_header_bytes(std::size_t bytes) {
+    m_max_header_bytes = bytes;
+}
+
 void FrontFleet::add_targets(const std::string& service, std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
         const std::size_t number = m_services[service]++;
@@ -178,7 +182,7 @@
                   {"routes", rows},
                   {"services", services},
                   {"limits",
-                   {{"max_header_bytes", 16384},
+                   {{"max_header_bytes", m_max_header_bytes},
                     {"max_body_bytes", 262144},
                     {"header_timeout_ms", 5000},
                     {"idle_timeout_ms", 30000}}}});
@@ -206,7 +210,7 @@
 }
 
 void FrontFleet::check_readiness(Node& node) {
-    call(node.settings.ready_address, names::READINESS_PATH,
+    call(node.settings.ready_address, {"GET", names::READINESS_PATH, {}, "", false},
          [this, &node](CallStatus, const HttpResponseMessage& response) {
              node.ready = response.status == http::OK;
              if (!node.ready) {
@@ -230,14 +234,25 @@
 
 void FrontFleet::send(std::size_t node, const std::string& path,
                       const std::function<void(int, const std::string&)>& on_end) {
-    call(m_nodes.at(node)->settings.caller_address, path,
-         [on_end](CallStatus status, const HttpResponseMessage& response) {
-             on_end(status == CallStatus::answered ? response.status : 0,
-                    std::string(find_header(response.headers, names::RETRY_AFTER)));
-         });
+    request(node, {"GET", path, {}, "", false},
+            [on_end](CallStatus status, const HttpResponseMessage& response) {
+                on_end(status == CallStatus::answered ? response.status : 0,
+                       std::string(find_header(response.headers, names::RETRY_AFTER)));
+            });
+}
+
+void FrontFleet::request(std::size_t node, HttpRequestMessage request,
+                         std::function<void(CallStatus, const HttpResponseMessage&)> on_end) {
+    request.headers.push_back({"Host", HOST});
+    if (find_header(request.headers, names::REQUEST_ID).empty()) {
+        request.headers.push_back({names::REQUEST_ID, "r" + std::to_string(m_next_request++)});
+    }
+    request.headers.push_back({names::DEADLINE, std::to_string(m_route_timeout.count() / 1000)});
+    request.keep_alive = false;
+    call(m_nodes.at(node)->settings.caller_address, std::move(request), std::move(on_end));
 }
 
-void FrontFleet::call(const std::string& address, const std::string& path,
+void FrontFleet::call(const std::string& address, HttpRequestMessage message,
                       std::function<void(CallStatus, const HttpResponseMessage&)> on_end) {
     const std::shared_ptr<HttpChannel> channel =
         HttpChannel::open(m_loop, address, [](HttpChannel&) {});
@@ -245,16 +260,9 @@
         m_loop.post([on_end] { on_end(CallStatus::not_sent, HttpResponseMessage{}); });
         return;
     }
-    const std::string id = "r" + std::to_string(m_next_request++);
     ChannelCall request;
-    const std::string deadline = std::to_string(m_route_timeout.count() / 1000);
-    request.make_request = [path, id, deadline] {
-        return encode(HttpRequestMessage{
-            "GET",
-            path,
-            {{"Host", HOST}, {names::REQUEST_ID, id}, {names::DEADLINE, deadline}},
-            "",
-            false});
+    request.make_request = [message = std::move(message)] {
+        return encode(message);
     };
     request.on_sent = [] {
     };
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -52,6 +52,8 @@
     void set_service_time(Duration time);
     /// Time limit of all routes and callers. Before `start`.
     void set_route_timeout(Duration time);
+    /// Limit on the header of callers' requests. Before `start`.
+    void set_max_header_bytes(std::size_t bytes);
     /// Adds targets of a service, one data centre after the other. Before `start`.
     void add_targets(const std::string& service, std::size_t count);
     /// Registers a target that the test itself plays. Before `start`.
@@ -79,6 +81,11 @@
     void send(std::size_t node, const std::string& path,
               const std::function<void(int status, const std::string& retry_after)>& on_end);
 
+    /// Sends the request, to the host of the routes, on a new connection. It needs no id or
+    /// deadline.
+    void request(std::size_t node, HttpRequestMessage request,
+                 std::function<void(CallStatus, const HttpResponseMessage&)> on_end);
+
     /// Runs until each condition has held in turn; false if one never did.
     bool run_steps(std::vector<TestStep> steps);
 
@@ -110,7 +117,7 @@
     void publish_config(const std::vector<FleetRoute>& routes);
     void start_node(Node& node);
     void check_readiness(Node& node);
-    void call(const std::string& address, const std::string& path,
+    void call(const std::string& address, HttpRequestMessage request,
               std::function<void(CallStatus, const HttpResponseMessage&)> on_end);
     void check_steps();
 
@@ -123,6 +130,7 @@
     std::vector<TestStep> m_steps;
     std::int64_t m_next_request = 1;
     Duration m_service_time = from_ms(2);
+    std::size_t m_max_header_bytes = 16384;
     Duration m_route_timeout = from_ms(2000);
 };
 
