Front: a caller's long request id does not make targets look broken

Callers got 502, and then others 503 ("no target is available"), after one caller had sent request ids of 65,400 bytes and more, which a configuration with a large `max_header_bytes` allows.

Cause: targets repeat the id. The limit on their heads is a constant, so a sound response with a long id counted as malformed; a few of them make all replicas unreachable for everyone.

Change: the limit on a response's head grows by the length of the id that it repeats. The limits of a call are one value now.

Why it works: a response that is sound but for the id has the same room as one with a short id.

Evidence: "a caller's request id of any allowed length leaves the targets usable" fails before (502 three times, 503 for an ordinary request) and passes now; test_endless_bytes and test_http_sessions pass.

--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -263,7 +263,9 @@
     call.deadline = action.deadline + CALL_SLACK;
     call.max_idle = m_state.parameters.idempotent ? MAX_IDLE_IDEMPOTENT : MAX_IDLE_NON_IDEMPOTENT;
     call.call.is_head = m_is_head;
-    call.call.max_body_bytes = HttpLimits{}.max_body_bytes / m_state.shards.size();
+    call.call.limits.max_body_bytes /= m_state.shards.size();
+    // Targets repeat the id in their responses.
+    call.call.limits.max_header_bytes += m_caller_headers.request_id.size();
     call.call.memory = m_account;
     call.call.may_send = [self, index = action.target,
                           service = m_state.shards[action.shard].service,
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -197,7 +197,7 @@
     }
     m_phase = Phase::awaiting_response;
     m_skipped_responses = 0;
-    m_reader.set_max_body_bytes(m_call.max_body_bytes);
+    m_reader.set_limits(m_call.limits);
     if (m_call.is_head) {
         m_reader.expect_no_body();
     }
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -53,8 +53,8 @@
     /// ends as `not_sent`. May be empty.
     std::function<bool()> may_send;
     bool is_head = false;
-    /// A response with a longer body is malformed.
-    std::size_t max_body_bytes = HttpLimits{}.max_body_bytes;
+    /// A response beyond these limits is malformed.
+    HttpLimits limits;
     /// Account that the unsent request and the response being read are charged to; may be null.
     std::shared_ptr<MemoryAccount> memory;
 };
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -334,9 +334,9 @@
     m_parser->skip(m_no_body);
 }
 
-void HttpResponseReader::set_max_body_bytes(std::size_t bytes) {
-    if (m_limits.max_body_bytes != bytes) {
-        m_limits.max_body_bytes = bytes;
+void HttpResponseReader::set_limits(const HttpLimits& limits) {
+    if (m_limits != limits) {
+        m_limits = limits;
         restart();
     }
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -71,6 +71,8 @@
 struct HttpLimits {
     std::size_t max_header_bytes = 65536;
     std::size_t max_body_bytes = 16777216;
+
+    friend bool operator==(const HttpLimits&, const HttpLimits&) = default;
 };
 
 /// Progress of a reader within a message.
@@ -126,8 +128,8 @@
     HttpResponseReader(HttpResponseReader&&) = delete;
     HttpResponseReader& operator=(HttpResponseReader&&) = delete;
 
-    /// Limits the body of the next response, which must not have begun.
-    void set_max_body_bytes(std::size_t bytes);
+    /// Limits the next response, which must not have begun.
+    void set_limits(const HttpLimits& limits);
 
     /// Declares that the next response is to a HEAD request and has no body.
     void expect_no_body();
--- a/test/failure/test_overlong_fields.cpp
+++ b/test/failure/test_overlong_fields.cpp
@@ -98,4 +98,25 @@
     }
 }
 
+// Guards against a caller's long request id that makes sound targets look broken: their responses
+// repeat it.
+TEST_CASE("a caller's request id of any allowed length leaves the targets usable") {
+    FrontFleet fleet(1);
+    fleet.set_max_header_bytes(400000);
+    fleet.add_targets("booking", 2);
+    fleet.start({{"book", {"booking"}}});
+    std::vector<HttpRequestMessage> requests;
+    for (const std::size_t length : {65400U, 65534U, 65536U, 390000U}) {
+        const std::string id(length, 'x');
+        requests.push_back({"GET", "/book/1", {{names::REQUEST_ID, id}}, "", true});
+        requests.push_back({"GET", "/none/1", {{names::REQUEST_ID, id}}, "", true});
+        requests.push_back({"GET", "/book/2", {}, "", true});
+    }
+    const std::vector<HttpResponseMessage> responses = send_all(fleet, requests);
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        INFO(i);
+        CHECK(responses[i].status == (i % 3 == 1 ? http::NOT_FOUND : http::OK));
+    }
+}
+
 }  // namespace ebonymount
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -266,6 +266,8 @@
     };
     request.on_sent = [] {
     };
+    // Responses may repeat what the request contains.
+    request.limits.max_header_bytes += m_max_header_bytes;
     request.on_end = std::move(on_end);
     channel->start(std::move(request));
 }
