Exceptions: an unexpected one ends its request, not the process

Cause: nothing between a socket and main caught an exception, in the loop, in threads and in the callbacks of nghttp2.

Change: guards (io/exception_guard) where a loop or thread hands control to other code; each logs a line `exception` and counts (`ebonymount_exceptions_total`). A guard alone would keep the process and leave callers waiting, so each way out has an end: a request is answered (502, or 503 "not run" if nothing was sent) and its attempts are cancelled, a call ends as broken, a session closes, a list of the store is read again, buffered requests stay queued, housekeeping runs in parts so that a stop is never missed.

Why it works: the state of a request is not relied upon after an exception; what others hold (open_requests, outstanding counts, memory) is given back.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "front/request_handler.h"
+#include "io/exception_guard.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 #include "policy/descriptor_shares.h"
@@ -239,6 +240,7 @@
     m_metrics.counter("ebonymount_front_target_connections_refused_total") =
         m_state.pool.refused_connections();
     m_metrics.counter("ebonymount_log_lines_dropped_total") = dropped_log_lines();
+    m_metrics.counter("ebonymount_exceptions_total") = caught_exceptions();
     HttpResponseMessage response;
     response.status = http::OK;
     response.headers.push_back({"Content-Type", "text/plain"});
@@ -248,29 +250,42 @@
 
 void Front::housekeep() {
     const Time now = monotonic_now();
-    report_stall(now);
-    m_caller_listener->sweep(now);
-    m_ready_listener->sweep(now);
-    if (m_metrics_listener != nullptr) {
-        m_metrics_listener->sweep(now);
+    // Each part runs whatever becomes of the others: without the last ones the node would never
+    // stop.
+    run_guarded("front", [this, now] { report_stall(now); });
+    run_guarded("front", [this, now] { sweep(now); });
+    run_guarded("front", [this, now] { check_settings(now); });
+    run_guarded("front", [this, now] {
+        if (m_signals.stop && !m_stopping_since.has_value()) {
+            begin_stop();
+        }
+        if (m_stopping_since.has_value()) {
+            continue_stop(now);
+        }
+    });
+    run_guarded("front", [] { flush_log(); });
+    m_next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+    m_loop.run_at(m_next_housekeeping, [this] { housekeep(); });
+}
+
+void Front::sweep(Time now) {
+    for (const std::shared_ptr<HttpListener>& listener :
+         {m_caller_listener, m_ready_listener, m_metrics_listener}) {
+        if (listener != nullptr) {
+            listener->sweep(now);
+        }
     }
     report_client_limits(now);
     m_state.pool.sweep(now);
     m_fleet_watcher->sweep(now);
+}
+
+void Front::check_settings(Time now) {
     const bool requested = m_signals.reload.exchange(false);
     if (requested || now >= m_next_settings_check) {
         m_next_settings_check = now + SETTINGS_CHECK_INTERVAL;
         reload_settings(requested);
     }
-    if (m_signals.stop && !m_stopping_since.has_value()) {
-        begin_stop();
-    }
-    if (m_stopping_since.has_value()) {
-        continue_stop(now);
-    }
-    flush_log();
-    m_next_housekeeping = now + HOUSEKEEPING_INTERVAL;
-    m_loop.run_at(m_next_housekeeping, [this] { housekeep(); });
 }
 
 void Front::report_stall(Time now) {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -72,6 +72,9 @@
     void serve_metrics(const std::shared_ptr<HttpServerConnection>& connection,
                        const HttpRequestMessage& request);
     void housekeep();
+    void sweep(Time now);
+    /// Reads the settings again if that was requested, or is due.
+    void check_settings(Time now);
     void report_stall(Time now);
     HttpListenerCounts counts_of_all_listeners() const;
     /// Logs what callers' limits have ended since the last report, at most one line a second.
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -31,6 +31,7 @@
       failed(ended_counter(metrics, "failed")),
       out_of_time(ended_counter(metrics, "out_of_time")),
       caller_gone(ended_counter(metrics, "caller_gone")),
+      internal_errors(ended_counter(metrics, "internal_error")),
       unknown_route(ended_counter(metrics, "unknown_route")),
       not_ready(ended_counter(metrics, "not_ready")),
       short_of_memory(metrics.counter("ebonymount_front_short_of_memory_total")),
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -37,6 +37,8 @@
     Counter& failed;
     Counter& out_of_time;
     Counter& caller_gone;
+    /// Requests that an exception has ended.
+    Counter& internal_errors;
     Counter& unknown_route;
     Counter& not_ready;
     /// Requests that were ended because too much memory is held for callers.
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "io/exception_guard.h"
 #include "io/http_status.h"
 #include "io/log.h"
 
@@ -147,8 +148,10 @@
         const std::shared_ptr<KindWatcher> self = weak.lock();
         if (self != nullptr) {
             self->m_loop.cancel(timer);
-            if (!self->m_stopped && self->m_call_number == number) {
-                on_end(status, response);
+            const bool is_awaited = !self->m_stopped && self->m_call_number == number;
+            if (is_awaited && !run_guarded("store", [&] { on_end(status, response); })) {
+                self->m_listed_objects.clear();
+                self->on_failure("exception");
             }
         }
     };
--- a/src/front/request_handler.cpp
+++ b/src/front/request_handler.cpp
@@ -8,6 +8,7 @@
 #include "front/request_log.h"
 #include "front/target_reports.h"
 #include "front/trial_claims.h"
+#include "io/exception_guard.h"
 #include "io/http_status.h"
 #include "io/log_event.h"
 #include "policy/record_merge.h"
@@ -82,11 +83,47 @@
     const std::shared_ptr<RequestHandler> self(
         new RequestHandler(front, connection, std::move(request)));
     ++front.counters.requests;
-    if (self->route_or_refuse()) {
-        self->begin();
+    self->run([&self] {
+        if (self->route_or_refuse()) {
+            self->begin();
+        }
+    });
+}
+
+template <typename Work>
+void RequestHandler::run(const Work& work) {
+    if (!run_guarded("request", work)) {
+        end_after_exception();
     }
 }
 
+void RequestHandler::end_after_exception() {
+    // The work may have been interrupted anywhere.
+    m_ended_by_exception = true;
+    m_advancing = false;
+    m_events.clear();
+    m_state.finished = true;
+    m_front.open_requests.erase(this);
+    ++m_front.counters.internal_errors;
+    const std::shared_ptr<HttpServerConnection> connection = std::exchange(m_connection, nullptr);
+    run_guarded("request", [this, &connection] {
+        const int status = m_has_sent ? http::BAD_GATEWAY : http::UNAVAILABLE;
+        LogEvent(LogLevel::error, "request", "internal_error")
+            .add("request", m_caller_headers.request_id)
+            .add("status", status)
+            .write();
+        if (connection != nullptr && !m_caller_gone) {
+            connection->respond(failure_response(
+                status, "internal error",
+                m_has_sent ? "; the request may have run" : "; the request was not run",
+                Duration::zero()));
+        }
+    });
+    run_guarded("request", [this] { release_parts(); });
+    run_guarded("request", [this] { cancel_attempts(); });
+    schedule_tick();
+}
+
 void RequestHandler::end_all_by(FrontState& front, Time time) {
     front.answers_by = time;
     for (RequestHandler* request : front.open_requests) {
@@ -164,7 +201,7 @@
     m_state = begin_request(parameters, services);
     const std::shared_ptr<RequestHandler> self = shared_from_this();
     // The connection holds a reference to the request while the caller waits.
-    m_connection->on_caller_gone([self] { self->on_caller_gone(); });
+    m_connection->on_caller_gone([self] { self->run([&self] { self->on_caller_gone(); }); });
     m_front.open_requests.insert(this);
     open_memory_account();
     advance(BeginRequest{});
@@ -219,7 +256,7 @@
         const std::shared_ptr<RequestHandler> self = weak.lock();
         if (self != nullptr) {
             self->m_timer.reset();
-            self->advance(ClockTick{});
+            self->run([&self] { self->advance(ClockTick{}); });
         }
     });
 }
@@ -270,9 +307,10 @@
     call.call.may_send = [self, index = action.target,
                           service = m_state.shards[action.shard].service,
                           is_trial = action.is_trial] {
-        return self->may_still_send(index, service, is_trial);
+        return !self->m_ended_by_exception && self->may_still_send(index, service, is_trial);
     };
     call.call.make_request = [self, target_id = target.entry.id, deadline = action.deadline] {
+        self->m_has_sent = true;
         return platform::encode_for_target(self->m_prepared, deadline - monotonic_now(), target_id);
     };
     call.excluded = used_connections_to(action.target);
@@ -280,10 +318,10 @@
         return self->owner_of(response);
     };
     call.call.on_sent = [self, id] {
-        self->on_attempt_sent(id);
+        self->run([&self, id] { self->on_attempt_sent(id); });
     };
     call.call.on_end = [self, id](CallStatus call_status, HttpResponseMessage response) {
-        self->on_attempt_end(id, call_status, std::move(response));
+        self->run([&] { self->on_attempt_end(id, call_status, std::move(response)); });
     };
     const PoolCallId pool_call = m_front.pool.start(std::move(call));
     for (OpenAttempt& open : m_open_attempts) {
@@ -395,7 +433,8 @@
     }
     const OpenAttempt attempt = *found;
     m_open_attempts.erase(found);
-    const FanOutAttemptStatus outcome = classify_outcome(attempt, call_status, response);
+    FanOutAttemptStatus outcome = FanOutAttemptStatus::broken;
+    run_guarded("request", [&] { outcome = classify_outcome(attempt, call_status, response); });
     record_outcome(attempt, outcome, call_status);
     if (outcome != FanOutAttemptStatus::answered) {
         if (call_status == CallStatus::answered) {
@@ -546,7 +585,7 @@
     m_account = m_front.memory->open_account([weak] {
         const std::shared_ptr<RequestHandler> self = weak.lock();
         if (self != nullptr) {
-            self->release_memory();
+            self->run([&self] { self->release_memory(); });
         }
     });
     m_memory = MemoryCharge(m_account);
--- a/src/front/request_handler.h
+++ b/src/front/request_handler.h
@@ -59,6 +59,10 @@
 
     RequestHandler(FrontState& front, std::shared_ptr<HttpServerConnection> connection,
                    HttpRequestMessage request);
+    /// Runs a part of the request's work; an exception ends the request.
+    template <typename Work>
+    void run(const Work& work);
+    void end_after_exception();
     bool route_or_refuse();
     void begin();
     FanOutParameters fan_out_parameters(const Route& route) const;
@@ -136,6 +140,9 @@
     bool m_advancing = false;
     bool m_trial_started = false;
     bool m_caller_gone = false;
+    /// An attempt may have reached a target.
+    bool m_has_sent = false;
+    bool m_ended_by_exception = false;
     std::optional<TimerId> m_timer;
     Time m_timer_due{};
 };
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 
+#include "io/exception_guard.h"
+
 namespace ebonymount {
 namespace {
 
@@ -68,7 +70,7 @@
 
 void EventLoop::run() {
     while (!m_stopping) {
-        poll_sockets();
+        run_guarded("loop", [this] { poll_sockets(); });
         run_tasks();
         run_timers();
     }
@@ -97,7 +99,7 @@
         const std::function<void()> task = std::move(m_timers.begin()->second);
         m_due_times.erase(m_timers.begin()->first.second);
         m_timers.erase(m_timers.begin());
-        task();
+        run_guarded("loop", task);
     }
 }
 
@@ -121,11 +123,18 @@
             m_wake_receiver.receiveBytes(discarded.data(), static_cast<int>(discarded.size()));
             continue;
         }
-        const auto found = m_owners.find(socket.impl());
-        if (found != m_owners.end()) {
-            const std::shared_ptr<SocketOwner> owner = found->second;
-            owner->on_ready(modes);
-        }
+        notify_owner(socket, modes);
+    }
+}
+
+void EventLoop::notify_owner(const Poco::Net::Socket& socket, int modes) {
+    const auto found = m_owners.find(socket.impl());
+    if (found == m_owners.end()) {
+        return;
+    }
+    const std::shared_ptr<SocketOwner> owner = found->second;
+    if (!run_guarded("loop", [&owner, modes] { owner->on_ready(modes); })) {
+        run_guarded("loop", [&owner] { owner->on_exception(); });
     }
 }
 
@@ -137,13 +146,16 @@
         m_wake_sent = false;
     }
     for (const std::function<void()>& task : tasks) {
-        task();
+        run_guarded("loop", task);
     }
 }
 
 void EventLoop::wake() {
-    const char byte = 1;
-    m_wake_sender.sendBytes(&byte, 1);
+    // Without the byte, the loop notices at its next timer.
+    run_guarded("loop", [this] {
+        const char byte = 1;
+        m_wake_sender.sendBytes(&byte, 1);
+    });
 }
 
 }  // namespace ebonymount
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -2,6 +2,9 @@
 //
 // All sessions of a loop run on its thread, so their state needs no lock. Other threads access a
 // session only by posting a task.
+//
+// An exception of a task or timer ends that task or timer, one of a socket's owner ends the owner's
+// connection. The loop goes on.
 #pragma once
 
 #include <Poco/Net/DatagramSocket.h>
@@ -32,6 +35,10 @@
 
     /// Called on the loop's thread; `modes` are the ready modes of `Poco::Net::PollSet`.
     virtual void on_ready(int modes) = 0;
+
+    /// Called after `on_ready` has ended with an exception: ends what was in progress. An owner
+    /// that has nothing in progress, such as a listening socket, goes on.
+    virtual void on_exception() {}
 };
 
 /// The thread that runs a loop.
@@ -80,6 +87,7 @@
     Poco::Timespan time_to_next_timer() const;
     void wake();
     void poll_sockets();
+    void notify_owner(const Poco::Net::Socket& socket, int modes);
 
     Poco::Net::PollSet m_sockets;
     Poco::Net::DatagramSocket m_wake_receiver;
--- a/src/io/http2_session.cpp
+++ b/src/io/http2_session.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 
 #include "base/check.h"
+#include "io/exception_guard.h"
 #include "io/tcp_stream.h"
 
 namespace ebonymount {
@@ -32,49 +33,57 @@
 
 }  // namespace
 
-/// C callbacks for nghttp2; each forwards to the session in `user_data`.
+/// C callbacks for nghttp2; each forwards to the session in `user_data`. An exception must not pass
+/// through the library's functions: it becomes an error, which closes the session.
 struct Http2Callbacks {
     static Http2Session& session_of(void* user_data) {
         return *static_cast<Http2Session*>(user_data);
     }
 
+    template <typename Work>
+    static int guard(const Work& work) {
+        return run_guarded("peers", work) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+
     static int on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                                 void* user_data) {
-        Http2Session& self = session_of(user_data);
-        if (self.m_is_server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-            const std::int32_t id = frame->hd.stream_id;
-            Http2Session::Stream& stream = self.m_streams[id];
-            stream.server = std::make_shared<ServerStream>(self.m_loop, self.weak_from_this(), id);
-        }
-        return 0;
+        return guard([frame, user_data] {
+            Http2Session& self = session_of(user_data);
+            if (self.m_is_server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+                const std::int32_t id = frame->hd.stream_id;
+                Http2Session::Stream& stream = self.m_streams[id];
+                stream.server =
+                    std::make_shared<ServerStream>(self.m_loop, self.weak_from_this(), id);
+            }
+        });
     }
 
     static int on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                          const std::uint8_t* name, std::size_t name_length,
                          const std::uint8_t* value, std::size_t value_length,
                          std::uint8_t /*flags*/, void* user_data) {
-        Http2Session::Stream* stream = session_of(user_data).find(frame->hd.stream_id);
         const std::string_view key(reinterpret_cast<const char*>(name), name_length);
-        if (stream != nullptr && key == ":path") {
-            stream->path.assign(reinterpret_cast<const char*>(value), value_length);
-        }
-        return 0;
+        const std::string_view text(reinterpret_cast<const char*>(value), value_length);
+        return guard([frame, user_data, key, text] {
+            Http2Session::Stream* stream = session_of(user_data).find(frame->hd.stream_id);
+            if (stream != nullptr && key == ":path") {
+                stream->path = text;
+            }
+        });
     }
 
     static int on_data(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t stream_id,
                        const std::uint8_t* data, std::size_t length, void* user_data) {
-        Http2Session& self = session_of(user_data);
-        Http2Session::Stream* stream = self.find(stream_id);
-        if (stream == nullptr) {
-            return 0;
-        }
         const std::string_view bytes(reinterpret_cast<const char*>(data), length);
-        if (self.m_is_server) {
-            stream->body.append(bytes);
-        } else if (stream->callbacks.on_data) {
-            stream->callbacks.on_data(bytes);
-        }
-        return 0;
+        return guard([stream_id, user_data, bytes] {
+            Http2Session& self = session_of(user_data);
+            Http2Session::Stream* stream = self.find(stream_id);
+            if (stream != nullptr && self.m_is_server) {
+                stream->body.append(bytes);
+            } else if (stream != nullptr && stream->callbacks.on_data) {
+                stream->callbacks.on_data(bytes);
+            }
+        });
     }
 
     static int on_frame_received(nghttp2_session* /*session*/, const nghttp2_frame* frame,
@@ -90,16 +99,18 @@
             return 0;
         }
         stream->complete = true;
-        if (self.m_is_server) {
-            self.on_request_complete(frame->hd.stream_id);
-        }
-        return 0;
+        return guard([frame, &self] {
+            if (self.m_is_server) {
+                self.on_request_complete(frame->hd.stream_id);
+            }
+        });
     }
 
     static int on_stream_closed(nghttp2_session* /*session*/, std::int32_t stream_id,
                                 std::uint32_t error_code, void* user_data) {
-        session_of(user_data).end_stream(stream_id, error_code);
-        return 0;
+        return guard([stream_id, error_code, user_data] {
+            session_of(user_data).end_stream(stream_id, error_code);
+        });
     }
 
     static int on_frame_sent(nghttp2_session* /*session*/, const nghttp2_frame* frame,
@@ -114,7 +125,10 @@
     static ssize_t read_body(nghttp2_session* /*session*/, std::int32_t stream_id,
                              std::uint8_t* buffer, std::size_t length, std::uint32_t* flags,
                              nghttp2_data_source* /*source*/, void* user_data) {
-        return session_of(user_data).read_body(stream_id, buffer, length, flags);
+        ssize_t count = 0;
+        const int result = guard(
+            [&] { count = session_of(user_data).read_body(stream_id, buffer, length, flags); });
+        return result == 0 ? count : result;
     }
 };
 
@@ -254,7 +268,8 @@
     m_loop.unwatch(m_socket);
     m_socket.close();
     while (!m_streams.empty()) {
-        end_stream(m_streams.begin()->first, NGHTTP2_INTERNAL_ERROR);
+        run_guarded("peers",
+                    [this] { end_stream(m_streams.begin()->first, NGHTTP2_INTERNAL_ERROR); });
     }
 }
 
@@ -277,6 +292,10 @@
     flush();
 }
 
+void Http2Session::on_exception() {
+    close();
+}
+
 void Http2Session::receive() {
     std::array<char, READ_CHUNK_BYTES> buffer{};
     while (!m_closed) {
@@ -320,6 +339,10 @@
         m_output.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(length));
         length = nghttp2_session_mem_send(m_session, &data);
     }
+    if (length < 0) {
+        close();
+        return;
+    }
     try {
         while (!m_output.empty()) {
             const int sent = m_socket.sendBytes(m_output.data(), static_cast<int>(m_output.size()));
--- a/src/io/http2_session.h
+++ b/src/io/http2_session.h
@@ -106,6 +106,7 @@
     bool is_open() const;
 
     void on_ready(int modes) override;
+    void on_exception() override;
 
 private:
     struct Stream {
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -5,6 +5,8 @@
 #include <cerrno>
 #include <charconv>
 
+#include "io/exception_guard.h"
+
 namespace ebonymount {
 namespace {
 
@@ -167,6 +169,12 @@
     }
 }
 
+void HttpChannel::on_exception() {
+    if (m_phase != Phase::closed) {
+        fail(m_phase == Phase::awaiting_response ? CallStatus::broken : CallStatus::not_sent);
+    }
+}
+
 void HttpChannel::finish_connect() {
     const int error = m_stream.connect_error();
     if (error != 0) {
@@ -191,7 +199,7 @@
         m_call = ChannelCall{};
         m_memory = MemoryCharge();
         m_has_call = false;
-        m_on_change(*this);
+        report_change();
         call.on_end(CallStatus::not_sent, HttpResponseMessage{});
         return;
     }
@@ -284,7 +292,7 @@
     if (!reusable) {
         close_socket();
     }
-    m_on_change(*this);
+    report_change();
     call.on_end(CallStatus::answered, std::move(response));
 }
 
@@ -296,12 +304,17 @@
     m_has_call = false;
     m_phase = Phase::closed;
     close_socket();
-    m_on_change(*this);
+    report_change();
     if (had_call) {
         call.on_end(status, HttpResponseMessage{});
     }
 }
 
+void HttpChannel::report_change() {
+    // The call ends whatever becomes of this.
+    run_guarded("channel", [this] { m_on_change(*this); });
+}
+
 void HttpChannel::close_socket() {
     m_loop.unwatch(m_stream.socket());
     m_stream.close();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -98,6 +98,7 @@
     Duration idle_limit() const;
 
     void on_ready(int modes) override;
+    void on_exception() override;
 
 private:
     enum class Phase : std::uint8_t { connecting, idle, awaiting_response, closed };
@@ -113,6 +114,7 @@
     ResponseOwner owner_of(const HttpResponseMessage& response) const;
     void complete(HttpResponseMessage response, ResponseOwner owner);
     void fail(CallStatus status);
+    void report_change();
     void close_socket();
 
     EventLoop& m_loop;
--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <vector>
 
+#include "io/exception_guard.h"
 #include "io/server_socket.h"
 
 namespace ebonymount {
@@ -79,24 +80,30 @@
 
 void HttpListener::queue_buffered(const std::shared_ptr<HttpServerConnection>& connection) {
     m_buffered.push_back(connection);
-    if (m_buffered.size() == 1) {
+    post_read_buffered();
+}
+
+void HttpListener::post_read_buffered() {
+    if (!m_reads_buffered) {
         m_loop.post([self = shared_from_this()] { self->read_buffered(); });
+        m_reads_buffered = true;
     }
 }
 
 void HttpListener::read_buffered() {
+    m_reads_buffered = false;
     // A connection that is answered at once queues itself again.
     const std::size_t count = std::min(m_buffered.size(), MAX_BUFFERED_PER_ROUND);
     for (std::size_t i = 0; i < count; ++i) {
         const std::shared_ptr<HttpServerConnection> connection = m_buffered.front().lock();
-        // Popped last, so that the queue does not become empty and is not posted once more.
-        if (connection != nullptr) {
-            connection->read_buffered();
-        }
         m_buffered.pop_front();
+        if (connection != nullptr &&
+            !run_guarded("listener", [&connection] { connection->read_buffered(); })) {
+            run_guarded("listener", [&connection] { connection->on_exception(); });
+        }
     }
     if (!m_buffered.empty()) {
-        m_loop.post([self = shared_from_this()] { self->read_buffered(); });
+        post_read_buffered();
     }
 }
 
@@ -130,7 +137,9 @@
     const std::shared_ptr<HttpServerConnection> connection(
         new HttpServerConnection(shared_from_this(), std::move(stream)));
     m_connections.emplace(connection.get(), connection);
-    connection->start();
+    if (!run_guarded("listener", [&connection] { connection->start(); })) {
+        connection->close();
+    }
 }
 
 bool HttpListener::make_room() {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -121,6 +121,7 @@
     /// Lets the connection read its next request, which is already buffered, after those of the
     /// connections that were queued before.
     void queue_buffered(const std::shared_ptr<HttpServerConnection>& connection);
+    void post_read_buffered();
     void read_buffered();
     std::vector<std::shared_ptr<HttpServerConnection>> connections_that(
         const std::function<bool(const HttpServerConnection&)>& condition) const;
@@ -132,6 +133,8 @@
     HttpListenerCounts m_counts;
     std::map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>> m_connections;
     std::deque<std::weak_ptr<HttpServerConnection>> m_buffered;
+    /// `read_buffered` is posted to the loop.
+    bool m_reads_buffered = false;
     bool m_close_after_responses = false;
     bool m_accepting = true;
     bool m_is_paused = false;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <nlohmann/json.hpp>
 
+#include "io/exception_guard.h"
 #include "io/http_status.h"
 
 namespace ebonymount {
@@ -19,6 +20,10 @@
 /// Maximum time from the first byte of a request to the end of its header.
 constexpr Duration HEADER_TIMEOUT = from_ms(30000);
 
+/// Body of the response to a request whose handler ended with an exception.
+constexpr const char* UNKNOWN_OUTCOME =
+    R"({"error":"internal","message":"internal error","offender":"","verdict":"may_have_run"})";
+
 constexpr Duration SWEEP_INTERVAL = from_ms(1000);
 
 /// Interval at which a stopping server checks for requests that are still being served.
@@ -104,14 +109,14 @@
 void HttpServer::run_on_loop(const std::function<void()>& task) {
     std::promise<void> done;
     m_loop.post([&task, &done] {
-        task();
+        run_guarded("server", task);
         done.set_value();
     });
     done.get_future().wait();
 }
 
 void HttpServer::sweep() {
-    m_listener->sweep(monotonic_now());
+    run_guarded("server", [this] { m_listener->sweep(monotonic_now()); });
     m_loop.run_at(monotonic_now() + SWEEP_INTERVAL, [this] { sweep(); });
 }
 
@@ -128,7 +133,13 @@
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_jobs.emplace_back([this, connection, handler_request] {
-        const HandlerResponse handler_response = m_handler(handler_request);
+        HandlerResponse handler_response;
+        const auto handle = [&] {
+            handler_response = m_handler(handler_request);
+        };
+        if (!run_guarded("server", handle)) {
+            handler_response = make_response(http::INTERNAL_ERROR, UNKNOWN_OUTCOME);
+        }
         m_loop.post([connection, handler_response] {
             if (handler_response.drop) {
                 connection->drop();
@@ -152,7 +163,7 @@
             job = std::move(m_jobs.front());
             m_jobs.pop_front();
         }
-        job();
+        run_guarded("server", job);
     }
 }
 
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -1,5 +1,6 @@
 #include "io/http_server_connection.h"
 
+#include "io/exception_guard.h"
 #include "io/http_listener.h"
 #include "io/http_status.h"
 
@@ -155,6 +156,32 @@
     }
 }
 
+void HttpServerConnection::on_exception() {
+    if (m_phase == Phase::serving) {
+        respond_to_exception();
+    } else {
+        close();
+    }
+}
+
+void HttpServerConnection::serve(HttpRequestMessage request) {
+    const auto handle = [this, &request] {
+        m_listener->m_handler(shared_from_this(), std::move(request));
+    };
+    if (!run_guarded("listener", handle)) {
+        respond_to_exception();
+    }
+}
+
+void HttpServerConnection::respond_to_exception() {
+    HttpResponseMessage response;
+    response.status = http::BAD_GATEWAY;
+    response.headers.push_back({"Content-Type", "text/plain"});
+    response.body = "internal error; the request may have run\n";
+    m_keep_alive = false;
+    respond(std::move(response));
+}
+
 void HttpServerConnection::read() {
     if (m_memory.must_wait()) {
         return;
@@ -195,7 +222,7 @@
             m_sent_continue = false;
             m_is_head = request.method == "HEAD";
             m_keep_alive = request.keep_alive;
-            m_listener->m_handler(shared_from_this(), std::move(request));
+            serve(std::move(request));
             return;
         }
         case ReadState::header_too_long:
@@ -241,11 +268,13 @@
     if (m_phase != Phase::serving) {
         return;
     }
-    m_on_caller_gone = nullptr;
-    m_phase = Phase::writing;
     m_keep_alive = m_keep_alive && !m_listener->m_close_after_responses;
     response.keep_alive = m_keep_alive;
-    if (send(std::move(response)) == StreamState::broken) {
+    // Encoded first: if that fails, another response can still be sent.
+    std::string head = encode_head(response, response.body.size());
+    m_on_caller_gone = nullptr;
+    m_phase = Phase::writing;
+    if (send(std::move(head), std::move(response.body)) == StreamState::broken) {
         close();
         return;
     }
@@ -259,16 +288,15 @@
     finish_response();
 }
 
-StreamState HttpServerConnection::send(HttpResponseMessage response) {
-    std::string head = encode_head(response, response.body.size());
+StreamState HttpServerConnection::send(std::string head, std::string body) {
     if (m_is_head) {
         return m_stream.send(std::move(head));
     }
-    if (response.body.size() <= MAX_COPIED_BODY_BYTES) {
-        return m_stream.send(std::move(head += response.body));
+    if (body.size() <= MAX_COPIED_BODY_BYTES) {
+        return m_stream.send(std::move(head += body));
     }
     m_stream.queue(std::move(head));
-    return m_stream.send(std::move(response.body));
+    return m_stream.send(std::move(body));
 }
 
 void HttpServerConnection::finish_response() {
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -41,6 +41,7 @@
     bool is_first_request() const;
 
     void on_ready(int modes) override;
+    void on_exception() override;
 
 private:
     friend class HttpListener;
@@ -60,10 +61,13 @@
     void discard_input();
     void read();
     void read_request();
+    void serve(HttpRequestMessage request);
     /// Reads a request that was received together with an earlier one.
     void read_buffered();
     void reject(int status, const std::string& message, const char* retry_after_s = nullptr);
-    StreamState send(HttpResponseMessage response);
+    /// Answers a request whose handler ended with an exception.
+    void respond_to_exception();
+    StreamState send(std::string head, std::string body);
     void finish_response();
     void close();
     Overdue overdue(Time now) const;
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -1,5 +1,6 @@
 #include "node/gossiper.h"
 
+#include "io/exception_guard.h"
 #include "io/peer_documents.h"
 
 namespace ebonymount {
@@ -16,7 +17,7 @@
 }
 
 void Gossiper::start() {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this] { run_thread("gossip", [this] { run(); }); });
 }
 
 void Gossiper::stop() {
--- a/src/node/group_lease_manager.cpp
+++ b/src/node/group_lease_manager.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 
 #include "io/documents.h"
+#include "io/exception_guard.h"
 #include "io/json_reader.h"
 #include "node/gossiper.h"
 
@@ -59,7 +60,7 @@
 }
 
 void GroupLeaseManager::start() {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this] { run_thread("leases", [this] { run(); }); });
 }
 
 Result<Done> GroupLeaseManager::receive_handover(const std::string& bytes) {
--- a/src/node/idempotency_store.cpp
+++ b/src/node/idempotency_store.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "io/documents.h"
+#include "io/exception_guard.h"
 
 namespace ebonymount {
 namespace {
@@ -25,7 +26,7 @@
     : m_state(state),
       m_platform(platform),
       m_writes(state.metrics().counter("ebonymount_claim_writes_total")) {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this] { run_thread("idempotency", [this] { run(); }); });
 }
 
 IdempotencyStore::~IdempotencyStore() {
--- a/src/node/platform_sync.cpp
+++ b/src/node/platform_sync.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "io/exception_guard.h"
 #include "io/peer_documents.h"
 
 namespace ebonymount {
@@ -94,8 +95,8 @@
 }
 
 void PlatformSync::start() {
-    m_watch_thread = std::thread([this] { run_watch(); });
-    m_host_thread = std::thread([this] { run_host_list(); });
+    m_watch_thread = std::thread([this] { run_thread("platform", [this] { run_watch(); }); });
+    m_host_thread = std::thread([this] { run_thread("platform", [this] { run_host_list(); }); });
 }
 
 void PlatformSync::stop() {
--- a/src/node/target_worker.cpp
+++ b/src/node/target_worker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/check.h"
+#include "io/exception_guard.h"
 #include "io/http_status.h"
 
 namespace ebonymount {
@@ -32,6 +33,10 @@
     job.sink(make_outcome(job, status, Verdict::not_run));
 }
 
+void report_lost(const RelayJob& job) {
+    job.sink(make_outcome(job, AttemptStatus::target_lost, Verdict::may_have_run));
+}
+
 std::string header_of(const HttpResponse& response, const std::string& name) {
     const auto found = response.headers.find(name);
     return found == response.headers.end() ? "" : found->second;
@@ -177,7 +182,7 @@
     const std::size_t slots = static_cast<std::size_t>(row().slots);
     const std::lock_guard<std::mutex> lock(m_mutex);
     while (m_threads.size() < slots) {
-        m_threads.emplace_back([this] { run_slot(); });
+        m_threads.emplace_back([this] { run_thread("relay", [this] { run_slot(); }); });
     }
 }
 
@@ -194,7 +199,14 @@
             continue;
         }
         lock.unlock();
-        const bool has_outcome = run_job(job, connection);
+        bool has_outcome = true;
+        const auto run = [&] {
+            has_outcome = run_job(job, connection);
+        };
+        if (!run_guarded("relay", run)) {
+            connection.close();
+            run_guarded("relay", [&job] { report_lost(*job); });
+        }
         lock.lock();
         std::erase(m_running, job);
         if (!has_outcome && !m_closed) {
--- a/src/node/task_queue.cpp
+++ b/src/node/task_queue.cpp
@@ -1,5 +1,7 @@
 #include "node/task_queue.h"
 
+#include "io/exception_guard.h"
+
 namespace ebonymount {
 
 TaskQueue::TaskQueue(int threads) {
@@ -43,7 +45,7 @@
         const std::function<void()> task = std::move(m_tasks.front());
         m_tasks.pop_front();
         lock.unlock();
-        task();
+        run_guarded("tasks", task);
         lock.lock();
     }
 }
--- a/src/program/ebonymountd.cpp
+++ b/src/program/ebonymountd.cpp
@@ -72,5 +72,8 @@
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << "ebonymountd: " << error.what() << "\n";
         return EXIT_BAD_INPUT;
+    } catch (const std::exception& error) {
+        std::cerr << "ebonymountd: " << error.what() << "\n";
+        return EXIT_CANNOT_START;
     }
 }
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -2,6 +2,7 @@
 // not respond.
 #include <catch2/catch.hpp>
 
+#include "catch_main.h"
 #include "front/kind_watcher.h"
 #include "io/http_listener.h"
 
@@ -33,6 +34,9 @@
         options.timing.pause_after_changes = from_ms(1);
         options.is_probe = true;
         const KindWatcherHandlers handlers{[this](KindUpdate update) {
+                                               if (updates++ == failing_update) {
+                                                   throw std::runtime_error("update");
+                                               }
                                                if (update.is_list) {
                                                    lists.push_back(std::move(update.objects));
                                                    outages.push_back(update.after_outage);
@@ -52,6 +56,9 @@
     /// For each list, whether it is marked as read after an outage.
     std::vector<bool> outages;
     int recoveries = 0;
+    int updates = 0;
+    /// Number of the update at which the handler fails; -1 for none.
+    int failing_update = -1;
     std::vector<std::vector<platform::StoredObject>> changes;
 
 private:
@@ -152,6 +159,22 @@
     CHECK(store.recoveries == 1);
 }
 
+// Guards against a watcher that makes no further call because an update could not be applied.
+TEST_CASE("a list whose update fails is read again") {
+    expect_exceptions(2);
+    for (const int failing_update : {0, 1}) {
+        ScriptedStore store({response(200, list(object("a"), false, 5)),
+                             response(200, R"({"events": [{"deleted": true, "object": )" +
+                                               object("a") + R"(}], "store_revision": 8})"),
+                             response(200, list(object("b"), false, 9))});
+        store.failing_update = failing_update;
+        store.run();
+        REQUIRE(store.calls.size() == 4);
+        REQUIRE_FALSE(store.lists.empty());
+        CHECK(store.calls[failing_update == 0 ? 1 : 2] == "/ebonymount/objects/servers");
+    }
+}
+
 TEST_CASE("a malformed list is read again") {
     ScriptedStore store({response(200, "garbage"), response(200, list(object("a"), false, 5))});
     store.run();
--- a/test/soak/ebonymount_soak.cpp
+++ b/test/soak/ebonymount_soak.cpp
@@ -6,8 +6,10 @@
 // was broken, 2 for invalid arguments or an environment that cannot be set up.
 #include <cxxopts.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
+#include "io/exception_guard.h"
 #include "soak_environment.h"
 
 namespace {
@@ -58,6 +60,18 @@
     std::cout << "\n";
 }
 
+/// Exceptions that guards have caught, here and in the nodes: each would have ended a process.
+std::int64_t count_exceptions(const std::string& log_directory) {
+    std::int64_t exceptions = ebonymount::caught_exceptions();
+    for (const auto& file : std::filesystem::directory_iterator(log_directory)) {
+        std::ifstream log(file.path());
+        for (std::string line; std::getline(log, line);) {
+            exceptions += line.find(R"("event":"exception")") != std::string::npos ? 1 : 0;
+        }
+    }
+    return exceptions;
+}
+
 bool run_seed(const soak::SoakOptions& soak_options) {
     std::filesystem::create_directories(soak_options.directory);
     const std::vector<soak::SoakStep> plan =
@@ -65,7 +79,11 @@
     soak::SoakEnvironment environment(soak_options);
     const soak::SoakChecker& checker = environment.run(plan);
     print_report(soak_options, plan, checker);
-    return checker.violations().empty();
+    const std::int64_t exceptions = count_exceptions(soak_options.directory);
+    if (exceptions > 0) {
+        std::cout << "  EXCEPTIONS: " << exceptions << " in " << soak_options.directory << "\n";
+    }
+    return checker.violations().empty() && exceptions == 0;
 }
 
 }  // namespace
