Front: changes of one batch are applied in order

Cause: the mirror filtered a batch against its state from before the batch. The removal of an object that it did not have yet was dropped as old, and the entry that the same batch brought stayed for good.

Evidence: test_store_mirror, a batch with an entry and its removal, and a model of 300 random series of writes and removals with a mirror and its follower.

Change: each change is compared with the mirror as the changes before it have left it, then applied; followers get what was applied, in order. That is the same as a batch for each change, which has always worked.

--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -50,6 +50,19 @@
                           : object.revision > found->second.revision;
 }
 
+/// Applies a change to the mirror as the changes before it have left it. False if it is not newer.
+bool apply_if_newer(MirroredKind& mirrored, const StoredObject& object) {
+    if (!is_newer(mirrored, object)) {
+        return false;
+    }
+    if (object.removed) {
+        mirrored.objects.erase(object.name);
+    } else {
+        mirrored.objects[object.name] = object;
+    }
+    return true;
+}
+
 /// True for a list that says nothing new. The list of nodes is polled, so it is the same at many
 /// revisions. Without this check, nodes that follow each other would pass one list round and round.
 bool is_repeated_list(const MirroredKind& mirrored, const KindUpdate& update, Time now) {
@@ -185,16 +198,13 @@
         if (mirrored.revision == 0) {
             return std::nullopt;
         }
-        std::erase_if(update.objects, [&mirrored](const StoredObject& object) {
-            return !is_newer(mirrored, object);
-        });
-        for (const StoredObject& object : update.objects) {
-            if (object.removed) {
-                mirrored.objects.erase(object.name);
-            } else {
-                mirrored.objects[object.name] = object;
+        std::vector<StoredObject> newer;
+        for (StoredObject& object : update.objects) {
+            if (apply_if_newer(mirrored, object)) {
+                newer.push_back(std::move(object));
             }
         }
+        update.objects = std::move(newer);
     }
     mirrored.revision = std::max(mirrored.revision, update.revision);
     if (!update.is_list && update.objects.empty()) {
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -1,6 +1,7 @@
 // Store updates relayed between nodes: the mirror accepts only newer data, whatever its source.
 #include <catch2/catch.hpp>
 
+#include "base/random.h"
 #include "front/store_mirror.h"
 
 namespace ebonymount {
@@ -64,6 +65,54 @@
     CHECK(second->objects == std::vector<platform::StoredObject>{object("a", 14)});
 }
 
+// Guards against changes that were made together and lose their order: a removal is dropped, and
+// what it removed stays.
+TEST_CASE("an object that is written and removed within one batch is gone") {
+    StoreMirror mirror;
+    merge_update(mirror, list(10, {object("a", 4)}), NOW);
+    const std::optional<KindUpdate> fresh = merge_update(
+        mirror, changes(14, {object("b", 11), object("b", 12, true), object("a", 13, true)}), NOW);
+    REQUIRE(fresh.has_value());
+    CHECK(fresh->objects.size() == 3);
+    CHECK(names_in(mirror).empty());
+}
+
+// Guards against any series of changes after which a node, or one that follows it, has other
+// objects than the store.
+TEST_CASE("mirrors hold what the store holds, however its changes are batched") {
+    Random random(8101);
+    for (int round = 0; round < 300; ++round) {
+        StoreMirror mirror;
+        StoreMirror follower;
+        std::map<std::string, platform::StoredObject> store;
+        std::int64_t revision = 1;
+        merge_update(mirror, list(revision, {}), NOW);
+        merge_update(follower, list(revision, {}), NOW);
+        for (int batch = 0; batch < 12; ++batch) {
+            std::vector<platform::StoredObject> made;
+            const std::size_t count = random() % 6;
+            while (made.size() < count) {
+                const std::string name(1, static_cast<char>('a' + random() % 3));
+                const bool removes = store.count(name) > 0 && random() % 2 == 0;
+                made.push_back(object(name, ++revision, removes));
+                if (removes) {
+                    store.erase(name);
+                } else {
+                    store[name] = made.back();
+                }
+            }
+            const std::optional<KindUpdate> fresh =
+                merge_update(mirror, changes(revision, made), NOW);
+            if (fresh.has_value()) {
+                merge_update(follower, *fresh, NOW);
+            }
+            INFO(round << " " << batch);
+            REQUIRE(mirror.at(Kind::targets).objects == store);
+            REQUIRE(follower.at(Kind::targets).objects == store);
+        }
+    }
+}
+
 TEST_CASE("changes before the first list are ignored") {
     StoreMirror mirror;
     CHECK_FALSE(merge_update(mirror, changes(5, {object("a", 5)}), NOW).has_value());
