Peers: what the loop keeps does not refer to the feed that made it

Cause: sessions between nodes are kept alive by the loop, but counted bytes in a member of the feed; tasks of a PeerPool captured the pool. A feed that ends under a running loop left both with freed memory.

Change: sessions and servers copy the references to the counters; the sessions of a pool are shared by the pool and its tasks. Everything that the loop keeps now refers only to what ends after the loop.

--- a/src/io/http2_session.cpp
+++ b/src/io/http2_session.cpp
@@ -164,7 +164,8 @@
 
 std::shared_ptr<Http2Session> Http2Session::serve(EventLoop& loop,
                                                   const Poco::Net::StreamSocket& socket,
-                                                  StreamHandler handler, TrafficCounters& traffic) {
+                                                  StreamHandler handler,
+                                                  const TrafficCounters& traffic) {
     const std::shared_ptr<Http2Session> session(new Http2Session(loop, socket, true, traffic));
     session->m_handler = std::move(handler);
     session->m_connected = true;
@@ -173,7 +174,7 @@
 }
 
 std::shared_ptr<Http2Session> Http2Session::connect(EventLoop& loop, const std::string& address,
-                                                    TrafficCounters& traffic) {
+                                                    const TrafficCounters& traffic) {
     Poco::Net::StreamSocket socket;
     const std::shared_ptr<Http2Session> session(new Http2Session(loop, socket, false, traffic));
     try {
@@ -186,7 +187,7 @@
 }
 
 Http2Session::Http2Session(EventLoop& loop, const Poco::Net::StreamSocket& socket, bool is_server,
-                           TrafficCounters& traffic)
+                           const TrafficCounters& traffic)
     : m_loop(loop), m_socket(socket), m_is_server(is_server), m_traffic(traffic) {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
--- a/src/io/http2_session.h
+++ b/src/io/http2_session.h
@@ -70,7 +70,8 @@
 using StreamHandler = std::function<void(std::shared_ptr<ServerStream> stream,
                                          const std::string& path, std::string body)>;
 
-/// Bytes received and sent by all sessions of a process; measures the cost of control traffic.
+/// Bytes received and sent by all sessions of a process; measures the cost of control traffic. A
+/// session has its own copy, as it may outlive what opened it.
 struct TrafficCounters {
     Counter& bytes_in;
     Counter& bytes_out;
@@ -81,11 +82,12 @@
     /// Server side of an established connection.
     static std::shared_ptr<Http2Session> serve(EventLoop& loop,
                                                const Poco::Net::StreamSocket& socket,
-                                               StreamHandler handler, TrafficCounters& traffic);
+                                               StreamHandler handler,
+                                               const TrafficCounters& traffic);
 
     /// Client side; the connection is established in the background.
     static std::shared_ptr<Http2Session> connect(EventLoop& loop, const std::string& address,
-                                                 TrafficCounters& traffic);
+                                                 const TrafficCounters& traffic);
 
     ~Http2Session() override;
     Http2Session(const Http2Session&) = delete;
@@ -121,7 +123,7 @@
     };
 
     Http2Session(EventLoop& loop, const Poco::Net::StreamSocket& socket, bool is_server,
-                 TrafficCounters& traffic);
+                 const TrafficCounters& traffic);
 
     void start();
     void receive();
@@ -143,7 +145,7 @@
     EventLoop& m_loop;
     Poco::Net::StreamSocket m_socket;
     bool m_is_server;
-    TrafficCounters& m_traffic;
+    TrafficCounters m_traffic;
     bool m_connected = false;
     bool m_closed = false;
     nghttp2_session* m_session = nullptr;
--- a/src/io/peer_sessions.cpp
+++ b/src/io/peer_sessions.cpp
@@ -24,14 +24,14 @@
 
 std::shared_ptr<PeerCall> PeerPool::call(const std::string& address, const std::string& path,
                                          std::string body, StreamCallbacks callbacks) {
-    const std::shared_ptr<PeerCall> call = std::make_shared<PeerCall>(m_loop);
-    m_loop.post([this, call, address, path, body = std::move(body),
-                 callbacks = std::move(callbacks)]() mutable {
+    const std::shared_ptr<PeerCall> call = std::make_shared<PeerCall>(m_sessions->loop());
+    m_sessions->loop().post([sessions = m_sessions, call, address, path, body = std::move(body),
+                             callbacks = std::move(callbacks)]() mutable {
         if (call->m_cancelled) {
             callbacks.on_end(StreamStatus::never_sent);
             return;
         }
-        const std::shared_ptr<Http2Session> session = session_to(address);
+        const std::shared_ptr<Http2Session> session = sessions->open(address);
         call->m_session = session;
         call->m_stream_id = session->open(path, std::move(body), std::move(callbacks));
     });
@@ -39,36 +39,44 @@
 }
 
 void PeerPool::close(const std::string& address) {
-    m_loop.post([this, address] {
-        const auto found = m_sessions.find(address);
-        if (found != m_sessions.end()) {
-            const std::shared_ptr<Http2Session> session = found->second;
-            m_sessions.erase(found);
-            session->close();
-        }
-    });
+    m_sessions->loop().post([sessions = m_sessions, address] { sessions->close(address); });
 }
 
 void PeerPool::close_all() {
-    m_loop.post([this] {
-        for (const auto& [address, session] : m_sessions) {
-            session->close();
-        }
-        m_sessions.clear();
-    });
+    m_sessions->loop().post([sessions = m_sessions] { sessions->close_all(); });
+}
+
+EventLoop& PeerPool::Sessions::loop() const {
+    return m_loop;
 }
 
-std::shared_ptr<Http2Session> PeerPool::session_to(const std::string& address) {
-    std::shared_ptr<Http2Session>& session = m_sessions[address];
+std::shared_ptr<Http2Session> PeerPool::Sessions::open(const std::string& address) {
+    std::shared_ptr<Http2Session>& session = m_by_address[address];
     if (session == nullptr || !session->is_open()) {
         session = Http2Session::connect(m_loop, address, m_traffic);
     }
     return session;
 }
 
+void PeerPool::Sessions::close(const std::string& address) {
+    const auto found = m_by_address.find(address);
+    if (found != m_by_address.end()) {
+        const std::shared_ptr<Http2Session> session = found->second;
+        m_by_address.erase(found);
+        session->close();
+    }
+}
+
+void PeerPool::Sessions::close_all() {
+    for (const auto& [address, session] : m_by_address) {
+        session->close();
+    }
+    m_by_address.clear();
+}
+
 Result<std::shared_ptr<PeerServer>> PeerServer::listen(EventLoop& loop, const std::string& address,
                                                        StreamHandler handler,
-                                                       TrafficCounters& traffic) {
+                                                       const TrafficCounters& traffic) {
     const std::shared_ptr<PeerServer> server(new PeerServer(loop, std::move(handler), traffic));
     try {
         server->m_socket = listen_at(address, BACKLOG);
--- a/src/io/peer_sessions.h
+++ b/src/io/peer_sessions.h
@@ -33,7 +33,8 @@
 /// Outgoing sessions, one per address, opened on first use and reopened after they break.
 class PeerPool {
 public:
-    PeerPool(EventLoop& loop, TrafficCounters& traffic) : m_loop(loop), m_traffic(traffic) {}
+    PeerPool(EventLoop& loop, const TrafficCounters& traffic)
+        : m_sessions(std::make_shared<Sessions>(loop, traffic)) {}
 
     /// Sends a complete request. May be called from any thread; the callbacks run on
     /// the loop's thread.
@@ -48,12 +49,26 @@
     void close_all();
 
 private:
-    std::shared_ptr<Http2Session> session_to(const std::string& address);
-
-    EventLoop& m_loop;
-    TrafficCounters& m_traffic;
-    /// Accessed on the loop's thread only.
-    std::map<std::string, std::shared_ptr<Http2Session>> m_sessions;
+    /// The open sessions, by address. Tasks that are posted to the loop may outlive the pool.
+    class Sessions {
+    public:
+        Sessions(EventLoop& loop, const TrafficCounters& traffic)
+            : m_loop(loop), m_traffic(traffic) {}
+
+        EventLoop& loop() const;
+
+        /// The members below are called on the loop's thread only.
+        std::shared_ptr<Http2Session> open(const std::string& address);
+        void close(const std::string& address);
+        void close_all();
+
+    private:
+        EventLoop& m_loop;
+        TrafficCounters m_traffic;
+        std::map<std::string, std::shared_ptr<Http2Session>> m_by_address;
+    };
+
+    std::shared_ptr<Sessions> m_sessions;
 };
 
 /// Accepts sessions from peers.
@@ -62,7 +77,7 @@
     /// Starts to listen. The error names the address that cannot be bound.
     static Result<std::shared_ptr<PeerServer>> listen(EventLoop& loop, const std::string& address,
                                                       StreamHandler handler,
-                                                      TrafficCounters& traffic);
+                                                      const TrafficCounters& traffic);
 
     /// Stops accepting sessions. Only on the loop's thread.
     void close();
@@ -73,12 +88,12 @@
     void on_ready(int modes) override;
 
 private:
-    PeerServer(EventLoop& loop, StreamHandler handler, TrafficCounters& traffic)
+    PeerServer(EventLoop& loop, StreamHandler handler, const TrafficCounters& traffic)
         : m_loop(loop), m_handler(std::move(handler)), m_traffic(traffic) {}
 
     EventLoop& m_loop;
     StreamHandler m_handler;
-    TrafficCounters& m_traffic;
+    TrafficCounters m_traffic;
     Poco::Net::ServerSocket m_socket;
 };
 
