--- a/test/error/test_platform_fuzz.cpp
+++ b/test/error/test_platform_fuzz.cpp
@@ -5,6 +5,7 @@
 
 #include "base/random.h"
 #include "io/http_message.h"
+#include "mutation.h"
 #include "platform/call_headers.h"
 #include "platform/names.h"
 #include "platform/settings.h"
@@ -18,36 +19,6 @@
 constexpr int ROUNDS = 4000;
 constexpr std::uint64_t SEED = 20261204;
 
-/// Changes a few bytes: replaces, removes, repeats or inserts.
-std::string mutate(std::string text, Random& random) {
-    const auto random_below = [&random](std::size_t bound) {
-        return static_cast<std::size_t>(random() % std::max<std::size_t>(bound, 1));
-    };
-    const std::size_t changes = 1 + random_below(6);
-    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
-        const std::size_t at = random_below(text.size());
-        const std::size_t length = 1 + random_below(std::min<std::size_t>(12, text.size() - at));
-        switch (random_below(5)) {
-            case 0:
-                text[at] = static_cast<char>(random());
-                break;
-            case 1:
-                text.erase(at, length);
-                break;
-            case 2:
-                text.insert(at, text.substr(at, length));
-                break;
-            case 3:
-                text.insert(at, std::to_string(static_cast<std::int64_t>(random())));
-                break;
-            default:
-                text[at] = "{}[]\",:=\r\n0-"[random_below(12)];
-                break;
-        }
-    }
-    return text;
-}
-
 void fuzz(const std::vector<std::string>& samples,
           const std::function<void(const std::string&)>& parse) {
     Random random(SEED);
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -272,6 +272,10 @@
     channel->start(std::move(request));
 }
 
+const std::string& FrontFleet::caller_address(std::size_t node) const {
+    return m_nodes.at(node)->settings.caller_address;
+}
+
 bool FrontFleet::run_steps(std::vector<TestStep> steps) {
     m_steps = std::move(steps);
     m_loop.run();
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -86,6 +86,9 @@
     void request(std::size_t node, HttpRequestMessage request,
                  std::function<void(CallStatus, const HttpResponseMessage&)> on_end);
 
+    /// The address at which a node takes callers' requests.
+    const std::string& caller_address(std::size_t node) const;
+
     /// Runs until each condition has held in turn; false if one never did.
     bool run_steps(std::vector<TestStep> steps);
 
