Fan-out: a request that awaits a verdict ends at its caller's deadline

Callers whose deadline is earlier than the route's objective can keep a node from reading any socket until that objective.

Cause: a request that can no longer succeed waits until the objective for the responses that tell whether it ran, without regard to its deadline. The next tick is at the deadline, so once that has passed, the tick does nothing and its timer is set again at a time in the past.

Evidence: test_fan_out, a fan-out with a deadline of 60 ms and an objective of 150 ms of which one part is turned away: before the change the tick at 60 ms does not end it. Now it ends as failed, and may have run.

Change: both uses take the earlier of the two times.

--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -160,6 +160,11 @@
                        [](const FanOutAttempt& attempt) { return attempt.sent; });
 }
 
+/// Until when a failed request awaits a verdict.
+Time verdict_deadline(const FanOutState& state) {
+    return std::min(state.parameters.objective_deadline, state.parameters.final_deadline);
+}
+
 /// When a partial response is due while `awaited` parts are missing.
 Time partial_response_time(const FanOutParameters& parameters, std::int64_t awaited) {
     return parameters.objective_deadline - parameters.response_margin -
@@ -439,7 +444,7 @@
         end_request(s, FanOutStatus::complete);
     } else if (state.answered >= needed && (all_settled || is_objective_near)) {
         end_request(s, FanOutStatus::partial);
-    } else if (awaits_verdict(state) && s.context.now < state.parameters.objective_deadline) {
+    } else if (awaits_verdict(state) && s.context.now < verdict_deadline(state)) {
         withdraw_all_unsent(s);
     } else if (!can_succeed(state) && !has_live_trial(state)) {
         end_request(s, FanOutStatus::failed);
@@ -650,7 +655,7 @@
         }
     }
     if (awaits_verdict(state)) {
-        next = std::min(next, state.parameters.objective_deadline);
+        next = std::min(next, verdict_deadline(state));
     }
     return state.answered >= needed_shards(state) ? std::min(next, partial_response_at) : next;
 }
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -78,6 +78,9 @@
     FanOutParameters parameters = fleet.parameters(START);
     parameters.fan_out = seed % 2 == 0;
     parameters.idempotent = parameters.fan_out || seed % 3 == 0;
+    if (seed % 5 == 0) {
+        parameters.final_deadline = START + from_ms(60);
+    }
     Request request(fleet, parameters);
     std::vector<FanOutAction> actions = request.begin();
     Time now = START;
@@ -101,6 +104,7 @@
               (pause > from_ms(100) ? pause : Duration::zero());
         if (open.empty() || uniform(random) < 0.3) {
             actions = request.tick(now);
+            CHECK((request.state.finished || next_tick(request.state) > now));
             continue;
         }
         const StartAttempt ending = open.back();
@@ -231,6 +235,27 @@
     CHECK(ended(actions)->retry_after > Duration::zero());
 }
 
+// Guards against a timer that is set again at a time that has passed, so that the node reads no
+// socket until the route's objective.
+TEST_CASE("a failed request that awaits a verdict ends at its deadline if the objective is later") {
+    FleetFixture fleet(2, 1);
+    FanOutParameters parameters = fleet.parameters(START);
+    parameters.min_coverage = 1.0;
+    parameters.final_deadline = START + from_ms(60);
+    REQUIRE(parameters.final_deadline < parameters.objective_deadline);
+    Request request(fleet, parameters);
+    const std::vector<StartAttempt> attempts = started(request.begin());
+    request.sent(attempts[0].id, START);
+    request.sent(attempts[1].id, START);
+    on_turned_away(fleet.targets.states[attempts[0].target], from_ms(30000), fleet.random, START);
+    CHECK_FALSE(ended(request.end(attempts[0].id, FanOutAttemptStatus::refused, START)));
+    CHECK(next_tick(request.state) <= parameters.final_deadline);
+    const std::optional<EndRequest> end = ended(request.tick(parameters.final_deadline));
+    REQUIRE(end);
+    CHECK(end->status == FanOutStatus::failed);
+    CHECK(may_have_run(request.state));
+}
+
 TEST_CASE("a request whose deadline has passed is refused before anything is sent") {
     FleetFixture fleet(2, 2);
     FanOutParameters parameters = fleet.parameters(START);
