Loop: a timer that is due again at once waits for the next poll

A timer that sets itself again for a time that has passed kept the loop from every socket and task.

Evidence: failure/test_event_loop, a timer that sets itself again until a task that it posted has run: before the change the task never ran, and the test ended after its limit of 1,000 runs. Now it runs after the first.

Change: a time that has passed becomes the first moment after the last poll, so each timer runs at most once a poll. Timers that are due still run in the order of their times (second case, passed before too).

--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -78,6 +78,9 @@
 }
 
 TimerId EventLoop::run_at(Time due, std::function<void()> task) {
+    // A time that has passed becomes the next poll's, so that a timer that sets itself again keeps
+    // the loop from no socket.
+    due = std::max(due, m_polled_at + Duration{1});
     const TimerId timer = m_next_timer++;
     m_timers.emplace(std::make_pair(due, timer), std::move(task));
     m_due_times.emplace(timer, due);
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -69,7 +69,8 @@
     /// Stops watching a socket. Only on the loop's thread.
     void unwatch(const Poco::Net::Socket& socket);
 
-    /// Runs the task once at or after `due`. Only on the loop's thread.
+    /// Runs the task once at or after `due`, and not before sockets have been polled if `due` has
+    /// passed. Only on the loop's thread.
     TimerId run_at(Time due, std::function<void()> task);
 
     /// Cancels a timer that has not run. Only on the loop's thread.
