--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -103,14 +103,31 @@
 }
 
 void TargetPool::sweep(Time now) {
-    std::vector<Channel> closing;
+    abort_overdue_calls(now);
+    // Collected only now: calls that follow on aborted ones may have taken idle connections.
+    for (const Channel& channel : unused_connections(now)) {
+        if (!channel->has_call()) {
+            channel->close();
+        }
+    }
+}
+
+void TargetPool::abort_overdue_calls(Time now) {
+    std::vector<PoolCallId> overdue;
     for (const auto& [id, running] : m_running_calls) {
         const bool connect_timed_out = running.channel->is_connecting() &&
                                        now - running.channel->last_used() > CONNECT_TIMEOUT;
         if (connect_timed_out || now > running.deadline) {
-            closing.push_back(running.channel);
+            overdue.push_back(id);
         }
     }
+    for (const PoolCallId id : overdue) {
+        abort(id);
+    }
+}
+
+std::vector<TargetPool::Channel> TargetPool::unused_connections(Time now) const {
+    std::vector<Channel> unused;
     for (TargetIndex target = 0; target < m_channels.size(); ++target) {
         if (m_channels[target].empty()) {
             continue;
@@ -118,23 +135,20 @@
         const Channel most_recent = find_idle(target, UNLIMITED_IDLE_TIME, {}, now);
         const bool may_keep_one = may_keep_idle(m_targets, m_targets.states[target]);
         for (const Channel& channel : m_channels[target]) {
-            const bool is_spare = channel != most_recent || !may_keep_one;
-            if (is_spare && channel->is_idle() && now - channel->last_used() > SPARE_IDLE_TIME) {
-                closing.push_back(channel);
-            }
-            const bool stale = now - channel->last_used() > channel->idle_limit() ||
-                               channel->address() != m_targets.states[target].entry.address;
+            const bool is_spare = (channel != most_recent || !may_keep_one) &&
+                                  now - channel->last_used() > SPARE_IDLE_TIME;
+            const bool is_stale = now - channel->last_used() > channel->idle_limit() ||
+                                  channel->address() != m_targets.states[target].entry.address;
             const bool connect_timed_out =
                 channel->is_connecting() && now - channel->last_used() > CONNECT_TIMEOUT;
-            if ((channel->is_idle() && (stale || !m_targets.states[target].accepts_work)) ||
+            if ((channel->is_idle() &&
+                 (is_spare || is_stale || !m_targets.states[target].accepts_work)) ||
                 (connect_timed_out && !channel->has_call())) {
-                closing.push_back(channel);
+                unused.push_back(channel);
             }
         }
     }
-    for (const Channel& channel : closing) {
-        channel->close();
-    }
+    return unused;
 }
 
 std::int64_t TargetPool::opened_connections() const {
--- a/src/front/target_pool.h
+++ b/src/front/target_pool.h
@@ -91,6 +91,10 @@
         Time deadline{};
     };
 
+    void abort_overdue_calls(Time now);
+    /// Connections without a call that have been idle for too long, belong to targets that accept
+    /// no work, or could not be established.
+    std::vector<Channel> unused_connections(Time now) const;
     Channel find_idle(TargetIndex target, Duration max_idle,
                       const std::vector<PoolConnection>& excluded, Time now) const;
     /// Closes an idle connection to the target of a call that can use none, if the target has no
