Listener: limits that change apply to kept connections

A caller on a kept connection got 413 for a body that the configuration allowed since a change, and could go on with bodies that it no longer allowed.

Cause: a connection's reader keeps the limits under which it was accepted.

Evidence: failure/test_http_sessions, bodies of 100, 500 and 11 bytes on one connection under limits of 100, 500 and 10: before the change 200, 413 and the end of the connection, now 200, 200 and 413.

Change: a change of the listener's options reaches its connections; a request that has begun is read to its end under the limits it began with.

--- a/src/io/http_listener.cpp
+++ b/src/io/http_listener.cpp
@@ -66,6 +66,12 @@
 
 void HttpListener::set_options(const HttpListenerOptions& options) {
     m_options = options;
+    for (const auto& [key, weak] : m_connections) {
+        const std::shared_ptr<HttpServerConnection> connection = weak.lock();
+        if (connection != nullptr) {
+            connection->apply_limits();
+        }
+    }
 }
 
 void HttpListener::set_max_connections(std::size_t connections) {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -69,7 +69,8 @@
                                                         const HttpListenerOptions& options,
                                                         HttpRequestHandler handler);
 
-    /// Replaces the options. Message limits apply to new connections, the rest at once.
+    /// Replaces the options. Message limits apply to requests that have not begun, the rest at
+    /// once.
     void set_options(const HttpListenerOptions& options);
 
     /// Replaces one option. Connections over the limit are kept until others make room for them.
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -93,6 +93,10 @@
         return std::move(message);
     }
 
+    bool has_begun() const {
+        return this->got_some();
+    }
+
     std::size_t memory() const {
         return m_header_text_memory + message.headers.capacity() * sizeof(HttpHeader) +
                heap_memory(message.body);
@@ -313,6 +317,13 @@
     m_parser = std::make_unique<Parser>(m_limits);
 }
 
+void HttpRequestReader::set_limits(const HttpLimits& limits) {
+    m_limits = limits;
+    if (!m_parser->has_begun()) {
+        discard();
+    }
+}
+
 std::size_t HttpRequestReader::memory() const {
     return m_parser->memory();
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -108,6 +108,9 @@
     /// Drops what was read of the message and resets the reader.
     void discard();
 
+    /// Sets the limits on messages that have not begun.
+    void set_limits(const HttpLimits& limits);
+
     /// Memory that the part of the message that was read takes.
     std::size_t memory() const;
 
--- a/src/io/http_server_connection.cpp
+++ b/src/io/http_server_connection.cpp
@@ -88,6 +88,10 @@
     charge_memory();
 }
 
+void HttpServerConnection::apply_limits() {
+    m_reader.set_limits(m_listener->m_options.limits);
+}
+
 void HttpServerConnection::watch() {
     const int modes = (is_read_ahead_full() ? 0 : Poco::Net::PollSet::POLL_READ) |
                       (m_stream.has_unsent() ? Poco::Net::PollSet::POLL_WRITE : 0) |
--- a/src/io/http_server_connection.h
+++ b/src/io/http_server_connection.h
@@ -52,6 +52,8 @@
     HttpServerConnection(std::shared_ptr<HttpListener> listener, TcpStream stream);
     /// Opens the connection's account and starts to read.
     void start();
+    /// Takes over the listener's message limits, which have changed.
+    void apply_limits();
     void watch();
     /// Enough of the caller's next requests is buffered for now.
     bool is_read_ahead_full() const;
--- a/test/failure/test_http_sessions.cpp
+++ b/test/failure/test_http_sessions.cpp
@@ -370,4 +370,45 @@
     listener->close();
 }
 
+// Guards against a kept connection that rejects requests by limits that no longer hold.
+TEST_CASE("limits that change apply to the next request on a kept connection") {
+    Harness harness;
+    HttpListenerOptions options;
+    options.limits = {1000, 100};
+    const std::shared_ptr<HttpListener> listener = harness.listen(
+        options, [](const std::shared_ptr<HttpServerConnection>& connection,
+                    const HttpRequestMessage& request) { connection->respond(ok(request.body)); });
+    const std::shared_ptr<RawPeer> caller = harness.caller(listener->address());
+    const auto post = [&caller](std::size_t bytes) {
+        caller->send(encode(
+            HttpRequestMessage{"POST", "/", {{"Host", "h"}}, std::string(bytes, 'b'), true}));
+    };
+    std::vector<std::string> responses;
+    caller->on_bytes = [&] {
+        const std::string body(responses.empty() ? 100 : 500, 'b');
+        const bool is_rejected = caller->received.find("HTTP/1.1 413 ") == 0;
+        if (!caller->ended && !is_rejected && !caller->received.ends_with(body)) {
+            return;
+        }
+        responses.push_back(caller->received.substr(0, 13));
+        caller->received.clear();
+        if (responses.size() == 1) {
+            options.limits.max_body_bytes = 500;
+            listener->set_options(options);
+            post(500);
+        } else if (responses.size() == 2) {
+            options.limits.max_body_bytes = 10;
+            listener->set_options(options);
+            post(11);
+        } else {
+            harness.loop.stop();
+        }
+    };
+    post(100);
+    harness.loop.run();
+    CHECK_FALSE(harness.hung);
+    CHECK(responses == std::vector<std::string>{"HTTP/1.1 200 ", "HTTP/1.1 200 ", "HTTP/1.1 413 "});
+    listener->close();
+}
+
 }  // namespace ebonymount
