--- a/src/front/target_pool.cpp
+++ b/src/front/target_pool.cpp
@@ -182,8 +182,8 @@
     const auto idle = std::find_if(channels.begin(), channels.end(),
                                    [](const Channel& channel) { return channel->is_idle(); });
     if (idle != channels.end()) {
-        const Channel closing = *idle;
-        closing->close();
+        // A copy, as the connection leaves `channels` when it closes.
+        Channel(*idle)->close();
     }
 }
 
