--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -276,9 +276,9 @@
 
 // Guards against a field that grows with the number of parts beyond what HTTP implementations take.
 TEST_CASE("the signatures of many parts take several lines") {
-    std::vector<std::string> signatures;
-    for (int part = 0; part < 2500; ++part) {
-        signatures.push_back(std::string(24, 's') + std::to_string(part));
+    std::vector<std::string> signatures(2500);
+    for (std::size_t part = 0; part < signatures.size(); ++part) {
+        signatures[part] = std::string(24, 's') + std::to_string(part);
     }
     const HttpResponseMessage response = platform::merged_response(signatures, 0, "");
     std::string joined;
