Tests: mutated messages include long signatures of parts

The node did not meet the fault: its targets sent a long signature only behind a sound one, and too seldom.

Change: a long field replaces the one of the same name, sound signatures have 64 bytes, and a ninth kind of malformed reply has a signature of 1,025, 16,384 or 65,390 bytes.

--- a/test/failure/test_mutated_messages.cpp
+++ b/test/failure/test_mutated_messages.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t REQUESTS = 600;
 constexpr std::size_t AT_ONCE = 12;
 /// Ways in which a reply is malformed.
-constexpr std::size_t KINDS = 8;
+constexpr std::size_t KINDS = 9;
 constexpr std::array<const char*, 12> FIELDS = {
     names::REQUEST_ID,  names::SIGNATURE, names::NOT_EXECUTED, names::INSTANCE_ID,
     names::LOAD,        names::COLD,      names::RATE_LIMIT,   names::LEAVING,
@@ -46,12 +46,19 @@
 HttpResponseMessage sound_response(const std::string& request_id) {
     HttpResponseMessage response;
     response.status = http::OK;
-    response.headers = {
-        {names::REQUEST_ID, request_id}, {names::SIGNATURE, "signature"}, {names::LOAD, "0.25"}};
+    response.headers = {{names::REQUEST_ID, request_id},
+                        {names::SIGNATURE, std::string(64, 's')},
+                        {names::LOAD, "0.25"}};
     response.body = "0123456789abcdef00112233445566ff";
     return response;
 }
 
+void replace_header(HttpResponseMessage& response, HttpHeader header) {
+    std::erase_if(response.headers,
+                  [&header](const HttpHeader& other) { return other.name == header.name; });
+    response.headers.push_back(std::move(header));
+}
+
 /// The malformed reply of that kind.
 Reply malformed_reply(const std::string& request_id, std::size_t kind, Random& random) {
     HttpResponseMessage response = sound_response(request_id);
@@ -64,8 +71,8 @@
         case 2:
             return {sound.substr(0, random() % sound.size()), true, kind};
         case 3:
-            response.headers.push_back(
-                {any_of(FIELDS, random), std::string(any_of(LENGTHS, random), 's')});
+            replace_header(response,
+                           {any_of(FIELDS, random), std::string(any_of(LENGTHS, random), 's')});
             return {encode(response, false), false, kind};
         case 4:
             response.headers.push_back({std::string(1 + any_of(LENGTHS, random), 'n'), "value"});
@@ -79,6 +86,13 @@
         case 6:
             response.body = std::string(any_of(LENGTHS, random), '[');
             return {encode(response, false), false, kind};
+        case 7: {
+            // The longest one just fits the head of a response, and no merged field of many.
+            constexpr std::array<std::size_t, 3> SIGNATURES = {1025, 16384, 65390};
+            replace_header(response,
+                           {names::SIGNATURE, std::string(any_of(SIGNATURES, random), 's')});
+            return {encode(response, false), false, kind};
+        }
         default:
             // Without one of its fields, and twice.
             response.headers.erase(response.headers.begin() + static_cast<int>(random() % 2));
