--- a/review/stand_in_3/world.cpp
+++ b/review/stand_in_3/world.cpp
@@ -565,7 +565,7 @@
                               {"X-Ebonymount-Instance-Id", m_id}},
                              "");
     }
-    m_runs.add({now_ms(), m_id, m_service, request_id});
+    m_runs.add({now_ms(), m_id, m_service, request_id, request.body.size()});
     ++m_running;
     sleep_ms(m_work_ms);
     const int running = --m_running;
--- a/review/stand_in_3/world.h
+++ b/review/stand_in_3/world.h
@@ -149,6 +149,7 @@
     std::string searcher;
     std::string service;
     std::string request_id;
+    std::size_t body_bytes = 0;
 };
 
 /// All runs at all searchers.
