--- a/review/13/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Case 13. With TROUBLE=0 the body is framed by its length.
-cd "$(dirname "$0")/../.." || exit 2
-exec timeout 118 build/review-3/case_13 review/13/record.txt
