--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -20,16 +20,11 @@
 constexpr std::int64_t CATCH_UP_MS = 4000;
 
 Json route_row(const std::string& name, const std::string& prefix, const std::string& service) {
-    return {{"name", name},
-            {"hostname", HOST},
-            {"path_prefix", prefix},
-            {"type", "idempotent"},
-            {"timeout_ms", 1200},
-            {"target_latency_ms", 150},
-            {"priority", 1},
-            {"service", service},
-            {"max_attempts", 2},
-            {"allowed_regions", Json::array()}};
+    return {{"name", name},          {"hostname", HOST},
+            {"path_prefix", prefix}, {"type", "idempotent"},
+            {"timeout_ms", 1200},    {"target_latency_ms", 150},
+            {"priority", 1},         {"service", service},
+            {"max_attempts", 2},     {"allowed_regions", Json::array()}};
 }
 
 Json config(std::int64_t version, const std::vector<Json>& routes) {
@@ -95,9 +90,9 @@
     store.set_stale_by(800);
     std::vector<std::unique_ptr<world::Searcher>> searchers;
     for (std::size_t i = 0; i < 6; ++i) {
-        searchers.push_back(std::make_unique<world::Searcher>(
-            "i-searcher-" + std::to_string(i), i < 3 ? OLD_SERVICE : NEW_SERVICE, places[i % 3].zone,
-            10, runs));
+        searchers.push_back(std::make_unique<world::Searcher>("i-searcher-" + std::to_string(i),
+                                                              i < 3 ? OLD_SERVICE : NEW_SERVICE,
+                                                              places[i % 3].zone, 10, runs));
         store.put("servers", searchers.back()->id(), searchers.back()->entry("ready"));
     }
     store.put("config", "main", config(7, {route_row("r-browse", "/browse/", OLD_SERVICE)}));
@@ -179,9 +174,9 @@
         return 2;
     }
     const bool broken = moved.run_by_old > 0 || added.unknown_route > 0;
-    record.line(std::string("CONFIG ") + (broken ? "broken" : "held") + "; after the old searchers left, " +
-                std::to_string(after.served) + " of " + std::to_string(5 * fronts.size()) +
-                " requests were served");
+    record.line(std::string("CONFIG ") + (broken ? "broken" : "held") +
+                "; after the old searchers left, " + std::to_string(after.served) + " of " +
+                std::to_string(5 * fronts.size()) + " requests were served");
     return broken ? 1 : 0;
 }
 
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -13,7 +13,8 @@
 constexpr const char* HOST = "stands.example";
 constexpr const char* SERVICE = "booking";
 constexpr double DRAIN_MS = 3000.0;
-/// "Continues serving for the same time": `drain_ms` after the acknowledgement, and a little longer.
+/// "Continues serving for the same time": `drain_ms` after the acknowledgement, and a little
+/// longer.
 constexpr std::int64_t SERVES_ON_MS = 3500;
 /// Network time of a request between a node and a searcher is far below this.
 constexpr double SLACK_MS = 50.0;
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -54,8 +54,7 @@
 private:
     void start() {
         m_server = std::make_unique<world::Server>(
-            "127.0.0.1", m_port,
-            [this](const world::Message& request) { return serve(request); });
+            "127.0.0.1", m_port, [this](const world::Message& request) { return serve(request); });
         m_born_ms = std::chrono::duration_cast<world::Milliseconds>(
                         std::chrono::system_clock::now().time_since_epoch())
                         .count();
@@ -63,14 +62,10 @@
     }
 
     Json entry() const {
-        return {{"service", SERVICE},
-                {"address", "127.0.0.1:" + std::to_string(m_port)},
-                {"zone", m_zone},
-                {"version", "v1"},
-                {"max_concurrency", 8},
-                {"state", "ready"},
-                {"cold_remaining_ms", 0},
-                {"sequence", 1},
+        return {{"service", SERVICE},     {"address", "127.0.0.1:" + std::to_string(m_port)},
+                {"zone", m_zone},         {"version", "v1"},
+                {"max_concurrency", 8},   {"state", "ready"},
+                {"cold_remaining_ms", 0}, {"sequence", 1},
                 {"born", m_born_ms}};
     }
 
@@ -152,9 +147,9 @@
     store.set_stale_by(800);
     std::vector<std::unique_ptr<FragileSearcher>> searchers;
     for (std::size_t i = 0; i < 9; ++i) {
-        searchers.push_back(std::make_unique<FragileSearcher>(
-            "i-searcher-" + std::to_string(i), places[i % 3].zone, free[20 + i], store, runs,
-            record));
+        searchers.push_back(std::make_unique<FragileSearcher>("i-searcher-" + std::to_string(i),
+                                                              places[i % 3].zone, free[20 + i],
+                                                              store, runs, record));
     }
     const Json route = {{"name", "stand-book"},
                         {"hostname", HOST},
@@ -261,8 +256,9 @@
                     answers.begin(), answers.end(),
                     [](const world::Answer& answer) { return answer.status == 200; })) +
                 " of " + std::to_string(answers.size()));
-    record.line("retries that reached a searcher later than stable_window_ms after the third crash: " +
-                std::to_string(retries.size()) + ", in " + std::to_string(sendings) + " sendings");
+    record.line(
+        "retries that reached a searcher later than stable_window_ms after the third crash: " +
+        std::to_string(retries.size()) + ", in " + std::to_string(sendings) + " sendings");
     return retries.size() > MAX_RETRIES ? 1 : 0;
 }
 
--- a/review/stand_in_3/world.cpp
+++ b/review/stand_in_3/world.cpp
@@ -1,7 +1,6 @@
 #include "world.h"
 
 #include <arpa/inet.h>
-#include <csignal>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,6 +9,7 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <csignal>
 
 #include <algorithm>
 #include <cstdlib>
@@ -61,8 +61,7 @@
     std::string pair;
     while (std::getline(pairs, pair, '&')) {
         const std::size_t equals = pair.find('=');
-        query[pair.substr(0, equals)] =
-            equals == std::string::npos ? "" : pair.substr(equals + 1);
+        query[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
     }
     return query;
 }
@@ -157,8 +156,7 @@
 bool send_all(int socket, const std::string& bytes) {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-        const ssize_t count =
-            send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        const ssize_t count = send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
         if (count <= 0) {
             return false;
         }
@@ -202,8 +200,8 @@
             const int on = 1;
             setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
             const sockaddr_in address = address_of(host, port);
-            is_free = is_free &&
-                      bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+            is_free = is_free && bind(socket, reinterpret_cast<const sockaddr*>(&address),
+                                      sizeof address) == 0;
             close(socket);
         }
         if (is_free) {
@@ -537,9 +535,9 @@
           "127.0.0.1", 0, [this](const Message& request) { return serve(request); })) {}
 
 Json Searcher::entry(const std::string& state) const {
-    return {{"service", m_service}, {"address", m_server->address()},
-            {"zone", m_zone},       {"version", "v1"},
-            {"max_concurrency", 8}, {"state", state},
+    return {{"service", m_service},   {"address", m_server->address()},
+            {"zone", m_zone},         {"version", "v1"},
+            {"max_concurrency", 8},   {"state", state},
             {"cold_remaining_ms", 0}, {"sequence", 1},
             {"born", m_born_ms}};
 }
@@ -670,15 +668,15 @@
 }
 
 bool FrontProcess::is_ready() const {
-    const int socket =
-        connect_to(m_place.host + ":" + std::to_string(m_ports.ready), 500);
+    const int socket = connect_to(m_place.host + ":" + std::to_string(m_ports.ready), 500);
     if (socket < 0) {
         return false;
     }
     std::string buffer;
     Message answer;
-    const bool ready = send_all(socket, "GET /ebonymount/readiness HTTP/1.1\r\nHost: ready\r\n\r\n") &&
-                       read_message(socket, buffer, answer, 500) && answer.status == 200;
+    const bool ready =
+        send_all(socket, "GET /ebonymount/readiness HTTP/1.1\r\nHost: ready\r\n\r\n") &&
+        read_message(socket, buffer, answer, 500) && answer.status == 200;
     close(socket);
     return ready;
 }
@@ -695,10 +693,9 @@
                       std::int64_t timeout_ms) {
     const double give_up = now_ms() + static_cast<double>(timeout_ms);
     while (now_ms() < give_up) {
-        if (std::all_of(fronts.begin(), fronts.end(),
-                        [](const std::unique_ptr<FrontProcess>& front) {
-                            return front->is_ready();
-                        })) {
+        if (std::all_of(
+                fronts.begin(), fronts.end(),
+                [](const std::unique_ptr<FrontProcess>& front) { return front->is_ready(); })) {
             return true;
         }
         sleep_ms(100);
@@ -733,8 +730,7 @@
 }  // namespace
 
 Answer send_once(const std::string& front, const std::string& host, const std::string& method,
-                 const std::string& path, const std::string& request_id,
-                 std::int64_t deadline_ms) {
+                 const std::string& path, const std::string& request_id, std::int64_t deadline_ms) {
     Answer answer;
     answer.request_id = request_id;
     answer.front = front;
@@ -808,9 +804,8 @@
 }
 
 Json service_row(const std::string& name) {
-    return {{"name", name},     {"health_path", "/health"}, {"max_connections", 96},
-            {"protocol", "h1"}, {"tls", false},             {"cold_start_s", 3.0},
-            {"cold_per_s", 0.0}};
+    return {{"name", name}, {"health_path", "/health"}, {"max_connections", 96}, {"protocol", "h1"},
+            {"tls", false}, {"cold_start_s", 3.0},      {"cold_per_s", 0.0}};
 }
 
 Json limits_row() {
--- a/review/stand_in_3/world.h
+++ b/review/stand_in_3/world.h
@@ -14,8 +14,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
-#include <thread>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace world {
@@ -57,7 +57,8 @@
 /// Reads one message. False if the stream ends or the time passes before it is complete.
 bool read_message(int socket, std::string& buffer, Message& message, std::int64_t timeout_ms);
 bool send_all(int socket, const std::string& bytes);
-std::string response_text(int status, const std::vector<std::pair<std::string, std::string>>& fields,
+std::string response_text(int status,
+                          const std::vector<std::pair<std::string, std::string>>& fields,
                           const std::string& body);
 int connect_to(const std::string& address, std::int64_t timeout_ms);
 
