--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -3,8 +3,6 @@
 //
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 #include <algorithm>
-#include <cstdio>
-#include <exception>
 
 #include "../stand_in_3/world.h"
 
@@ -18,6 +16,12 @@
 constexpr std::int64_t STABLE_MS = 4000;
 constexpr std::int64_t DOWN_MS = 3000;
 constexpr std::size_t MAX_RETRIES = 3;
+constexpr std::size_t CRASHES = 3;
+constexpr std::size_t FRONTS = 6;
+constexpr std::size_t ADDED_FRONTS = 3;
+constexpr std::size_t SEARCHERS = 9;
+constexpr std::size_t LATER_RETRIES = 62;
+constexpr std::int64_t RETRY_PAUSE_MS = 400;
 
 /// A searcher that the request for `BAD_PATH` crashes; it is back after some seconds, under its id
 /// and at its address.
@@ -128,151 +132,126 @@
     std::thread m_worker;
 };
 
-int play(world::Record& record) {
-    const bool trouble = world::has_trouble();
-    std::vector<world::FrontPlace> places;
-    const std::vector<std::string> zones = {"lowlands", "highlands", "borders"};
-    std::vector<std::string> hosts = {"127.0.0.1"};
-    for (std::size_t i = 0; i < 9; ++i) {
-        const std::string& region = zones[i % 3];
-        places.push_back({"front-" + region + "-a-" + std::to_string(i / 3 + 1),
-                          "127.0.1." + std::to_string(i + 1), region + "-a", region});
-        hosts.push_back(places.back().host);
+using Searchers = std::vector<std::unique_ptr<FragileSearcher>>;
+
+/// Sends the request that crashes its searchers to one front.
+void send_bad(const world::Deployment& deployment, std::size_t front, const std::string& request_id,
+              world::Record& record) {
+    const world::FrontProcess& node = *deployment.fronts()[front];
+    const world::Answer answer =
+        world::send_once(node.address(), HOST, "GET", BAD_PATH, request_id, 4000);
+    record.line(request_id + " at " + node.place().node + ": status " +
+                std::to_string(answer.status));
+}
+
+void record_reports(const world::Store& store, world::Record& record) {
+    record.line("crash reports in the store: " +
+                std::to_string(store.count("ebonymount-quarantine")));
+}
+
+/// The store comes back from its copy, and the searchers write their entries again.
+void return_from_copy(world::Store& store, const Searchers& searchers, world::Record& record) {
+    store.set_away(true);
+    record.line("the store is away");
+    world::sleep_ms(1000);
+    store.restore_copy();
+    store.set_away(false);
+    record.line("the store is back from the copy, revision " + std::to_string(store.revision()));
+    for (const std::unique_ptr<FragileSearcher>& searcher : searchers) {
+        searcher->register_again();
     }
-    const std::vector<int> free = world::free_ports(hosts, 30);
-    const world::Ports ports{free[0], free[1], free[2], free[3]};
-    world::Folder folder;
-    world::RunLog runs;
-    world::Store store("127.0.0.1");
-    store.set_stale_by(800);
-    std::vector<std::unique_ptr<FragileSearcher>> searchers;
-    for (std::size_t i = 0; i < 9; ++i) {
-        searchers.push_back(std::make_unique<FragileSearcher>("i-searcher-" + std::to_string(i),
-                                                              places[i % 3].zone, free[20 + i],
-                                                              store, runs, record));
+}
+
+/// Counts the retries that reached a searcher after that time.
+std::size_t count_retries(const std::vector<world::Run>& runs, double after_ms,
+                          world::Record& record) {
+    int sendings = 0;
+    std::set<std::string> retries;
+    for (const world::Run& run : runs) {
+        if (run.at_ms > after_ms) {
+            ++sendings;
+            retries.insert(run.request_id);
+        }
     }
-    const Json route = {{"name", "stand-book"},
-                        {"hostname", HOST},
-                        {"path_prefix", "/stands/"},
-                        {"type", "idempotent"},
-                        {"timeout_ms", 4000},
-                        {"target_latency_ms", 400},
-                        {"priority", 2},
-                        {"service", SERVICE},
-                        {"max_attempts", 2},
-                        {"allowed_regions", Json::array()}};
-    store.put("config", "main",
-              {{"version", 7},
-               {"routes", Json::array({route})},
-               {"services", Json::array({world::service_row(SERVICE)})},
-               {"limits", world::limits_row()}});
-    std::vector<std::unique_ptr<world::FrontProcess>> fronts;
-    const auto add_front = [&](std::size_t i, bool bootstrap) {
-        fronts.push_back(std::make_unique<world::FrontProcess>(places[i], ports, store.address(),
-                                                               places, folder.path()));
-        fronts.back()->start(bootstrap);
-    };
-    for (std::size_t i = 0; i < 6; ++i) {
-        add_front(i, true);
+    record.line(
+        "retries that reached a searcher later than stable_window_ms after the third crash: " +
+        std::to_string(retries.size()) + ", in " + std::to_string(sendings) + " sendings");
+    return retries.size();
+}
+
+Searchers start_searchers(world::Deployment& deployment, world::Record& record) {
+    Searchers searchers;
+    for (std::size_t i = 0; i < SEARCHERS; ++i) {
+        searchers.push_back(std::make_unique<FragileSearcher>(
+            "i-searcher-" + std::to_string(i), deployment.zone(i), deployment.searcher_port(i),
+            deployment.store(), deployment.runs(), record));
     }
-    if (!world::wait_until_ready(fronts, 10000)) {
+    return searchers;
+}
+
+int play(world::Record& record) {
+    world::Deployment deployment(FRONTS + ADDED_FRONTS);
+    world::Store& store = deployment.store();
+    const Searchers searchers = start_searchers(deployment, record);
+    store.put("config", "main",
+              world::config(7, {{"stand-book", HOST, "/stands/", "idempotent", 4000, 400, SERVICE}},
+                            {SERVICE}));
+    if (!deployment.start_fronts(FRONTS, true)) {
         record.line("the fronts are not ready");
         return 2;
     }
     world::Clients clients({HOST, "GET", "/stands/7", 4000, 60});
-    for (const std::unique_ptr<world::FrontProcess>& front : fronts) {
+    for (const std::unique_ptr<world::FrontProcess>& front : deployment.fronts()) {
         clients.start(front->address(), 2);
     }
     world::sleep_ms(8000);
     store.take_copy();
     record.line("a copy of the store is kept, revision " + std::to_string(store.revision()));
 
-    const auto send_bad = [&](std::size_t front, const std::string& label, int number) {
-        const world::Answer answer =
-            world::send_once(fronts[front]->address(), HOST, "GET", BAD_PATH,
-                             label + "-" + std::to_string(number), 4000);
-        record.line(label + "-" + std::to_string(number) + " at " + fronts[front]->place().node +
-                    ": status " + std::to_string(answer.status));
-        return answer.status;
-    };
     // It comes again until the nodes refuse it.
-    for (int i = 0; i < 6; ++i) {
-        send_bad(static_cast<std::size_t>(i) % 6, "first", i);
-        world::sleep_ms(400);
+    for (std::size_t i = 0; i < FRONTS; ++i) {
+        send_bad(deployment, i, "first-" + std::to_string(i), record);
+        world::sleep_ms(RETRY_PAUSE_MS);
     }
-    const std::vector<world::Run> first = runs.all();
-    if (first.size() < 3) {
-        record.line("fewer than three searchers crashed, so the case says nothing");
+    const std::vector<world::Run> first = deployment.runs().all();
+    if (first.size() < CRASHES) {
+        record.line("too few searchers crashed, so the case says nothing");
         return 2;
     }
-    const double third_crash_ms = first[2].at_ms;
+    const double counted_from_ms = first[CRASHES - 1].at_ms + static_cast<double>(STABLE_MS);
     world::sleep_ms(1000);
-    record.line("crash reports in the store: " +
-                std::to_string(store.count("ebonymount-quarantine")));
-    if (trouble) {
-        store.set_away(true);
-        record.line("the store is away");
-        world::sleep_ms(1000);
-        store.restore_copy();
-        store.set_away(false);
-        record.line("the store is back from the copy, revision " +
-                    std::to_string(store.revision()));
-        // What the searchers wrote is written again.
-        for (const std::unique_ptr<FragileSearcher>& searcher : searchers) {
-            searcher->register_again();
-        }
+    record_reports(store, record);
+    if (world::has_trouble()) {
+        return_from_copy(store, searchers, record);
     } else {
         world::sleep_ms(1000);
     }
     world::sleep_ms(6000);
-    for (std::size_t i = 6; i < 9; ++i) {
-        add_front(i, false);
-    }
-    if (!world::wait_until_ready(fronts, 10000)) {
+    if (!deployment.start_fronts(ADDED_FRONTS, false)) {
         record.line("the added fronts are not ready");
         return 2;
     }
     record.line("three machines are added");
     world::sleep_ms(2 * STABLE_MS);
-    record.line("crash reports in the store: " +
-                std::to_string(store.count("ebonymount-quarantine")));
+    record_reports(store, record);
     // The request comes again, at any machine.
-    for (int i = 0; i < 62; ++i) {
-        send_bad(static_cast<std::size_t>(62 - i) % fronts.size(), "again", i);
-        world::sleep_ms(400);
+    for (std::size_t i = 0; i < LATER_RETRIES; ++i) {
+        send_bad(deployment, (LATER_RETRIES - i) % deployment.fronts().size(),
+                 "again-" + std::to_string(i), record);
+        world::sleep_ms(RETRY_PAUSE_MS);
     }
     clients.stop();
-    int sendings = 0;
-    std::set<std::string> retries;
-    for (const world::Run& run : runs.all()) {
-        if (run.at_ms > third_crash_ms + static_cast<double>(STABLE_MS)) {
-            ++sendings;
-            retries.insert(run.request_id);
-        }
-    }
     const std::vector<world::Answer> answers = clients.answers();
     record.line("other requests served: " +
                 std::to_string(std::count_if(
                     answers.begin(), answers.end(),
                     [](const world::Answer& answer) { return answer.status == 200; })) +
                 " of " + std::to_string(answers.size()));
-    record.line(
-        "retries that reached a searcher later than stable_window_ms after the third crash: " +
-        std::to_string(retries.size()) + ", in " + std::to_string(sendings) + " sendings");
-    return retries.size() > MAX_RETRIES ? 1 : 0;
+    return count_retries(deployment.runs().all(), counted_from_ms, record) > MAX_RETRIES ? 1 : 0;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc != 2) {
-        return 2;
-    }
-    try {
-        world::Record record(argv[1]);
-        return play(record);
-    } catch (const std::exception& error) {
-        std::fprintf(stderr, "%s\n", error.what());
-        return 2;
-    }
+    return world::run_case(argc, argv, play);
 }
--- a/review/stand_in_3/world.cpp
+++ b/review/stand_in_3/world.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
@@ -45,12 +46,12 @@
     if (poll(&state, 1, static_cast<int>(timeout_ms)) <= 0) {
         return false;
     }
-    char chunk[65536];
-    const ssize_t count = recv(socket, chunk, sizeof chunk, 0);
+    std::array<char, 65536> chunk{};
+    const ssize_t count = recv(socket, chunk.data(), chunk.size(), 0);
     if (count <= 0) {
         return false;
     }
-    buffer.append(chunk, static_cast<std::size_t>(count));
+    buffer.append(chunk.data(), static_cast<std::size_t>(count));
     return true;
 }
 
@@ -627,16 +628,17 @@
     out.close();
     const std::string log = m_folder + "/" + m_place.node + ".log";
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    const std::string setting = "EBONYMOUNT_BOOT=" + file;
-    char* const arguments[] = {const_cast<char*>("target/ebonymount_front"), nullptr};
-    char* const environment[] = {const_cast<char*>(setting.c_str()),
-                                 const_cast<char*>("PATH=/usr/bin:/bin"), nullptr};
+    std::string program = "target/ebonymount_front";
+    std::string setting = "EBONYMOUNT_BOOT=" + file;
+    std::string path = "PATH=/usr/bin:/bin";
+    const std::array<char*, 2> arguments = {program.data(), nullptr};
+    const std::array<char*, 3> environment = {setting.data(), path.data(), nullptr};
     m_pid = fork();
     if (m_pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(output, 1);
         dup2(output, 2);
-        execve(arguments[0], arguments, environment);
+        execve(program.c_str(), arguments.data(), environment.data());
         _exit(127);
     }
     close(output);
@@ -803,16 +805,39 @@
     return m_answers;
 }
 
-Json service_row(const std::string& name) {
-    return {{"name", name}, {"health_path", "/health"}, {"max_connections", 96}, {"protocol", "h1"},
-            {"tls", false}, {"cold_start_s", 3.0},      {"cold_per_s", 0.0}};
-}
-
-Json limits_row() {
-    return {{"max_header_bytes", 16384},
-            {"max_body_bytes", 262144},
-            {"header_timeout_ms", 3000},
-            {"idle_timeout_ms", 15000}};
+Json config(std::int64_t version, const std::vector<RouteRow>& routes,
+            const std::vector<std::string>& services) {
+    Json route_rows = Json::array();
+    for (const RouteRow& route : routes) {
+        route_rows.push_back({{"name", route.name},
+                              {"hostname", route.host},
+                              {"path_prefix", route.path_prefix},
+                              {"type", route.type},
+                              {"timeout_ms", route.timeout_ms},
+                              {"target_latency_ms", route.target_latency_ms},
+                              {"priority", 2},
+                              {"service", route.service},
+                              {"max_attempts", 2},
+                              {"allowed_regions", Json::array()}});
+    }
+    Json service_rows = Json::array();
+    for (const std::string& name : services) {
+        service_rows.push_back({{"name", name},
+                                {"health_path", "/health"},
+                                {"max_connections", 96},
+                                {"protocol", "h1"},
+                                {"tls", false},
+                                {"cold_start_s", 3.0},
+                                {"cold_per_s", 0.0}});
+    }
+    return {{"version", version},
+            {"routes", route_rows},
+            {"services", service_rows},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 262144},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 15000}}}};
 }
 
 Folder::Folder() {
@@ -834,6 +859,87 @@
     return m_path;
 }
 
+namespace {
+
+constexpr std::size_t FRONT_PORTS = 20;
+constexpr std::size_t SEARCHER_PORTS = 12;
+
+std::vector<FrontPlace> make_places(std::size_t count) {
+    const std::array<std::string, 3> regions = {"lowlands", "highlands", "borders"};
+    std::vector<FrontPlace> places;
+    places.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string& region = regions.at(i % regions.size());
+        places.push_back({"front-" + region + "-a-" + std::to_string(i / regions.size() + 1),
+                          "127.0.1." + std::to_string(i + 1), region + "-a", region});
+    }
+    return places;
+}
+
+std::vector<std::string> hosts_of(const std::vector<FrontPlace>& places) {
+    std::vector<std::string> hosts = {"127.0.0.1"};
+    for (const FrontPlace& place : places) {
+        hosts.push_back(place.host);
+    }
+    return hosts;
+}
+
+}  // namespace
+
+Deployment::Deployment(std::size_t places)
+    : m_places(make_places(places)),
+      m_free_ports(free_ports(hosts_of(m_places), FRONT_PORTS + SEARCHER_PORTS)),
+      m_ports{m_free_ports.at(0), m_free_ports.at(1), m_free_ports.at(2), m_free_ports.at(3)},
+      m_store("127.0.0.1") {
+    // As old as on the site without any disruption.
+    constexpr std::int64_t USUAL_STALE_MS = 800;
+    m_store.set_stale_by(USUAL_STALE_MS);
+}
+
+Store& Deployment::store() {
+    return m_store;
+}
+
+RunLog& Deployment::runs() {
+    return m_runs;
+}
+
+const std::vector<std::unique_ptr<FrontProcess>>& Deployment::fronts() const {
+    return m_fronts;
+}
+
+const std::string& Deployment::zone(std::size_t place) const {
+    return m_places.at(place % m_places.size()).zone;
+}
+
+int Deployment::searcher_port(std::size_t number) const {
+    return m_free_ports.at(FRONT_PORTS + number);
+}
+
+bool Deployment::start_fronts(std::size_t count, bool bootstrap) {
+    constexpr std::int64_t READY_TIMEOUT_MS = 10000;
+    for (std::size_t i = 0; i < count; ++i) {
+        m_fronts.push_back(std::make_unique<FrontProcess>(
+            m_places.at(m_fronts.size()), m_ports, m_store.address(), m_places, m_folder.path()));
+        m_fronts.back()->start(bootstrap);
+    }
+    return wait_until_ready(m_fronts, READY_TIMEOUT_MS);
+}
+
+int run_case(int argc, char** argv, int (*play)(Record& record)) {
+    constexpr int CANNOT_RUN = 2;
+    if (argc != 2) {
+        return CANNOT_RUN;
+    }
+    try {
+        Record record(argv[1]);
+        return play(record);
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return CANNOT_RUN;
+    }
+}
+
 bool has_trouble() {
     const char* trouble = std::getenv("TROUBLE");
     return trouble == nullptr || std::string(trouble) != "0";
--- a/review/stand_in_3/world.h
+++ b/review/stand_in_3/world.h
@@ -284,11 +284,22 @@
     std::vector<std::thread> m_threads;
 };
 
-/// A configuration's row of a service.
-Json service_row(const std::string& name);
-Json limits_row();
+/// A configuration's row of a route that one service serves.
+struct RouteRow {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    std::string type = "idempotent";
+    std::int64_t timeout_ms = 4000;
+    std::int64_t target_latency_ms = 400;
+    std::string service;
+};
+
+/// A whole configuration, with the limits of the site.
+Json config(std::int64_t version, const std::vector<RouteRow>& routes,
+            const std::vector<std::string>& services);
 
-/// A temporary folder, removed at the end.
+/// A temporary folder, removed at the end unless the variable KEEP_LOGS is set.
 class Folder {
 public:
     Folder();
@@ -303,6 +314,38 @@
     std::string m_path;
 };
 
+/// The store, the front nodes and their places: one after the other in three zones, each of which
+/// is a region.
+class Deployment {
+public:
+    /// Throws std::runtime_error if no ports are free.
+    explicit Deployment(std::size_t places);
+
+    Store& store();
+    RunLog& runs();
+    const std::vector<std::unique_ptr<FrontProcess>>& fronts() const;
+    /// Zone of the place.
+    const std::string& zone(std::size_t place) const;
+    /// A port for a searcher that keeps its address.
+    int searcher_port(std::size_t number) const;
+
+    /// Starts fronts at the next places and waits until all are ready; false if they are not.
+    bool start_fronts(std::size_t count, bool bootstrap);
+
+private:
+    std::vector<FrontPlace> m_places;
+    std::vector<int> m_free_ports;
+    Ports m_ports;
+    Folder m_folder;
+    RunLog m_runs;
+    Store m_store;
+    std::vector<std::unique_ptr<FrontProcess>> m_fronts;
+};
+
+/// Runs a case and returns the exit code of its script: what `play` returns, or 2 after an
+/// exception or without the path of the record.
+int run_case(int argc, char** argv, int (*play)(Record& record));
+
 /// False if the variable TROUBLE is 0.
 bool has_trouble();
 
