Front: say which era and revision a node's store data is of

The logs could not tell whether the store had gone back, lagged, or a version was refused: an update that is older than the node's data was dropped without a line, and the header Store-Era was not read at all.

Change: platform/ decodes Store-Era (absent, empty, negative, huge or broken: unknown, named in an `ignored_era` line). New lines `era`, `history_gone`, `older_list`, `older_version`; gauges ebonymount_store_era and ebonymount_front_config_version; counter ebonymount_store_older_lists_total. No decision changes.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -107,6 +107,13 @@
         }
         const std::int64_t version = value_of(table).version;
         if (m_table.has_value() && version <= m_table->version) {
+            if (version < m_table->version) {
+                LogEvent(LogLevel::warning, "config", "older_version")
+                    .add("version", version)
+                    .add("in_force", m_table->version)
+                    .add("revision", object.revision)
+                    .write();
+            }
             continue;
         }
         LogEvent(LogLevel::info, "config", "accepted")
@@ -119,6 +126,7 @@
             .add_ms("age_ms", m_state.store_source.age)
             .write();
         m_table = std::move(std::get<RouteTable>(table));
+        m_state.counters.config_version = version;
         m_handlers.on_table(*m_table);
         rebuild_view();
     }
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -71,6 +71,8 @@
     Counter& crash_reports_stored;
     Counter& crash_reports_failed;
     Counter& crash_reports_dropped;
+    /// Gauge: version of the configuration that is in force at this node.
+    Counter& config_version;
     Histogram& request_time;
     Histogram& attempt_time;
 };
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -4,7 +4,7 @@
 
 #include "io/exception_guard.h"
 #include "io/http_status.h"
-#include "io/log.h"
+#include "io/log_event.h"
 
 namespace ebonymount {
 namespace {
@@ -149,7 +149,11 @@
         if (self != nullptr) {
             self->m_loop.cancel(timer);
             const bool is_awaited = !self->m_stopped && self->m_call_number == number;
-            if (is_awaited && !run_guarded("store", [&] { on_end(status, response); })) {
+            const auto handle = [&] {
+                self->report_era(response);
+                on_end(status, response);
+            };
+            if (is_awaited && !run_guarded("store", handle)) {
                 self->m_listed_objects.clear();
                 self->on_failure("exception");
             }
@@ -230,8 +234,10 @@
 
 void KindWatcher::on_watch_end(CallStatus status, const HttpResponseMessage& response) {
     if (status == CallStatus::answered && response.status == http::GONE) {
-        log_info("store", std::string(platform::name_of(m_options.kind)) +
-                              ": the store's history is gone, reading the list again");
+        LogEvent(LogLevel::info, "store", "history_gone")
+            .add("kind", platform::name_of(m_options.kind))
+            .add("revision", m_revision)
+            .write();
         on_success(m_complete_at);
         m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
         read_list();
@@ -279,6 +285,20 @@
     }
 }
 
+void KindWatcher::report_era(const HttpResponseMessage& response) {
+    const platform::StatedEra stated = platform::decode_era(response.headers);
+    if (!stated.ignored.empty() && stated.ignored != m_ignored_era) {
+        LogEvent(LogLevel::warning, "store", "ignored_era")
+            .add("kind", platform::name_of(m_options.kind))
+            .add("value", stated.ignored)
+            .write();
+    }
+    m_ignored_era = stated.ignored;
+    if (stated.era != UNKNOWN_ERA && m_handlers.on_era) {
+        m_handlers.on_era(stated.era);
+    }
+}
+
 void KindWatcher::on_success(Time complete_at) {
     m_complete_at = std::max(m_complete_at, complete_at);
     if (m_consecutive_failures > 0) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -76,6 +76,8 @@
     std::function<void(std::int64_t revision, bool is_current)> on_revision{};
     /// True while recent data may be too old, as another watcher has found. May be empty.
     std::function<bool()> must_read_current{};
+    /// Receives the era of the store that a response states. May be empty.
+    std::function<void(std::int64_t era)> on_era{};
 };
 
 class KindWatcher : public std::enable_shared_from_this<KindWatcher> {
@@ -135,6 +137,7 @@
     void log_objects_without_name(const platform::ObjectPage& page) const;
     void on_success(Time complete_at);
     void report_revision(std::int64_t revision) const;
+    void report_era(const HttpResponseMessage& response);
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
@@ -150,6 +153,8 @@
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
     std::int64_t m_revision = 0;
+    /// The last era that could not be used, which is logged once.
+    std::string m_ignored_era;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
     Time m_reads_current_until{};
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -65,6 +65,8 @@
       m_state_age_ms(metrics.counter("ebonymount_store_state_age_ms")),
       m_source_own(metrics.counter("ebonymount_store_source{kind=\"own\"}")),
       m_source_reader(metrics.counter("ebonymount_store_source{kind=\"reader\"}")),
+      m_store_era(metrics.counter("ebonymount_store_era")),
+      m_older_lists(metrics.counter("ebonymount_store_older_lists_total")),
       m_traffic{metrics.counter("ebonymount_peer_bytes_in_total"),
                 metrics.counter("ebonymount_peer_bytes_out_total")},
       m_peers(loop, m_traffic) {
@@ -157,6 +159,9 @@
         handlers.must_read_current = [this] {
             return has_recent_store_failure();
         };
+        handlers.on_era = [this, kind](std::int64_t era) {
+            on_store_era(kind, era);
+        };
         if (!is_probe) {
             handlers.is_store_failing = [this] {
                 return m_watchers.front()->is_failing();
@@ -211,6 +216,10 @@
 
 void StoreFeed::apply_update(KindUpdate update) {
     const Time now = monotonic_now();
+    const std::int64_t known_revision = revision_of(m_mirror, update.kind);
+    if (update.is_list && update.revision < known_revision) {
+        report_ignored(update, known_revision);
+    }
     const std::optional<KindUpdate> fresh = merge_update(m_mirror, std::move(update), now);
     if (!fresh.has_value()) {
         return;
@@ -283,6 +292,29 @@
     });
 }
 
+void StoreFeed::on_store_era(platform::Kind kind, std::int64_t era) {
+    if (era == m_era) {
+        return;
+    }
+    LogEvent(m_era == UNKNOWN_ERA ? LogLevel::info : LogLevel::warning, "store", "era")
+        .add("era", era)
+        .add("before", m_era)
+        .add("kind", platform::name_of(kind))
+        .write();
+    m_era = era;
+    m_store_era = era;
+}
+
+void StoreFeed::report_ignored(const KindUpdate& update, std::int64_t known_revision) {
+    ++m_older_lists;
+    LogEvent(LogLevel::warning, "store", "older_list")
+        .add("kind", platform::name_of(update.kind))
+        .add("revision", update.revision)
+        .add("known_revision", known_revision)
+        .add("objects", static_cast<std::int64_t>(update.objects.size()))
+        .write();
+}
+
 Duration StoreFeed::age(Time now) const {
     return now - std::max(m_source.last_contact, own_contact());
 }
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -97,6 +97,9 @@
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
     void on_store_revision(platform::Kind kind, std::int64_t revision, bool is_current);
+    void on_store_era(platform::Kind kind, std::int64_t era);
+    /// Counts and logs an update that the mirror does not take although it is not known yet.
+    void report_ignored(const KindUpdate& update, std::int64_t known_revision);
     /// Other nodes rely on what this node reads.
     bool reads_for_others() const;
     Duration age(Time now) const;
@@ -142,6 +145,10 @@
     Counter& m_state_age_ms;
     Counter& m_source_own;
     Counter& m_source_reader;
+    /// Gauge: the store's era, as last stated.
+    Counter& m_store_era;
+    /// Lists that were not applied because they are older than this node's data.
+    Counter& m_older_lists;
     TrafficCounters m_traffic;
     PeerPool m_peers;
     std::shared_ptr<PeerServer> m_server;
@@ -149,6 +156,8 @@
     std::vector<Follower> m_followers;
     StoreMirror m_mirror;
     StoreProgress m_progress;
+    /// The highest era that the store has stated.
+    std::int64_t m_era = UNKNOWN_ERA;
     std::vector<Member> m_members;
     StoreSource m_source;
     Random m_random{process_seed()};
--- /dev/null
+++ b/src/policy/store_position.h
@@ -0,0 +1,32 @@
+// How far a read of the platform's store has come.
+//
+// Revisions rise with each change, but only as long as the store keeps what it has acknowledged. A
+// store that returns from an older copy gives revisions out again, for other contents, and begins a
+// new era. So only the era and the revision together say which of two states is the newer one.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace ebonymount {
+
+/// Era of data whose source does not state one. It precedes every stated era.
+constexpr std::int64_t UNKNOWN_ERA = -1;
+
+/// A greater number is no era: the largest whole number that JSON carries exactly.
+constexpr std::int64_t MAX_ERA = (std::int64_t{1} << 53) - 1;
+
+/// A state of the store. Positions are ordered from older to newer.
+struct StorePosition {
+    std::int64_t era = UNKNOWN_ERA;
+    /// 0 before anything has been read.
+    std::int64_t revision = 0;
+
+    friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
+/// The position as text, for log lines: `3/1207`, or `-/1207` if the era is unknown.
+std::string describe(const StorePosition& position);
+
+}  // namespace ebonymount
--- a/test/correctness/test_platform.cpp
+++ b/test/correctness/test_platform.cpp
@@ -75,6 +75,24 @@
     }
 }
 
+// Guards against an era that is taken for one although the header cannot be read.
+TEST_CASE("the store's era is a whole number, or it is unknown and the value is named") {
+    CHECK(platform::decode_era({}) == platform::StatedEra{});
+    CHECK(platform::decode_era({{"store-era", "7"}}) == platform::StatedEra{7, ""});
+    CHECK(platform::decode_era({{"Store-Era", "0"}}).era == 0);
+    CHECK(platform::decode_era({{"Store-Era", std::to_string(MAX_ERA)}}).era == MAX_ERA);
+    const std::string huge = std::to_string(MAX_ERA + 1);
+    for (const std::string& text :
+         {std::string(), std::string("-1"), std::string("+3"), std::string("3.0"),
+          std::string("3 4"), std::string("x"), huge, std::string(5000, '9')}) {
+        CAPTURE(text);
+        const platform::StatedEra stated = platform::decode_era({{"Store-Era", text}});
+        CHECK(stated.era == UNKNOWN_ERA);
+        CHECK_FALSE(stated.ignored.empty());
+        CHECK(stated.ignored.size() <= 50);
+    }
+}
+
 TEST_CASE("a configuration is decoded into a route table") {
     const std::string spec = R"({"version": 7, "routes": [
         {"name": "all", "hostname": "h", "path_prefix": "/a/", "type": "idempotent",
