Stand-in of the store: era, return from an older copy, and recent reads of the earlier era

Revisions go back and are given out again, watches from revisions that it does not have get 410, and Store-Era, in all responses, rises by one. The header can be left out or broken.

--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -3,9 +3,11 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <set>
 #include <stdexcept>
 
 #include "io/http_status.h"
+#include "platform/names.h"
 
 namespace standin {
 
@@ -80,12 +82,16 @@
 }
 
 void PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) {
-    m_changes.push_back({kind, name, ++m_revision, monotonic_now(), false, spec});
-    respond_to_watches();
+    append(kind, name, false, spec);
 }
 
 void PlatformStore::remove(const std::string& kind, const std::string& name) {
-    m_changes.push_back({kind, name, ++m_revision, monotonic_now(), true, nullptr});
+    append(kind, name, true, nullptr);
+}
+
+void PlatformStore::append(const std::string& kind, const std::string& name, bool removed,
+                           const Json& spec) {
+    m_history.changes.push_back({kind, name, ++m_history.revision, monotonic_now(), removed, spec});
     respond_to_watches();
 }
 
@@ -99,8 +105,32 @@
 }
 
 void PlatformStore::compact() {
-    m_oldest_revision = m_revision;
+    m_oldest_revision = m_history.revision;
+    respond_to_watches();
+}
+
+void PlatformStore::take_copy() {
+    m_copy = m_history;
+}
+
+std::vector<std::pair<std::string, std::string>> PlatformStore::return_from_copy() {
+    History copy = m_copy.value_or(m_history);
+    copy.era = m_history.era + 1;
+    std::set<std::pair<std::string, std::string>> lost;
+    for (std::size_t i = copy.changes.size(); i < m_history.changes.size(); ++i) {
+        lost.emplace(m_history.changes[i].kind, m_history.changes[i].name);
+    }
+    m_earlier_history = std::move(m_history);
+    m_history = std::move(copy);
+    m_oldest_revision = std::min(m_oldest_revision, m_history.revision);
+    m_copy.reset();
     respond_to_watches();
+    return {lost.begin(), lost.end()};
+}
+
+void PlatformStore::set_era_header(std::optional<std::string> text) {
+    m_has_era_header = text.has_value();
+    m_era_text = std::move(text);
 }
 
 std::string PlatformStore::address() const {
@@ -174,28 +204,33 @@
     write(connection, request.method, kind, name, body.value("spec", Json()));
 }
 
-std::size_t PlatformStore::visible_changes(bool stale) const {
+const PlatformStore::History& PlatformStore::history_for(bool stale) const {
+    return stale && m_faults.stale_reads_are_of_earlier_era ? m_earlier_history : m_history;
+}
+
+std::size_t PlatformStore::visible_changes(const History& history, bool stale) const {
     const ebonymount::Time now = monotonic_now();
     const ebonymount::Time until =
         stale ? std::min(now - m_faults.stale_by, m_faults.stale_until) : now;
-    std::size_t count = m_changes.size();
-    while (count > 0 && m_changes[count - 1].at > until) {
+    std::size_t count = history.changes.size();
+    while (count > 0 && history.changes[count - 1].at > until) {
         --count;
     }
     return count;
 }
 
 std::map<std::string, const PlatformStore::Change*> PlatformStore::objects_of(
-    const std::string& kind, std::size_t changes) const {
+    const History& history, const std::string& kind, std::size_t changes) {
     std::map<std::string, const Change*> objects;
     for (std::size_t i = 0; i < changes; ++i) {
-        if (m_changes[i].kind != kind) {
+        const Change& change = history.changes[i];
+        if (change.kind != kind) {
             continue;
         }
-        if (m_changes[i].removed) {
-            objects.erase(m_changes[i].name);
+        if (change.removed) {
+            objects.erase(change.name);
         } else {
-            objects[m_changes[i].name] = &m_changes[i];
+            objects[change.name] = &change;
         }
     }
     return objects;
@@ -203,17 +238,21 @@
 
 void PlatformStore::list(const Connection& connection, const std::string& kind,
                          const Query& query) {
-    const std::size_t changes = visible_changes(query.count("allow_stale") > 0);
-    const std::map<std::string, const Change*> objects = objects_of(kind, changes);
+    const bool is_stale = query.count("allow_stale") > 0;
+    const History& history = history_for(is_stale);
+    const std::size_t changes = visible_changes(history, is_stale);
+    const std::map<std::string, const Change*> objects = objects_of(history, kind, changes);
     const auto after = query.find("after");
     auto next = after == query.end() ? objects.begin() : objects.upper_bound(after->second);
     Json items = Json::array();
     for (; next != objects.end() && items.size() < PAGE_SIZE; ++next) {
         items.push_back(object_json(next->first, next->second->revision, next->second->spec));
     }
-    const std::int64_t revision = changes == 0 ? 1 : m_changes[changes - 1].revision;
-    respond(connection, ebonymount::http::OK,
-            {{"items", items}, {"has_more", next != objects.end()}, {"store_revision", revision}});
+    const std::int64_t revision = changes == 0 ? 1 : history.changes[changes - 1].revision;
+    respond_as_of(
+        connection, ebonymount::http::OK,
+        {{"items", items}, {"has_more", next != objects.end()}, {"store_revision", revision}},
+        history.era);
 }
 
 void PlatformStore::watch(const Connection& connection, const std::string& address,
@@ -230,17 +269,19 @@
 }
 
 bool PlatformStore::try_respond(const Watch& watch) {
-    if (watch.after < m_oldest_revision) {
-        respond(watch.connection, ebonymount::http::GONE, Json::object());
+    const History& history = history_for(watch.stale);
+    if (watch.after < m_oldest_revision || watch.after > history.revision) {
+        respond_as_of(watch.connection, ebonymount::http::GONE, Json::object(), history.era);
         return true;
     }
     Json events = Json::array();
-    const std::size_t changes = visible_changes(watch.stale);
+    const std::size_t changes = visible_changes(history, watch.stale);
     const auto first = std::upper_bound(
-        m_changes.begin(), m_changes.end(), watch.after,
+        history.changes.begin(), history.changes.end(), watch.after,
         [](std::int64_t revision, const Change& change) { return revision < change.revision; });
-    for (std::size_t i = static_cast<std::size_t>(first - m_changes.begin()); i < changes; ++i) {
-        const Change& change = m_changes[i];
+    for (std::size_t i = static_cast<std::size_t>(first - history.changes.begin()); i < changes;
+         ++i) {
+        const Change& change = history.changes[i];
         if (change.kind == watch.kind) {
             events.push_back({{"deleted", change.removed},
                               {"object", object_json(change.name, change.revision, change.spec)}});
@@ -249,9 +290,11 @@
     if (events.empty() && monotonic_now() < watch.until) {
         return false;
     }
-    const std::int64_t revision = changes == 0 ? watch.after : m_changes[changes - 1].revision;
-    respond(watch.connection, ebonymount::http::OK,
-            {{"events", events}, {"store_revision", std::max(watch.after, revision)}});
+    const std::int64_t revision =
+        changes == 0 ? watch.after : history.changes[changes - 1].revision;
+    respond_as_of(watch.connection, ebonymount::http::OK,
+                  {{"events", events}, {"store_revision", std::max(watch.after, revision)}},
+                  history.era);
     return true;
 }
 
@@ -274,7 +317,8 @@
 
 void PlatformStore::write(const Connection& connection, const std::string& method,
                           const std::string& kind, const std::string& name, const Json& spec) {
-    const std::map<std::string, const Change*> objects = objects_of(kind, m_changes.size());
+    const std::map<std::string, const Change*> objects =
+        objects_of(m_history, kind, m_history.changes.size());
     const bool exists = objects.count(name) > 0;
     int status = ebonymount::http::OK;
     if (method == "POST" && exists) {
@@ -290,13 +334,22 @@
         connection->drop();
         return;
     }
-    respond(connection, status, object_json(name, m_revision, spec));
+    respond(connection, status, object_json(name, m_history.revision, spec));
 }
 
 void PlatformStore::respond(const Connection& connection, int status, const Json& body) {
+    respond_as_of(connection, status, body, m_history.era);
+}
+
+void PlatformStore::respond_as_of(const Connection& connection, int status, const Json& body,
+                                  std::int64_t era) {
     HttpResponseMessage response;
     response.status = status;
     response.headers.push_back({"Content-Type", "application/json"});
+    if (m_has_era_header) {
+        response.headers.push_back(
+            {ebonymount::platform::names::STORE_ERA, m_era_text.value_or(std::to_string(era))});
+    }
     response.body = body.dump();
     connection->respond(std::move(response));
 }
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,9 @@
     ebonymount::Duration stale_by = ebonymount::from_ms(500);
     /// Stale reads return nothing that was written later.
     ebonymount::Time stale_until = ebonymount::Time::max();
+    /// Stale reads are answered from the history before the latest return from a copy, with its
+    /// era.
+    bool stale_reads_are_of_earlier_era = false;
 };
 
 class PlatformStore {
@@ -60,6 +64,18 @@
     /// Drops the history, so that watches from an older revision get status 410 (Gone).
     void compact();
 
+    /// Keeps a copy of the present state.
+    void take_copy();
+    /// Returns from that copy, or from the present state if none was taken: what was written since
+    /// is gone, its revisions are given out again, watches from them get status 410 (Gone), and the
+    /// era rises by one. The objects that were lost are returned by kind and name, so that their
+    /// writers can write them again.
+    std::vector<std::pair<std::string, std::string>> return_from_copy();
+
+    /// Text of the header that states the era, instead of its number; without a value, there is no
+    /// such header.
+    void set_era_header(std::optional<std::string> text);
+
     /// The address, with the port that the system chose if the given port was 0.
     std::string address() const;
 
@@ -86,6 +102,12 @@
         ebonymount::Time until{};
     };
     using Query = std::map<std::string, std::string>;
+    /// What a read is answered from: the changes of an era.
+    struct History {
+        std::vector<Change> changes;
+        std::int64_t revision = 1;
+        std::int64_t era = 1;
+    };
 
     /// Listens at an address and returns it, with the port that the system chose if that was 0.
     std::string listen(const std::string& address);
@@ -108,11 +130,18 @@
     /// Returns false for any other watch.
     bool try_respond(const Watch& watch);
     void respond(const Connection& connection, int status, const nlohmann::json& body);
+    void respond_as_of(const Connection& connection, int status, const nlohmann::json& body,
+                       std::int64_t era);
+    /// The history that a read sees.
+    const History& history_for(bool stale) const;
     /// Number of changes, from the oldest, that a read sees.
-    std::size_t visible_changes(bool stale) const;
+    std::size_t visible_changes(const History& history, bool stale) const;
     /// Objects of a kind by name, after the given number of changes.
-    std::map<std::string, const Change*> objects_of(const std::string& kind,
-                                                    std::size_t changes) const;
+    static std::map<std::string, const Change*> objects_of(const History& history,
+                                                           const std::string& kind,
+                                                           std::size_t changes);
+    void append(const std::string& kind, const std::string& name, bool removed,
+                const nlohmann::json& spec);
     void poll_watches();
 
     ebonymount::EventLoop& m_loop;
@@ -120,9 +149,14 @@
     std::map<std::pair<std::string, std::string>, Outage> m_kind_outages;
     ebonymount::Random m_random;
     PlatformFaults m_faults;
-    std::vector<Change> m_changes;
-    std::int64_t m_revision = 1;
+    History m_history;
+    /// Before the latest return from a copy.
+    History m_earlier_history;
+    std::optional<History> m_copy;
     std::int64_t m_oldest_revision = 1;
+    bool m_has_era_header = true;
+    /// Instead of the number of the era.
+    std::optional<std::string> m_era_text;
     std::int64_t m_calls = 0;
     std::list<Watch> m_watches;
 };
