Tests: changes after the store has returned from an older copy (fails)

The test fleet's copy of the store now forgets what a list no longer has, so that a lost object that stays is seen.

--- /dev/null
+++ b/test/failure/test_store_return.cpp
@@ -0,0 +1,174 @@
+// The store returns from an older copy: what it had acknowledged since is gone, and its revisions
+// go back and are given out again. Each case runs until a condition holds; no check depends on
+// elapsed time.
+#include <catch2/catch.hpp>
+
+#include "feed_fleet.h"
+#include "front_fleet.h"
+#include "platform/names.h"
+
+namespace ebonymount {
+namespace {
+
+namespace names = platform::names;
+
+/// Changes that are lost in a return, and that raise the revision above those that follow it.
+constexpr int LOST_CHANGES = 30;
+
+/// The store is away, returns from its copy, and answers again.
+void return_from_copy(standin::PlatformStore& store) {
+    standin::PlatformFaults away = store.faults();
+    const standin::PlatformFaults before = away;
+    away.outage = standin::Outage::reset;
+    store.set_faults(away);
+    store.return_from_copy();
+    store.set_faults(before);
+}
+
+/// Sends requests to each node all the time, and keeps what became of the latest ones.
+class Prober {
+public:
+    Prober(FrontFleet& fleet, std::size_t nodes, std::vector<std::string> paths)
+        : m_fleet(fleet), m_nodes(nodes), m_paths(std::move(paths)) {}
+
+    void begin() {
+        for (std::size_t node = 0; node < m_nodes; ++node) {
+            for (const std::string& path : m_paths) {
+                send(node, path);
+            }
+        }
+    }
+
+    /// True if the latest response of each node for the path has that status.
+    bool all_end_with(const std::string& path, int status) const {
+        for (std::size_t node = 0; node < m_nodes; ++node) {
+            const auto found = m_statuses.find({node, path});
+            if (found == m_statuses.end() || found->second != status) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// True if the latest requests for the path, some for each node, all arrived at targets whose
+    /// names begin so.
+    bool all_reach(const std::string& path, const std::string& target) const {
+        std::size_t latest = 0;
+        const std::vector<FleetArrival>& arrivals = m_fleet.arrivals();
+        for (auto arrival = arrivals.rbegin(); arrival != arrivals.rend() && latest < 8 * m_nodes;
+             ++arrival) {
+            if (arrival->path == path) {
+                ++latest;
+                if (arrival->target.rfind(target, 0) != 0) {
+                    return false;
+                }
+            }
+        }
+        return latest == 8 * m_nodes;
+    }
+
+private:
+    void send(std::size_t node, const std::string& path) {
+        m_fleet.send(node, path, [this, node, path](int status, const std::string&) {
+            m_statuses[{node, path}] = status;
+            m_fleet.run_after(from_ms(20), [this, node, path] { send(node, path); });
+        });
+    }
+
+    FrontFleet& m_fleet;
+    std::size_t m_nodes;
+    std::vector<std::string> m_paths;
+    std::map<std::pair<std::size_t, std::string>, int> m_statuses;
+};
+
+}  // namespace
+
+// Guards against deciding by revisions alone what is newer: changes of all kinds after such a
+// return were dropped, as their revisions were lower than those before it.
+TEST_CASE("changes after the store returned from an older copy reach nodes and their followers") {
+    const std::vector<std::pair<platform::Kind, const char*>> changed = {
+        {platform::Kind::config, names::CONFIG_NAME},
+        {platform::Kind::targets, "t0"},
+        {platform::Kind::evacuations, "east"},
+        {platform::Kind::quarantine, "r0"}};
+    const nlohmann::json spec = {{"version", 2}};
+    FeedFleet fleet;
+    const auto lose_changes = [&fleet] {
+        fleet.store.take_copy();
+        for (int i = 0; i < LOST_CHANGES; ++i) {
+            fleet.add_target("lost");
+        }
+    };
+    const auto change = [&] {
+        return_from_copy(fleet.store);
+        for (const auto& [kind, name] : changed) {
+            fleet.store.put(platform::name_of(kind), name, spec);
+        }
+    };
+    const auto missing = [&] {
+        std::vector<std::string> found;
+        for (const auto& [kind, name] : changed) {
+            for (const std::string& node : fleet.nodes_without(kind, name, spec)) {
+                found.push_back(std::string(platform::name_of(kind)) + " at " + node);
+            }
+        }
+        return found;
+    };
+    CHECK(fleet.run_steps(
+        {{[&fleet] { return fleet.is_settled() && fleet.all_have_target("t0"); }, lose_changes},
+         {[&fleet] { return fleet.all_have_target("lost"); }, change},
+         {[&missing] { return missing().empty(); }, nullptr},
+         {[&fleet] { return fleet.follower_count() == FOLLOWERS; }, nullptr}}));
+    CHECK_THAT(missing(), Catch::Matchers::Equals(std::vector<std::string>{}));
+    CHECK_FALSE(fleet.all_have_target("lost"));
+}
+
+// Guards against the incident of 7 December: after such a return nodes went on with the old
+// configuration (CONFIG, HOME, DENIED) and with targets that were leaving (DRAIN).
+TEST_CASE("nodes obey routes, homes and leaving targets that change after such a return") {
+    constexpr std::size_t NODE_COUNT = 3;
+    const FleetRoute before = {"book", {"old"}};
+    FrontFleet fleet(NODE_COUNT);
+    fleet.add_targets("old", 3);
+    fleet.add_targets("new", 3);
+    fleet.add_targets("leaving", 2);
+    fleet.start({before, {"leave", {"leaving"}}});
+    Prober prober(fleet, NODE_COUNT, {"/book/1", "/check/1", "/added/1", "/leave/1"});
+    const auto lose_changes = [&fleet, &before] {
+        fleet.store().take_copy();
+        for (int i = 0; i < LOST_CHANGES; ++i) {
+            fleet.set_target_state("new-0", "ready");
+        }
+        fleet.set_target_state("leaving-0", "ready");
+        fleet.publish_routes({before, {"leave", {"leaving"}}, {"check", {"old"}}});
+    };
+    const auto change = [&fleet] {
+        return_from_copy(fleet.store());
+        fleet.publish_again(names::CONFIG_KIND, names::CONFIG_NAME);
+        for (const char* target : {"new-0", "leaving-0"}) {
+            fleet.publish_again(names::TARGETS_KIND, target);
+        }
+        FleetRoute moved_home = {"check", {"old"}};
+        moved_home.regions = {"west"};
+        fleet.publish_routes(
+            {{"book", {"new"}}, {"leave", {"leaving"}}, moved_home, {"added", {"new"}}});
+        fleet.set_target_state("leaving-0", "draining");
+    };
+    CHECK(fleet.run_steps({{[&] { return fleet.is_ready(); },
+                            [&prober] {
+                                prober.begin();
+                            }},
+                           {[&] { return prober.all_end_with("/book/1", 200); }, lose_changes},
+                           {[&] { return prober.all_end_with("/check/1", 200); }, change},
+                           {[&] { return prober.all_end_with("/added/1", 200); }, nullptr},
+                           {[&] { return prober.all_reach("/book/1", "new"); }, nullptr},
+                           {[&] { return prober.all_reach("/check/1", "old-1"); }, nullptr},
+                           {[&] { return prober.all_reach("/leave/1", "leaving-1"); }, nullptr}}));
+    // Shows which of the steps failed.
+    CHECK(prober.all_end_with("/added/1", 200));
+    CHECK(prober.all_reach("/book/1", "new"));
+    CHECK(prober.all_reach("/check/1", "old-1"));
+    CHECK(prober.all_reach("/leave/1", "leaving-1"));
+}
+
+}  // namespace ebonymount
--- a/test/support/feed_fleet.cpp
+++ b/test/support/feed_fleet.cpp
@@ -91,8 +91,17 @@
     options.stable_window = from_ms(1500);
     node.feed = std::make_unique<StoreFeed>(
         m_loop, node.metrics, options, [&node](const KindUpdate& update) {
+            if (update.is_list) {
+                std::erase_if(node.objects, [&update](const auto& known) {
+                    return known.first.first == update.kind;
+                });
+            }
             for (const platform::StoredObject& object : update.objects) {
-                node.objects[{update.kind, object.name}] = object.spec;
+                if (object.removed) {
+                    node.objects.erase({update.kind, object.name});
+                } else {
+                    node.objects[{update.kind, object.name}] = object.spec;
+                }
             }
         });
 }
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -94,7 +94,7 @@
         observer.on_cancelled = [](const std::string&) {
         };
         m_targets.push_back(standin::PlatformTarget::open(m_loop, parameters, observer));
-        publish_target(parameters);
+        publish_target(parameters, "ready");
     }
 }
 
@@ -106,19 +106,40 @@
     parameters.service = service;
     parameters.data_centre = DATA_CENTRES.front();
     parameters.address = address;
-    publish_target(parameters);
+    publish_target(parameters, "ready");
 }
 
-void FrontFleet::publish_target(const standin::PlatformTargetParameters& parameters) {
-    m_store->put(names::TARGETS_KIND, parameters.id,
-                 {{"service", parameters.service},
-                  {"address", parameters.address},
-                  {"zone", parameters.data_centre},
-                  {"version", "v1"},
-                  {"max_concurrency", parameters.slots},
-                  {"state", "ready"},
-                  {"cold_remaining_ms", 0},
-                  {"sequence", 1}});
+void FrontFleet::put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
+    m_written[{kind, name}] = spec;
+    m_store->put(kind, name, spec);
+}
+
+void FrontFleet::publish_again(const std::string& kind, const std::string& name) {
+    const auto written = m_written.find({kind, name});
+    if (written != m_written.end()) {
+        m_store->put(kind, name, written->second);
+    }
+}
+
+void FrontFleet::publish_target(const standin::PlatformTargetParameters& parameters,
+                                const std::string& state) {
+    put(names::TARGETS_KIND, parameters.id,
+        {{"service", parameters.service},
+         {"address", parameters.address},
+         {"zone", parameters.data_centre},
+         {"version", "v1"},
+         {"max_concurrency", parameters.slots},
+         {"state", state},
+         {"cold_remaining_ms", 0},
+         {"sequence", 1}});
+}
+
+void FrontFleet::set_target_state(const std::string& target, const std::string& state) {
+    for (const std::shared_ptr<standin::PlatformTarget>& one : m_targets) {
+        if (one->parameters().id == target) {
+            publish_target(one->parameters(), state);
+        }
+    }
 }
 
 void FrontFleet::set_behaviour(const standin::TargetBehaviour& behaviour) {
@@ -148,7 +169,7 @@
     }
 }
 
-void FrontFleet::publish_config(const std::vector<FleetRoute>& routes) {
+void FrontFleet::publish_routes(const std::vector<FleetRoute>& routes) {
     nlohmann::json rows = nlohmann::json::array();
     for (const FleetRoute& route : routes) {
         nlohmann::json row = {{"name", route.name},
@@ -159,7 +180,7 @@
                               {"target_latency_ms", 500},
                               {"priority", 1},
                               {"max_attempts", route.max_attempts},
-                              {"allowed_regions", nlohmann::json::array()}};
+                              {"allowed_regions", route.regions}};
         if (route.fan_out) {
             row["fanout_services"] = route.services;
             row["top_k"] = 5;
@@ -177,19 +198,19 @@
                             {"cold_start_s", 1.0},
                             {"cold_per_s", 0.0}});
     }
-    m_store->put(names::CONFIG_KIND, names::CONFIG_NAME,
-                 {{"version", 1},
-                  {"routes", rows},
-                  {"services", services},
-                  {"limits",
-                   {{"max_header_bytes", m_max_header_bytes},
-                    {"max_body_bytes", 262144},
-                    {"header_timeout_ms", 5000},
-                    {"idle_timeout_ms", 30000}}}});
+    put(names::CONFIG_KIND, names::CONFIG_NAME,
+        {{"version", ++m_config_version},
+         {"routes", rows},
+         {"services", services},
+         {"limits",
+          {{"max_header_bytes", m_max_header_bytes},
+           {"max_body_bytes", 262144},
+           {"header_timeout_ms", 5000},
+           {"idle_timeout_ms", 30000}}}});
 }
 
 void FrontFleet::start(const std::vector<FleetRoute>& routes) {
-    publish_config(routes);
+    publish_routes(routes);
     for (const std::unique_ptr<Node>& node : m_nodes) {
         start_node(*node);
     }
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "front/front.h"
@@ -29,6 +30,8 @@
     bool idempotent = true;
     std::int64_t max_attempts = 2;
     double min_coverage = 0.75;
+    /// Regions whose targets may serve the route; empty means all.
+    std::vector<std::string> regions{};
 };
 
 /// The arrival of a request at a target.
@@ -66,6 +69,12 @@
     /// All targets crash at once, or start again.
     void crash_targets();
     void restart_targets();
+    /// Writes the configuration again, with the next version and these routes.
+    void publish_routes(const std::vector<FleetRoute>& routes);
+    /// Writes the configuration or an entry of a target again, as it was written last.
+    void publish_again(const std::string& kind, const std::string& name);
+    /// Writes a target's entry with that state.
+    void set_target_state(const std::string& target, const std::string& state);
     /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
     void start(const std::vector<FleetRoute>& routes);
 
@@ -116,8 +125,9 @@
         std::atomic<bool> stopped{false};
     };
 
-    void publish_target(const standin::PlatformTargetParameters& parameters);
-    void publish_config(const std::vector<FleetRoute>& routes);
+    void publish_target(const standin::PlatformTargetParameters& parameters,
+                        const std::string& state);
+    void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void start_node(Node& node);
     void check_readiness(Node& node);
     void call(const std::string& address, HttpRequestMessage request,
@@ -132,6 +142,9 @@
     std::vector<FleetArrival> m_arrivals;
     std::vector<TestStep> m_steps;
     std::int64_t m_next_request = 1;
+    std::int64_t m_config_version = 0;
+    /// What was written last, by kind and name.
+    std::map<std::pair<std::string, std::string>, nlohmann::json> m_written;
     Duration m_service_time = from_ms(2);
     std::size_t m_max_header_bytes = 16384;
     Duration m_route_timeout = from_ms(2000);
