Store positions: era and revision together say which of two states is newer

A moved route ran at its old service (CONFIG), outside its homes (HOME), an added one got 404 (DENIED), and targets that were leaving were used (DRAIN), at all nodes that had run through the return, until revisions had passed the old ones.

Cause: all that decides what is newer compared revisions alone, and the store gives revisions out again after a return. The mirror dropped lists with a lower revision and objects whose revision was not higher, the watchers only ever raised theirs, StoreProgress took a lower one for lag, and followers were sent nothing. Class: an order taken from a number that its source may take back.

Evidence: logs of the failing test: `era` 1 to 2, `history_gone` as of 44, `older_list` with revision 17 against 44, at each node; after that no line about the new versions.

Change: a type StorePosition, era before revision, in place of the bare revision in mirror, watchers, progress, follow requests, streams between nodes and logs. A response of a later era makes all watchers read their lists again, spread by their jitter, and take current data for a while. A response of an earlier era counts as a failure and changes nothing. Changes are only applied to a copy of their own era. Without an era (older store, older build of this program, unreadable header) revisions are compared as before; a reader that states none is logged.

Why it works: a list of a later era replaces the copy whatever its revision, and after it nothing of an earlier era is accepted, from whatever source.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -26,6 +26,11 @@
 /// three missed heartbeats of about a second each; during a shorter failure it removes none.
 constexpr Duration OUTAGE_TIME = from_ms(1500);
 
+/// Delay until the list is read again after the store has returned from an older copy, multiplied
+/// by the watcher's jitter: all nodes learn of it together, and the store limits its reads a
+/// second.
+constexpr Duration RETURN_SPREAD = from_ms(400);
+
 }  // namespace
 
 KindWatcher::KindWatcher(EventLoop& loop, const KindWatcherOptions& options,
@@ -56,8 +61,12 @@
         return;
     }
     m_paused = true;
-    ++m_call_number;
+    end_call();
     m_listed_objects.clear();
+}
+
+void KindWatcher::end_call() {
+    ++m_call_number;
     if (m_pause_timer.has_value()) {
         m_loop.cancel(*m_pause_timer);
         m_pause_timer.reset();
@@ -68,17 +77,19 @@
     }
 }
 
-void KindWatcher::resume(std::int64_t revision, bool store_failed_recently) {
+void KindWatcher::resume(const StorePosition& position, bool store_failed_recently) {
     if (!m_paused) {
         return;
     }
     m_paused = false;
     m_consecutive_failures = 0;
-    if (revision == 0 || m_options.poll_interval > Duration::zero()) {
+    const bool is_of_earlier_era = position.era < m_era;
+    if (position.revision == 0 || is_of_earlier_era || m_options.poll_interval > Duration::zero()) {
         read_list();
         return;
     }
-    m_revision = revision;
+    m_position = position;
+    m_era = position.era;
     m_next_watch_is_first = true;
     if (store_failed_recently) {
         m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
@@ -150,7 +161,13 @@
             self->m_loop.cancel(timer);
             const bool is_awaited = !self->m_stopped && self->m_call_number == number;
             const auto handle = [&] {
-                self->report_era(response);
+                const std::int64_t known_era = self->m_era;
+                const std::int64_t era = self->take_era(response);
+                if (era != UNKNOWN_ERA && era < known_era) {
+                    self->m_listed_objects.clear();
+                    self->on_failure("earlier era " + std::to_string(era));
+                    return;
+                }
                 on_end(status, response);
             };
             if (is_awaited && !run_guarded("store", handle)) {
@@ -165,7 +182,8 @@
 void KindWatcher::read_list() {
     const std::string after =
         m_listed_objects.empty() ? std::string() : m_listed_objects.back().name;
-    const platform::Freshness freshness = m_options.poll_interval > Duration::zero()
+    const bool is_polled = m_options.poll_interval > Duration::zero();
+    const platform::Freshness freshness = is_polled && monotonic_now() >= m_lists_current_until
                                               ? platform::Freshness::recent
                                               : platform::Freshness::current;
     m_is_watching = false;
@@ -196,7 +214,12 @@
     if (m_listed_objects.empty()) {
         // The watch starts from the first page's revision, so changes made while further pages are
         // read are received again.
-        m_revision = decoded.store_revision;
+        m_position = {m_era, decoded.store_revision};
+    } else if (m_position.era != m_era) {
+        // Pages of two eras make no list.
+        m_listed_objects.clear();
+        read_list();
+        return;
     }
     const bool has_more = decoded.has_more && !decoded.objects.empty();
     std::move(decoded.objects.begin(), decoded.objects.end(), std::back_inserter(m_listed_objects));
@@ -207,10 +230,10 @@
     const Time now = monotonic_now();
     const bool after_outage = m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
     on_success(m_called_at);
-    report_revision(m_revision);
+    report_position();
     std::vector<platform::StoredObject> objects;
     objects.swap(m_listed_objects);
-    m_handlers.on_update({m_options.kind, true, after_outage, m_revision, std::move(objects)});
+    m_handlers.on_update({m_options.kind, true, after_outage, m_position, std::move(objects)});
     if (m_options.poll_interval > Duration::zero()) {
         run_later(++m_polls == 1 ? FIRST_POLL_INTERVAL : m_options.poll_interval,
                   &KindWatcher::read_list);
@@ -225,7 +248,7 @@
     m_call_wait = m_next_watch_is_first ? Duration::zero() : m_options.timing.watch_wait;
     const platform::Freshness freshness = watch_freshness();
     m_call_is_current = freshness == platform::Freshness::current;
-    call(platform::watch_path(m_options.kind, m_revision, m_call_wait, freshness),
+    call(platform::watch_path(m_options.kind, m_position.revision, m_call_wait, freshness),
          m_call_wait + STORE_CALL_TIMEOUT,
          [this](CallStatus status, const HttpResponseMessage& response) {
              on_watch_end(status, response);
@@ -233,10 +256,14 @@
 }
 
 void KindWatcher::on_watch_end(CallStatus status, const HttpResponseMessage& response) {
+    if (m_position.era != m_era) {
+        begin_era();
+        return;
+    }
     if (status == CallStatus::answered && response.status == http::GONE) {
         LogEvent(LogLevel::info, "store", "history_gone")
             .add("kind", platform::name_of(m_options.kind))
-            .add("revision", m_revision)
+            .add("position", describe(m_position))
             .write();
         on_success(m_complete_at);
         m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
@@ -255,15 +282,17 @@
     }
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
     on_success(std::min(monotonic_now(), m_called_at + m_call_wait));
-    report_revision(decoded.store_revision);
+    const std::int64_t known_revision = m_position.revision;
+    m_position.revision = decoded.store_revision;
+    report_position();
+    m_position.revision = std::max(known_revision, decoded.store_revision);
     m_next_watch_is_first = false;
     log_objects_without_name(decoded);
-    m_revision = std::max(m_revision, decoded.store_revision);
     if (decoded.objects.empty()) {
         wait_for_changes();
         return;
     }
-    m_handlers.on_update({m_options.kind, false, false, m_revision, std::move(decoded.objects)});
+    m_handlers.on_update({m_options.kind, false, false, m_position, std::move(decoded.objects)});
     const bool is_costly =
         watch_freshness() == platform::Freshness::current && !m_options.is_always_current;
     run_later(is_costly ? m_options.timing.pause_after_current_changes
@@ -279,13 +308,13 @@
     }
 }
 
-void KindWatcher::report_revision(std::int64_t revision) const {
-    if (m_handlers.on_revision) {
-        m_handlers.on_revision(revision, m_call_is_current);
+void KindWatcher::report_position() const {
+    if (m_handlers.on_position) {
+        m_handlers.on_position(m_position, m_call_is_current);
     }
 }
 
-void KindWatcher::report_era(const HttpResponseMessage& response) {
+std::int64_t KindWatcher::take_era(const HttpResponseMessage& response) {
     const platform::StatedEra stated = platform::decode_era(response.headers);
     if (!stated.ignored.empty() && stated.ignored != m_ignored_era) {
         LogEvent(LogLevel::warning, "store", "ignored_era")
@@ -294,9 +323,34 @@
             .write();
     }
     m_ignored_era = stated.ignored;
+    if (stated.era > m_era) {
+        m_era = stated.era;
+        m_lists_current_until = monotonic_now() + CURRENT_READS_TIME;
+    }
     if (stated.era != UNKNOWN_ERA && m_handlers.on_era) {
         m_handlers.on_era(stated.era);
     }
+    return stated.era;
+}
+
+void KindWatcher::begin_era() {
+    m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
+    run_later(scaled(RETURN_SPREAD, m_options.pause_jitter), &KindWatcher::read_list);
+}
+
+void KindWatcher::enter_era(std::int64_t era) {
+    if (era <= m_era) {
+        return;
+    }
+    m_era = era;
+    m_lists_current_until = monotonic_now() + CURRENT_READS_TIME;
+    // A list that is being read now is of the new era, or is refused for its era.
+    const bool is_listing = !m_is_watching && !m_pause_timer.has_value();
+    if (m_paused || m_stopped || is_listing) {
+        return;
+    }
+    end_call();
+    begin_era();
 }
 
 void KindWatcher::on_success(Time complete_at) {
@@ -370,9 +424,7 @@
     if (!is_waiting) {
         return;
     }
-    ++m_call_number;
-    m_channel->close();
-    m_channel.reset();
+    end_call();
     wait_for_changes();
 }
 
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -6,6 +6,10 @@
 // expired in the meantime. Lists ask for current data, except those that are polled. Watches allow
 // recent data, which costs a tenth, unless the kind is always read current, and except for a while
 // after a failure or after recent data was found to be far behind.
+//
+// A response of a later era of the store says that the store has returned from an older copy. A
+// watch cannot tell what that has undone, so the list is read again, whatever its revision. A
+// response of an earlier era is out of date and counts as a failure.
 #pragma once
 
 #include <functional>
@@ -71,9 +75,9 @@
     /// For a watcher that is not the probe: true while the probe fails, when this watcher makes no
     /// calls. May be empty.
     std::function<bool()> is_store_failing;
-    /// Receives the revision of the store that each list or watch reflects, and whether the call
+    /// Receives the position of the store that each list or watch reflects, and whether the call
     /// asked for current data. May be empty.
-    std::function<void(std::int64_t revision, bool is_current)> on_revision{};
+    std::function<void(const StorePosition& position, bool is_current)> on_position{};
     /// True while recent data may be too old, as another watcher has found. May be empty.
     std::function<bool()> must_read_current{};
     /// Receives the era of the store that a response states. May be empty.
@@ -94,10 +98,10 @@
     /// Ends a call in progress and makes no other until `resume`.
     void pause();
 
-    /// Continues with the changes after `revision`, which another source supplied; 0 starts with
-    /// the list. `store_failed_recently` is true if the store failed for that source a short time
-    /// ago.
-    void resume(std::int64_t revision, bool store_failed_recently);
+    /// Continues with the changes after `position`, which another source supplied; begins with the
+    /// list if that is of an earlier era, or has revision 0. `store_failed_recently` is true if the
+    /// store failed for that source a short time ago.
+    void resume(const StorePosition& position, bool store_failed_recently);
 
     platform::Kind kind() const;
 
@@ -123,6 +127,10 @@
     /// data.
     void require_current_data();
 
+    /// The store is known to be in that era: reads the list again if the data is of an earlier one,
+    /// and accepts no response of an earlier one. Also while the watcher is paused.
+    void enter_era(std::int64_t era);
+
 private:
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
@@ -131,13 +139,18 @@
     void read_list();
     void wait_for_changes();
     void restart_watch();
+    /// Ends the call or pause in progress.
+    void end_call();
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
     void log_objects_without_name(const platform::ObjectPage& page) const;
     void on_success(Time complete_at);
-    void report_revision(std::int64_t revision) const;
-    void report_era(const HttpResponseMessage& response);
+    void report_position() const;
+    /// Reports the era that a response states, and returns it.
+    std::int64_t take_era(const HttpResponseMessage& response);
+    /// The store has returned from an older copy: reads the list.
+    void begin_era();
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
@@ -152,12 +165,16 @@
     Counter& m_age_ms;
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
-    std::int64_t m_revision = 0;
+    StorePosition m_position;
+    /// The highest era that is known, by this or another watcher's calls.
+    std::int64_t m_era = UNKNOWN_ERA;
     /// The last era that could not be used, which is logged once.
     std::string m_ignored_era;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
     Time m_reads_current_until{};
+    /// Polled lists ask for current data until then, too.
+    Time m_lists_current_until{};
     /// Distinguishes calls, so that a late timeout does not end another call.
     std::uint64_t m_call_number = 0;
     std::optional<TimerId> m_pause_timer;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -81,11 +81,11 @@
         loop.run_at(now + FIRST_START_PAUSE, [weak] {
             const std::shared_ptr<KindWatcher> watcher = weak.lock();
             if (watcher != nullptr) {
-                watcher->resume(0, false);
+                watcher->resume(StorePosition{}, false);
             }
         });
     } else {
-        nodes->resume(0, false);
+        nodes->resume(StorePosition{}, false);
     }
 }
 
@@ -153,14 +153,14 @@
         handlers.on_update = [this](KindUpdate update) {
             apply_update(std::move(update));
         };
-        handlers.on_revision = [this, kind](std::int64_t revision, bool is_current) {
-            on_store_revision(kind, revision, is_current);
+        handlers.on_position = [this, kind](const StorePosition& position, bool is_current) {
+            on_store_position(kind, position, is_current);
         };
         handlers.must_read_current = [this] {
             return has_recent_store_failure();
         };
-        handlers.on_era = [this, kind](std::int64_t era) {
-            on_store_era(kind, era);
+        handlers.on_era = [this](std::int64_t era) {
+            on_store_era(era);
         };
         if (!is_probe) {
             handlers.is_store_failing = [this] {
@@ -204,7 +204,7 @@
                                   monotonic_now() - *m_store_failure_heard_at < CURRENT_READS_TIME;
     const bool store_failed_recently = heard_of_failure || has_recent_store_failure();
     for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-        watcher->resume(revision_of(m_mirror, watcher->kind()), store_failed_recently);
+        watcher->resume(position_of(m_mirror, watcher->kind()), store_failed_recently);
     }
 }
 
@@ -216,9 +216,12 @@
 
 void StoreFeed::apply_update(KindUpdate update) {
     const Time now = monotonic_now();
-    const std::int64_t known_revision = revision_of(m_mirror, update.kind);
-    if (update.is_list && update.revision < known_revision) {
-        report_ignored(update, known_revision);
+    if (update.position.era != UNKNOWN_ERA) {
+        on_store_era(update.position.era);
+    }
+    const StorePosition known = position_of(m_mirror, update.kind);
+    if (update.is_list && with_era_of(update.position, known) < known) {
+        report_older_list(update, known);
     }
     const std::optional<KindUpdate> fresh = merge_update(m_mirror, std::move(update), now);
     if (!fresh.has_value()) {
@@ -267,19 +270,20 @@
                                            });
 }
 
-void StoreFeed::on_store_revision(platform::Kind kind, std::int64_t revision, bool is_current) {
+void StoreFeed::on_store_position(platform::Kind kind, const StorePosition& position,
+                                  bool is_current) {
     const Time now = monotonic_now();
     if (is_current) {
-        on_current_read(m_progress, revision, now);
+        on_current_read(m_progress, position, now);
         return;
     }
-    const Duration lag = lag_of(m_progress, revision, now);
+    const Duration lag = lag_of(m_progress, position, now);
     if (!is_time_bound(kind) || lag <= m_timing.max_lag) {
         return;
     }
     LogEvent(LogLevel::warning, "store", "recent_data_behind")
         .add("kind", platform::name_of(kind))
-        .add("revision", revision)
+        .add("position", describe(position))
         .add_ms("lag_ms", lag)
         .write();
     // The watcher that reports this is about to make its next call.
@@ -292,25 +296,35 @@
     });
 }
 
-void StoreFeed::on_store_era(platform::Kind kind, std::int64_t era) {
-    if (era == m_era) {
+void StoreFeed::on_store_era(std::int64_t era) {
+    if (era <= m_era) {
         return;
     }
-    LogEvent(m_era == UNKNOWN_ERA ? LogLevel::info : LogLevel::warning, "store", "era")
+    const bool is_return = m_era != UNKNOWN_ERA;
+    LogEvent(is_return ? LogLevel::warning : LogLevel::info, "store", "era")
         .add("era", era)
         .add("before", m_era)
-        .add("kind", platform::name_of(kind))
+        .add("config", describe(position_of(m_mirror, platform::Kind::config)))
+        .add("reads", m_source.reading ? "yes" : "no")
         .write();
     m_era = era;
     m_store_era = era;
+    // The watcher that reports this has not handled its response yet.
+    m_loop.post([this, era, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired()) {
+            for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+                watcher->enter_era(era);
+            }
+        }
+    });
 }
 
-void StoreFeed::report_ignored(const KindUpdate& update, std::int64_t known_revision) {
+void StoreFeed::report_older_list(const KindUpdate& update, const StorePosition& known) {
     ++m_older_lists;
     LogEvent(LogLevel::warning, "store", "older_list")
         .add("kind", platform::name_of(update.kind))
-        .add("revision", update.revision)
-        .add("known_revision", known_revision)
+        .add("position", describe(update.position))
+        .add("known", describe(known))
         .add("objects", static_cast<std::int64_t>(update.objects.size()))
         .write();
 }
@@ -471,7 +485,7 @@
         upstream->link.ended = true;
     };
     upstream->call =
-        m_peers.call(reader.address, FEED_PATH, encode(FollowRequest{revisions_of(m_mirror), true}),
+        m_peers.call(reader.address, FEED_PATH, encode(FollowRequest{positions_of(m_mirror), true}),
                      std::move(events));
 }
 
@@ -504,6 +518,7 @@
         }
         if (value_of(update).change.has_value()) {
             ++m_updates_received;
+            report_missing_era(*upstream, *value_of(update).change);
             apply_update(*value_of(update).change);
         }
     }
@@ -515,6 +530,17 @@
     }
 }
 
+void StoreFeed::report_missing_era(Upstream& upstream, const KindUpdate& update) const {
+    const bool lacks_era = m_era != UNKNOWN_ERA && update.position.era == UNKNOWN_ERA;
+    if (lacks_era && !upstream.lacks_era) {
+        LogEvent(LogLevel::warning, "store", "reader_without_era")
+            .add("reader", upstream.link.reader.node)
+            .add("era", m_era)
+            .write();
+    }
+    upstream.lacks_era = lacks_era;
+}
+
 void StoreFeed::close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason) {
     LogEvent(LogLevel::info, "store", "reader_avoided")
         .add("reader", upstream->link.reader.node)
@@ -564,7 +590,7 @@
 void StoreFeed::probe_store() {
     ++m_probes;
     // The call that this node would make next: a store may refuse current reads and answer others.
-    const std::int64_t revision = revision_of(m_mirror, platform::Kind::config);
+    const std::int64_t revision = position_of(m_mirror, platform::Kind::config).revision;
     const std::string path =
         revision > 0
             ? platform::watch_path(platform::Kind::config, revision, Duration::zero(),
@@ -605,8 +631,8 @@
 
 const std::string& StoreFeed::encoded_list(const KindUpdate& list, bool compressed) {
     EncodedList& cached = m_encoded_lists[list.kind];
-    if (cached.revision != list.revision || cached.after_outage != list.after_outage) {
-        cached = {list.revision, list.after_outage, "", ""};
+    if (cached.position != list.position || cached.after_outage != list.after_outage) {
+        cached = {list.position, list.after_outage, "", ""};
     }
     std::string& line = compressed ? cached.compressed_line : cached.line;
     if (line.empty()) {
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -67,6 +67,8 @@
         /// Received bytes that do not form a whole line yet.
         std::string input;
         bool store_failed_recently = false;
+        /// It was logged that the reader states no era.
+        bool lacks_era = false;
     };
     /// A stream to a node that follows this one.
     struct Follower {
@@ -78,7 +80,7 @@
     /// A list of one kind, encoded once for all followers that need it; empty lines are not encoded
     /// yet.
     struct EncodedList {
-        std::int64_t revision = 0;
+        StorePosition position;
         bool after_outage = false;
         std::string line;
         std::string compressed_line;
@@ -96,10 +98,12 @@
     /// A kind that must be complete for the node's data to count as such.
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
-    void on_store_revision(platform::Kind kind, std::int64_t revision, bool is_current);
-    void on_store_era(platform::Kind kind, std::int64_t era);
-    /// Counts and logs an update that the mirror does not take although it is not known yet.
-    void report_ignored(const KindUpdate& update, std::int64_t known_revision);
+    void on_store_position(platform::Kind kind, const StorePosition& position, bool is_current);
+    /// The store, or a node that reads it, has stated that era: if it is a later one, the store has
+    /// returned from an older copy, and all kinds are read again.
+    void on_store_era(std::int64_t era);
+    /// Counts and logs a list that the mirror does not take as it is older than `known`.
+    void report_older_list(const KindUpdate& update, const StorePosition& known);
     /// Other nodes rely on what this node reads.
     bool reads_for_others() const;
     Duration age(Time now) const;
@@ -115,6 +119,9 @@
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
+    /// Logs once a stream that the updates of a reader come without an era, as those of an earlier
+    /// version of this program do. They are compared by revisions alone.
+    void report_missing_era(Upstream& upstream, const KindUpdate& update) const;
     void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
     void probe_store();
@@ -145,7 +152,7 @@
     Counter& m_state_age_ms;
     Counter& m_source_own;
     Counter& m_source_reader;
-    /// Gauge: the store's era, as last stated.
+    /// Gauge: the store's era.
     Counter& m_store_era;
     /// Lists that were not applied because they are older than this node's data.
     Counter& m_older_lists;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -74,8 +74,9 @@
     const bool tells_of_outage =
         update.after_outage && !(mirrored.listed_after_outage.has_value() &&
                                  now - *mirrored.listed_after_outage < REREGISTRATION_TIME);
-    return mirrored.revision > 0 && (is_polled || update.revision == mirrored.revision) &&
-           !tells_of_outage && update.objects.size() == mirrored.objects.size() &&
+    return mirrored.position.revision > 0 && update.position.era == mirrored.position.era &&
+           (is_polled || update.position == mirrored.position) && !tells_of_outage &&
+           update.objects.size() == mirrored.objects.size() &&
            std::all_of(update.objects.begin(), update.objects.end(), is_mirrored);
 }
 
@@ -87,6 +88,21 @@
            written < LIMIT;
 }
 
+/// The member's rows of a kind and a number; rows that cannot be read are left out.
+std::map<platform::Kind, std::int64_t> numbers_by_kind(const Json& document, const char* member) {
+    std::map<platform::Kind, std::int64_t> numbers;
+    const auto rows = document.find(member);
+    for (const Json& row : rows == document.end() ? Json::array() : *rows) {
+        const bool is_valid = row.is_array() && row.size() == 2 && row.at(0).is_number_integer() &&
+                              row.at(1).is_number_integer();
+        const int kind = is_valid ? row.at(0).get<int>() : -1;
+        if (kind >= 0 && kind < platform::KIND_COUNT) {
+            numbers[static_cast<platform::Kind>(kind)] = row.at(1).get<std::int64_t>();
+        }
+    }
+    return numbers;
+}
+
 /// Inflates text; at most `MAX_INFLATED_BYTES` of it are returned.
 std::string inflate(const std::string& text) {
     std::istringstream encoded(text);
@@ -120,7 +136,10 @@
         message["kind"] = static_cast<int>(update.change->kind);
         message["list"] = update.change->is_list;
         message["after_outage"] = update.change->after_outage;
-        message["revision"] = update.change->revision;
+        message["revision"] = update.change->position.revision;
+        if (update.change->position.era != UNKNOWN_ERA) {
+            message["era"] = update.change->position.era;
+        }
         message["objects"] = std::move(objects);
     }
     return message.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
@@ -167,7 +186,12 @@
             change.kind = static_cast<platform::Kind>(kind);
             change.is_list = message.at("list").get<bool>();
             change.after_outage = message.at("after_outage").get<bool>();
-            change.revision = message.at("revision").get<std::int64_t>();
+            change.position = {message.value("era", UNKNOWN_ERA),
+                               message.at("revision").get<std::int64_t>()};
+            if (!is_valid_era(change.position.era)) {
+                return Error{ErrorCode::protocol, "implausible era in an update",
+                             std::to_string(change.position.era)};
+            }
             for (const Json& object : message.at("objects")) {
                 change.objects.push_back(object_from(object));
             }
@@ -183,10 +207,13 @@
 
 std::optional<KindUpdate> merge_update(StoreMirror& mirror, KindUpdate update, Time now) {
     MirroredKind& mirrored = mirror[update.kind];
+    update.position = with_era_of(update.position, mirrored.position);
     if (update.is_list) {
-        if (update.revision < mirrored.revision || is_repeated_list(mirrored, update, now)) {
+        if (update.position < mirrored.position || is_repeated_list(mirrored, update, now)) {
             return std::nullopt;
         }
+        update.after_return =
+            mirrored.position.era != UNKNOWN_ERA && update.position.era > mirrored.position.era;
         mirrored.objects.clear();
         for (const StoredObject& object : update.objects) {
             mirrored.objects[object.name] = object;
@@ -195,7 +222,7 @@
             mirrored.listed_after_outage = now;
         }
     } else {
-        if (mirrored.revision == 0) {
+        if (mirrored.position.revision == 0 || update.position.era != mirrored.position.era) {
             return std::nullopt;
         }
         std::vector<StoredObject> newer;
@@ -206,43 +233,51 @@
         }
         update.objects = std::move(newer);
     }
-    mirrored.revision = std::max(mirrored.revision, update.revision);
+    mirrored.position = std::max(mirrored.position, update.position);
     if (!update.is_list && update.objects.empty()) {
         return std::nullopt;
     }
     return update;
 }
 
-std::int64_t revision_of(const StoreMirror& mirror, platform::Kind kind) {
+StorePosition position_of(const StoreMirror& mirror, platform::Kind kind) {
     const auto found = mirror.find(kind);
-    return found == mirror.end() ? 0 : found->second.revision;
+    return found == mirror.end() ? StorePosition{} : found->second.position;
 }
 
 bool is_complete(const StoreMirror& mirror) {
     for (int kind = 0; kind < platform::KIND_COUNT; ++kind) {
-        if (revision_of(mirror, static_cast<platform::Kind>(kind)) == 0) {
+        if (position_of(mirror, static_cast<platform::Kind>(kind)).revision == 0) {
             return false;
         }
     }
     return true;
 }
 
-KindRevisions revisions_of(const StoreMirror& mirror) {
-    KindRevisions revisions;
+KindPositions positions_of(const StoreMirror& mirror) {
+    KindPositions positions;
     for (const auto& [kind, mirrored] : mirror) {
-        if (mirrored.revision > 0) {
-            revisions[kind] = mirrored.revision;
+        if (mirrored.position.revision > 0) {
+            positions[kind] = mirrored.position;
         }
     }
-    return revisions;
+    return positions;
 }
 
 std::string encode(const FollowRequest& request) {
-    Json rows = Json::array();
-    for (const auto& [kind, revision] : request.known) {
-        rows.push_back({static_cast<int>(kind), revision});
+    // Eras have rows of their own, as earlier versions of this program accept rows of two numbers.
+    Json revisions = Json::array();
+    Json eras = Json::array();
+    for (const auto& [kind, position] : request.known) {
+        revisions.push_back({static_cast<int>(kind), position.revision});
+        if (position.era != UNKNOWN_ERA) {
+            eras.push_back({static_cast<int>(kind), position.era});
+        }
     }
-    return Json{{"revisions", std::move(rows)}, {"compressed", request.accepts_compressed}}.dump();
+    return Json{{"revisions", std::move(revisions)},
+                {"eras", std::move(eras)},
+                {"compressed", request.accepts_compressed}}
+        .dump();
 }
 
 FollowRequest decode_follow_request(const std::string& text) {
@@ -255,13 +290,13 @@
     const auto compressed = document.find("compressed");
     request.accepts_compressed =
         compressed != document.end() && compressed->is_boolean() && compressed->get<bool>();
-    const auto revisions = document.find("revisions");
-    for (const Json& row : revisions == document.end() ? Json::array() : *revisions) {
-        const bool is_valid = row.is_array() && row.size() == 2 && row.at(0).is_number_integer() &&
-                              row.at(1).is_number_integer();
-        const int kind = is_valid ? row.at(0).get<int>() : -1;
-        if (kind >= 0 && kind < platform::KIND_COUNT) {
-            request.known[static_cast<platform::Kind>(kind)] = row.at(1).get<std::int64_t>();
+    for (const auto& [kind, revision] : numbers_by_kind(document, "revisions")) {
+        request.known[kind].revision = revision;
+    }
+    for (const auto& [kind, era] : numbers_by_kind(document, "eras")) {
+        const auto known = request.known.find(kind);
+        if (known != request.known.end() && is_valid_era(era)) {
+            known->second.era = era;
         }
     }
     return request;
@@ -289,17 +324,19 @@
     }
 }
 
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now) {
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindPositions& known, Time now) {
     std::vector<KindUpdate> lists;
     for (const auto& [kind, mirrored] : mirror) {
         const auto found = known.find(kind);
-        if (mirrored.revision <= (found == known.end() ? 0 : found->second)) {
+        const StorePosition known_position =
+            with_era_of(found == known.end() ? StorePosition{} : found->second, mirrored.position);
+        if (with_era_of(mirrored.position, known_position) <= known_position) {
             continue;
         }
         KindUpdate list;
         list.kind = kind;
         list.is_list = true;
-        list.revision = mirrored.revision;
+        list.position = mirrored.position;
         list.after_outage = mirrored.listed_after_outage.has_value() &&
                             now - *mirrored.listed_after_outage < REREGISTRATION_TIME;
         for (const auto& [name, object] : mirrored.objects) {
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -1,7 +1,9 @@
 // A node's copy of the platform's store objects, kept so that it can be passed on to other nodes.
 //
 // Updates of one kind may come from the store and from another node, in any order. The mirror
-// accepts only what is newer than its own copy, so a late or stale source reverts nothing.
+// accepts only what is newer than its own copy, so a late or stale source reverts nothing. What is
+// newer is decided by the store's era before its revision: a list of a later era replaces the copy
+// whatever its revision, and nothing of an earlier era is accepted after it.
 #pragma once
 
 #include <map>
@@ -14,6 +16,7 @@
 #include "base/time.h"
 #include "platform/store_calls.h"
 #include "policy/reader_clock.h"
+#include "policy/store_position.h"
 
 namespace ebonymount {
 
@@ -23,9 +26,12 @@
     bool is_list = false;
     /// The store was unreachable before the list was read, so entries may have expired.
     bool after_outage = false;
-    /// The store's revision after this update.
-    std::int64_t revision = 0;
+    /// The store's position after this update.
+    StorePosition position;
     std::vector<platform::StoredObject> objects;
+    /// Set by `merge_update`, and not sent to other nodes: the store has returned from an older
+    /// copy since this node's last list, which may have had entries that this one lacks for now.
+    bool after_return = false;
 
     friend bool operator==(const KindUpdate&, const KindUpdate&) = default;
 };
@@ -52,10 +58,10 @@
 /// links limit how soon they have their state. The decoder accepts both forms.
 std::string encode_compressed(const StoreUpdate& update);
 
-/// Objects of one kind as of a revision.
+/// Objects of one kind as of a position of the store. Their revisions are of its era.
 struct MirroredKind {
     std::map<std::string, platform::StoredObject> objects;
-    std::int64_t revision = 0;
+    StorePosition position;
     /// When a list was last read after an outage.
     std::optional<Time> listed_after_outage;
 };
@@ -64,23 +70,24 @@
 
 /// Applies an update to the mirror and returns the part of it to pass on: a list as a whole, unless
 /// the mirrored copy is newer, and of changes only those newer than the mirrored objects. Empty if
-/// there is nothing to pass on.
+/// there is nothing to pass on. An update without an era is compared by revisions. Changes are only
+/// applied to a copy of their own era, as they do not say what the return of the store has undone.
 std::optional<KindUpdate> merge_update(StoreMirror& mirror, KindUpdate update, Time now);
 
-/// Store revision of the mirrored copy of a kind; 0 if the kind has not been read.
-std::int64_t revision_of(const StoreMirror& mirror, platform::Kind kind);
+/// Position of the mirrored copy of a kind; its revision is 0 if the kind has not been read.
+StorePosition position_of(const StoreMirror& mirror, platform::Kind kind);
 
 /// True when every kind has been read.
 bool is_complete(const StoreMirror& mirror);
 
-/// Store revision of each kind that a node has a copy of; other kinds are left out.
-using KindRevisions = std::map<platform::Kind, std::int64_t>;
+/// Position of each kind that a node has a copy of; other kinds are left out.
+using KindPositions = std::map<platform::Kind, StorePosition>;
 
-KindRevisions revisions_of(const StoreMirror& mirror);
+KindPositions positions_of(const StoreMirror& mirror);
 
 /// What a node tells a reader when it begins to follow it.
 struct FollowRequest {
-    KindRevisions known;
+    KindPositions known;
     /// The node can decode compressed messages.
     bool accepts_compressed = false;
 
@@ -96,7 +103,7 @@
 std::optional<Member> decode_member(const std::string& text);
 
 /// Returns a list of each kind of which the mirrored copy is newer than `known`, to be sent to a
-/// new follower that knows those revisions.
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindRevisions& known, Time now);
+/// new follower that knows those positions.
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindPositions& known, Time now);
 
 }  // namespace ebonymount
--- a/src/policy/store_position.h
+++ b/src/policy/store_position.h
@@ -17,6 +17,11 @@
 /// A greater number is no era: the largest whole number that JSON carries exactly.
 constexpr std::int64_t MAX_ERA = (std::int64_t{1} << 53) - 1;
 
+/// True for a number that can be an era, and for `UNKNOWN_ERA`.
+constexpr bool is_valid_era(std::int64_t era) {
+    return era >= UNKNOWN_ERA && era <= MAX_ERA;
+}
+
 /// A state of the store. Positions are ordered from older to newer.
 struct StorePosition {
     std::int64_t era = UNKNOWN_ERA;
@@ -26,6 +31,10 @@
     friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
 };
 
+/// The position, or if its era is unknown, the one with that revision in the era of `known`: data
+/// whose source states no era can only be compared by revisions.
+StorePosition with_era_of(const StorePosition& position, const StorePosition& known);
+
 /// The position as text, for log lines: `3/1207`, or `-/1207` if the era is unknown.
 std::string describe(const StorePosition& position);
 
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -22,11 +22,16 @@
 }
 
 KindUpdate list(std::int64_t revision, std::vector<platform::StoredObject> objects) {
-    return {Kind::targets, true, false, revision, std::move(objects)};
+    return {Kind::targets, true, false, {UNKNOWN_ERA, revision}, std::move(objects)};
 }
 
 KindUpdate changes(std::int64_t revision, std::vector<platform::StoredObject> objects) {
-    return {Kind::targets, false, false, revision, std::move(objects)};
+    return {Kind::targets, false, false, {UNKNOWN_ERA, revision}, std::move(objects)};
+}
+
+KindUpdate in_era(std::int64_t era, KindUpdate update) {
+    update.position.era = era;
+    return update;
 }
 
 std::vector<std::string> names_in(const StoreMirror& mirror) {
@@ -49,7 +54,7 @@
     CHECK_FALSE(merge_update(mirror, changes(12, {object("c", 12)}), NOW).has_value());
     CHECK_FALSE(merge_update(mirror, changes(8, {object("a", 3, true)}), NOW).has_value());
     CHECK(names_in(mirror) == std::vector<std::string>{"a", "c"});
-    CHECK(revision_of(mirror, Kind::targets) == 12);
+    CHECK(position_of(mirror, Kind::targets).revision == 12);
 }
 
 TEST_CASE("a change that is received twice is passed on once") {
@@ -113,10 +118,122 @@
     }
 }
 
+// Guards against deciding by revisions alone what is newer: a store that has returned from an older
+// copy gives lower revisions to newer data.
+TEST_CASE("a list of a later era replaces the copy, and nothing of an earlier era is accepted") {
+    StoreMirror mirror;
+    merge_update(mirror, in_era(1, list(40, {object("a", 4), object("b", 39)})), NOW);
+    const std::optional<KindUpdate> returned =
+        merge_update(mirror, in_era(2, list(20, {object("a", 4), object("c", 20)})), NOW);
+    REQUIRE(returned.has_value());
+    CHECK(returned->after_return);
+    CHECK(names_in(mirror) == std::vector<std::string>{"a", "c"});
+    CHECK(position_of(mirror, Kind::targets) == StorePosition{2, 20});
+    CHECK_FALSE(merge_update(mirror, in_era(1, list(41, {object("b", 39)})), NOW).has_value());
+    CHECK_FALSE(merge_update(mirror, in_era(1, changes(42, {object("b", 42)})), NOW).has_value());
+    // Changes alone do not say what the return has undone.
+    CHECK_FALSE(merge_update(mirror, in_era(3, changes(50, {object("b", 50)})), NOW).has_value());
+    CHECK(names_in(mirror) == std::vector<std::string>{"a", "c"});
+    const std::optional<KindUpdate> change =
+        merge_update(mirror, in_era(2, changes(21, {object("a", 21)})), NOW);
+    REQUIRE(change.has_value());
+    CHECK_FALSE(change->after_return);
+}
+
+// Guards against a position that stays behind: a list that says nothing new is dropped, and changes
+// of the new era after it as well.
+TEST_CASE("a list of a later era is accepted although its objects are the same") {
+    for (const Kind kind : {Kind::targets, Kind::nodes}) {
+        StoreMirror mirror;
+        KindUpdate same = in_era(1, list(40, {object("a", 4)}));
+        same.kind = kind;
+        merge_update(mirror, same, NOW);
+        same.position = {2, 30};
+        CHECK(merge_update(mirror, same, NOW).has_value());
+        CHECK(position_of(mirror, kind) == StorePosition{2, 30});
+    }
+}
+
+// Guards against nodes of two versions of this program that cannot follow each other: the earlier
+// one states no era and reads none.
+TEST_CASE("updates without an era are compared by revisions") {
+    StoreMirror mirror;
+    merge_update(mirror, in_era(3, list(10, {object("a", 4)})), NOW);
+    CHECK(merge_update(mirror, changes(11, {object("b", 11)}), NOW).has_value());
+    CHECK(merge_update(mirror, list(12, {object("b", 11)}), NOW).has_value());
+    CHECK_FALSE(merge_update(mirror, list(9, {}), NOW).has_value());
+    CHECK(position_of(mirror, Kind::targets) == StorePosition{3, 12});
+    // Followers without eras get what is newer by its revision, and so do followers of a reader
+    // without eras.
+    CHECK(lists_of(mirror, {{Kind::targets, {UNKNOWN_ERA, 12}}}, NOW).empty());
+    CHECK(lists_of(mirror, {{Kind::targets, {UNKNOWN_ERA, 11}}}, NOW).size() == 1);
+    StoreMirror without_era;
+    merge_update(without_era, list(10, {object("a", 4)}), NOW);
+    CHECK(lists_of(without_era, {{Kind::targets, {3, 9}}}, NOW).size() == 1);
+    CHECK(lists_of(without_era, {{Kind::targets, {3, 10}}}, NOW).empty());
+}
+
+// Guards against any series of changes, returns and late messages after which a node, or one that
+// follows it, has other objects than the store.
+TEST_CASE("mirrors hold what the store holds, however often it returns from an older copy") {
+    Random random(4901);
+    for (int round = 0; round < 300; ++round) {
+        StoreMirror mirror;
+        StoreMirror follower;
+        std::map<std::string, platform::StoredObject> store;
+        StorePosition position{1, 1};
+        std::map<std::string, platform::StoredObject> copy;
+        std::int64_t copied_revision = 1;
+        std::vector<KindUpdate> sent;
+        merge_update(mirror, in_era(1, list(1, {})), NOW);
+        merge_update(follower, in_era(1, list(1, {})), NOW);
+        for (int batch = 0; batch < 20; ++batch) {
+            const std::size_t action = random() % 5;
+            KindUpdate update = in_era(position.era, changes(position.revision, {}));
+            if (action == 0) {
+                copy = store;
+                copied_revision = position.revision;
+            } else if (action == 1) {
+                store = copy;
+                position = {position.era + 1, copied_revision};
+                update = in_era(position.era, list(position.revision, {}));
+                for (const auto& [name, kept] : store) {
+                    update.objects.push_back(kept);
+                }
+            } else {
+                const std::string name(1, static_cast<char>('a' + random() % 3));
+                const bool removes = store.count(name) > 0 && random() % 2 == 0;
+                update.objects = {object(name, ++position.revision, removes)};
+                update.position = position;
+                if (removes) {
+                    store.erase(name);
+                } else {
+                    store[name] = update.objects.front();
+                }
+            }
+            sent.push_back(update);
+            const std::optional<KindUpdate> fresh = merge_update(mirror, update, NOW);
+            // Messages of earlier eras arrive again, at either node.
+            for (StoreMirror* const node : {&mirror, &follower}) {
+                const KindUpdate& late = sent[random() % sent.size()];
+                if (late.position.era < position.era) {
+                    merge_update(*node, late, NOW);
+                }
+            }
+            if (fresh.has_value()) {
+                merge_update(follower, *fresh, NOW);
+            }
+            INFO(round << " " << batch);
+            REQUIRE(mirror.at(Kind::targets).objects == store);
+            REQUIRE(follower.at(Kind::targets).objects == store);
+        }
+    }
+}
+
 TEST_CASE("changes before the first list are ignored") {
     StoreMirror mirror;
     CHECK_FALSE(merge_update(mirror, changes(5, {object("a", 5)}), NOW).has_value());
-    CHECK(revision_of(mirror, Kind::targets) == 0);
+    CHECK(position_of(mirror, Kind::targets).revision == 0);
     CHECK_FALSE(is_complete(mirror));
 }
 
@@ -125,7 +242,7 @@
     KindUpdate nodes = list(10, {object("n", 4)});
     nodes.kind = Kind::nodes;
     CHECK(merge_update(mirror, nodes, NOW).has_value());
-    nodes.revision = 11;
+    nodes.position.revision = 11;
     CHECK_FALSE(merge_update(mirror, nodes, NOW).has_value());
     CHECK(merge_update(mirror, list(10, {object("a", 4)}), NOW).has_value());
     CHECK(merge_update(mirror, list(11, {object("a", 4)}), NOW).has_value());
@@ -146,7 +263,7 @@
     update.stated = {from_ms(120), from_ms(7000)};
     update.store_failed_recently = true;
     update.origin = "node-1";
-    update.change = changes(12, {object("a", 11), object("b", 12, true)});
+    update.change = in_era(4, changes(12, {object("a", 11), object("b", 12, true)}));
     const std::string line = encode(update);
     CHECK(line.back() == '\n');
     CHECK(std::count(line.begin(), line.end(), '\n') == 1);
@@ -165,7 +282,7 @@
     KindUpdate list;
     list.kind = platform::Kind::targets;
     list.is_list = true;
-    list.revision = 12;
+    list.position.revision = 12;
     list.objects = {object("a", 11)};
     StoreMirror mirror;
     CHECK(merge_update(mirror, list, NOW).has_value());
@@ -173,7 +290,7 @@
     list.after_outage = true;
     CHECK(merge_update(mirror, list, NOW).has_value());
     CHECK_FALSE(merge_update(mirror, list, NOW).has_value());
-    list.revision = 13;
+    list.position.revision = 13;
     CHECK(merge_update(mirror, list, NOW).has_value());
 }
 
@@ -193,31 +310,37 @@
          {"", "x", "[]", "{}", "{\"age_us\":\"soon\"}", "{\"age_us\":-1,\"trouble\":false}",
           "{\"age_us\":1,\"trouble\":false,\"written_us\":9e18}",
           "{\"age_us\":1,\"trouble\":false,\"kind\":99}",
-          "{\"age_us\":1,\"trouble\":false,\"kind\":1,\"objects\":[1]}"}) {
+          "{\"age_us\":1,\"trouble\":false,\"kind\":1,\"objects\":[1]}",
+          R"({"age_us":1,"trouble":false,"kind":1,"list":true,"after_outage":false,"revision":1,
+              "era":9007199254740992,"objects":[]})",
+          R"({"age_us":1,"trouble":false,"kind":1,"list":true,"after_outage":false,"revision":1,
+              "era":"x","objects":[]})"}) {
         CHECK_FALSE(has_value(decode_store_update(line)));
     }
 }
 
 TEST_CASE("a new follower gets the lists of which it has no or an older copy") {
     StoreMirror mirror;
-    merge_update(mirror, {Kind::targets, true, false, 7, {}}, NOW);
-    merge_update(mirror, {Kind::config, true, false, 9, {}}, NOW);
-    const FollowRequest request = {revisions_of(mirror), true};
+    merge_update(mirror, {Kind::targets, true, false, {UNKNOWN_ERA, 7}, {}}, NOW);
+    merge_update(mirror, {Kind::config, true, false, {2, 9}, {}}, NOW);
+    const FollowRequest request = {positions_of(mirror), true};
     CHECK(decode_follow_request(encode(request)) == request);
-    const KindRevisions& known = request.known;
+    const KindPositions& known = request.known;
     CHECK(lists_of(mirror, known, NOW).empty());
-    merge_update(mirror, {Kind::config, true, false, 10, {}}, NOW);
+    merge_update(mirror, {Kind::config, true, false, {UNKNOWN_ERA, 10}, {}}, NOW);
     REQUIRE(lists_of(mirror, known, NOW).size() == 1);
     CHECK(lists_of(mirror, known, NOW).front().kind == Kind::config);
     // Whatever cannot be read counts as no copy, so everything is sent.
-    for (const char* text : {"", "null", "[]", "{\"revisions\":[[99,1],[\"a\",2],7,[1]]}",
-                             "{\"revisions\":7}", "\xff"}) {
+    for (const char* text :
+         {"", "null", "[]", "{\"revisions\":[[99,1],[\"a\",2],7,[1]]}", "{\"revisions\":7}", "\xff",
+          R"({"revisions":[],"eras":[[0,2],[1,2]]})",
+          R"({"revisions":[[0,8]],"eras":[[0,-7],[0,9007199254740992]]})"}) {
         CHECK(lists_of(mirror, decode_follow_request(text).known, NOW).size() == 2);
     }
 }
 
 TEST_CASE("a compressed message is smaller and decoded as it was encoded") {
-    KindUpdate list = {Kind::targets, true, false, 7, {}};
+    KindUpdate list = {Kind::targets, true, false, {UNKNOWN_ERA, 7}, {}};
     for (int i = 0; i < 600; ++i) {
         platform::StoredObject object;
         object.name = "i-" + std::to_string(i);
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -37,6 +37,7 @@
                                                if (updates++ == failing_update) {
                                                    throw std::runtime_error("update");
                                                }
+                                               positions.push_back(update.position);
                                                if (update.is_list) {
                                                    lists.push_back(std::move(update.objects));
                                                    outages.push_back(update.after_outage);
@@ -53,6 +54,8 @@
 
     std::vector<std::string> calls;
     std::vector<std::vector<platform::StoredObject>> lists;
+    /// For each list and change, the position of the store after it.
+    std::vector<StorePosition> positions;
     /// For each list, whether it is marked as read after an outage.
     std::vector<bool> outages;
     int recoveries = 0;
@@ -84,6 +87,12 @@
     std::shared_ptr<KindWatcher> m_watcher;
 };
 
+/// The response, with a header that states the store's era.
+HttpResponseMessage in_era(const std::string& era, HttpResponseMessage response) {
+    response.headers.push_back({"Store-Era", era});
+    return response;
+}
+
 HttpResponseMessage response(int status, const std::string& body) {
     HttpResponseMessage made;
     made.status = status;
@@ -182,4 +191,69 @@
     CHECK(store.lists[0].size() == 1);
 }
 
+// Guards against a return from an older copy that goes unnoticed because the revisions have passed
+// the old ones again, or that is answered with 410.
+TEST_CASE("a watch that ends in a later era is followed by a list, whatever its revision") {
+    const std::string change = R"({"events": [{"deleted": false, "object": )" + object("x") +
+                               R"(}], "store_revision": 60})";
+    for (const HttpResponseMessage& end :
+         {response(200, change), response(410, ""), response(503, "")}) {
+        CAPTURE(end.status);
+        ScriptedStore store({in_era("1", response(200, list(object("a"), false, 50))),
+                             in_era("2", end),
+                             in_era("2", response(200, list(object("b"), false, 20)))});
+        store.run();
+        REQUIRE(store.calls.size() == 4);
+        CHECK(store.calls[2] == "/ebonymount/objects/servers");
+        CHECK(store.calls[3].find("watch=20&") != std::string::npos);
+        CHECK(store.calls[3].find("allow_stale") == std::string::npos);
+        CHECK(store.changes.empty());
+        CHECK(store.positions.back() == StorePosition{2, 20});
+    }
+}
+
+// Guards against late responses, such as recent reads, that bring back what the store has undone.
+TEST_CASE("a response of an earlier era is not applied, and the list is read again") {
+    const std::string change = R"({"events": [{"deleted": false, "object": )" + object("x") +
+                               R"(}], "store_revision": 60})";
+    ScriptedStore store({in_era("2", response(200, list(object("a"), false, 20))),
+                         in_era("1", response(200, change)),
+                         in_era("1", response(200, list(object("x"), false, 60))),
+                         in_era("2", response(200, list(object("b"), false, 21)))});
+    store.run();
+    REQUIRE(store.lists.size() == 2);
+    CHECK(store.lists[1].front().name == "b");
+    CHECK(store.changes.empty());
+    CHECK(store.positions.back() == StorePosition{2, 21});
+}
+
+TEST_CASE("a list whose pages are of two eras is read again from its start") {
+    ScriptedStore store({in_era("1", response(200, list(object("a"), true, 50))),
+                         in_era("2", response(200, list(object("b"), false, 20))),
+                         in_era("2", response(200, list(object("c"), false, 20)))});
+    store.run();
+    REQUIRE(store.calls.size() == 4);
+    CHECK(store.calls[2] == "/ebonymount/objects/servers");
+    REQUIRE(store.lists.size() == 1);
+    REQUIRE(store.lists.front().size() == 1);
+    CHECK(store.lists.front().front().name == "c");
+}
+
+// Guards against a header that cannot be read and is taken for a return of the store, or for none
+// for ever.
+TEST_CASE("a response whose era cannot be read counts as one of the known era") {
+    const std::string change = R"({"events": [{"deleted": false, "object": )" + object("x") +
+                               R"(}], "store_revision": 21})";
+    ScriptedStore store({in_era("2", response(200, list(object("a"), false, 20))),
+                         in_era("-7", response(200, change)),
+                         response(200, R"({"events": [], "store_revision": 22})"),
+                         in_era("3", response(410, "")),
+                         in_era("3", response(200, list(object("b"), false, 9)))});
+    store.run();
+    REQUIRE(store.changes.size() == 1);
+    CHECK(store.positions[1] == StorePosition{2, 21});
+    REQUIRE(store.lists.size() == 2);
+    CHECK(store.positions.back() == StorePosition{3, 9});
+}
+
 }  // namespace ebonymount
