Crash reports that the store has lost are written again, and unused trials given up

After a return of the store from an older copy the store has no crash report any more; machines that are added, or started again, know nothing of a request that crashes its targets and let it through: six retries reached targets, three are allowed.

Cause: a report counts as delivered once the store has acknowledged it, and a list was compared with what the node knows only to forget reports. Class: an acknowledgement is taken for ever.

Change: a list of a later era makes what is missing from it due: own reports at once, those of others after 5 to 10 s, at random, as their writer may be gone; whoever sees them written again first does nothing. Until then the lists forget nothing that is due. A report that was withdrawn within a minute does not count again because the copy has it, and its withdrawal is repeated. A trial whose claim is lost before a request took it is given up, as another node may get the number; claims of used trials are written again by their owner. Counter {outcome="rewritten"}, line reports_lost.

Why it works: each node that still refuses the request also makes sure that a node without memory of it will, once per return, spread over five seconds.

A first form of the test compared all reports and failed because of reports that were still queued when it looked.

--- a/src/front/crash_reporter.cpp
+++ b/src/front/crash_reporter.cpp
@@ -52,6 +52,11 @@
     push({name, "", monotonic_now()});
 }
 
+bool CrashReporter::is_queued(const std::string& name) const {
+    return std::any_of(m_queue.begin(), m_queue.end(),
+                       [&name](const Write& write) { return write.name == name; });
+}
+
 void CrashReporter::push(Write write) {
     m_queue.push_back(std::move(write));
     if (m_queue.size() > MAX_QUEUED) {
--- a/src/front/crash_reporter.h
+++ b/src/front/crash_reporter.h
@@ -26,6 +26,9 @@
     /// Withdraws a report of this or another node, whether or not the store has it yet.
     void withdraw(const std::string& name);
 
+    /// True if a call for that report is queued or in progress.
+    bool is_queued(const std::string& name) const;
+
     /// Makes the next call if it is due; to be called several times a second.
     void sweep(Time now);
 
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -39,6 +39,9 @@
     };
     m_state.on_crash_refuted = [this](const std::string& report) {
         m_counted_reports.erase(report);
+        if (parse_crash_report(report).has_value()) {
+            on_withdrawn(m_lost_reports, report, monotonic_now());
+        }
         m_reporter.withdraw(report);
     };
     // The list of nodes shows whether this node is registered already. On the first start of the
@@ -63,6 +66,7 @@
     }
     m_state.counters.crash_evidence_unconfirmed +=
         static_cast<std::int64_t>(drop_expired_suspects(m_state.quarantine, now));
+    rewrite_lost_reports(now);
     m_reporter.sweep(now);
     remove_old_reports(now);
 }
@@ -86,7 +90,7 @@
             apply_nodes(update.objects);
             return;
         case platform::Kind::quarantine:
-            apply_crash_reports(update.objects, update.is_list);
+            apply_crash_reports(update);
             return;
     }
 }
@@ -271,10 +275,11 @@
     m_handlers.on_nodes(names);
 }
 
-void FleetWatcher::apply_crash_reports(const Objects& objects, bool is_list) {
+void FleetWatcher::apply_crash_reports(const KindUpdate& update) {
     const Time now = monotonic_now();
     std::set<std::string> listed;
-    for (const platform::StoredObject& object : objects) {
+    for (const platform::StoredObject& object : update.objects) {
+        on_written(m_lost_reports, object.name);
         const std::optional<TrialClaim> claim = parse_trial_claim(object.name);
         if (claim.has_value()) {
             listed.insert(object.name);
@@ -286,25 +291,75 @@
             continue;
         }
         if (object.removed) {
+            on_withdrawn(m_lost_reports, object.name, now);
             forget_report(object.name, crash->request);
             continue;
         }
+        if (is_withdrawn(m_lost_reports, object.name)) {
+            // An older copy of the store has it again.
+            if (update.after_return) {
+                m_reporter.withdraw(object.name);
+            }
+            continue;
+        }
         listed.insert(object.name);
         // A list repeats reports that were received as changes before; each report counts once.
         if (m_counted_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
             add_crash(m_state.quarantine, object.name, *crash, now);
         }
     }
-    if (is_list) {
+    if (update.after_return) {
+        keep_lost_reports(listed);
+    }
+    if (update.is_list) {
         forget_unlisted_reports(listed);
     }
 }
 
+void FleetWatcher::keep_lost_reports(const std::set<std::string>& listed) {
+    // A claim that is lost before its trial was used is void: another node may have the number now.
+    for (const TrialClaim& claim : void_unused_trials(m_state.trials, listed)) {
+        m_own_claims.erase(trial_claim_name(claim));
+        m_counted_reports.erase(trial_claim_name(claim));
+    }
+    std::vector<KnownReport> known;
+    for (const auto& [name, expires] : m_counted_reports) {
+        const std::optional<CrashReport> report = parse_crash_report(name);
+        const bool is_own = report.has_value() ? report->node == m_options.feed.self.node
+                                               : m_own_claims.count(name) > 0;
+        known.push_back({name, is_own});
+    }
+    on_return(m_lost_reports, known, listed, m_random, monotonic_now());
+    LogEvent(LogLevel::warning, "quarantine", "reports_lost")
+        .add("known", static_cast<std::int64_t>(known.size()))
+        .add("lost", static_cast<std::int64_t>(m_lost_reports.due.size()))
+        .write();
+}
+
+void FleetWatcher::rewrite_lost_reports(Time now) {
+    for (const std::string& name : take_due(m_lost_reports, now)) {
+        const std::optional<TrialClaim> claim = parse_trial_claim(name);
+        if (claim.has_value() && m_own_claims.count(name) > 0) {
+            write_claim(*claim, [](CallStatus, const HttpResponseMessage&) {});
+        } else if (claim.has_value()) {
+            // Its owner is gone, or has not used it.
+            m_counted_reports.erase(name);
+            remove_claim(m_state.trials, *claim);
+        }
+        const Crash* const crash = find_crash(m_state.quarantine, name);
+        if (crash != nullptr && !m_reporter.is_queued(name)) {
+            ++m_state.counters.crash_reports_rewritten;
+            m_reporter.add(name, *crash);
+        }
+    }
+}
+
 void FleetWatcher::apply_trial_claim(const platform::StoredObject& object,
                                      const TrialClaim& claim) {
     const Time now = monotonic_now();
     if (object.removed) {
         m_counted_reports.erase(object.name);
+        m_own_claims.erase(object.name);
         remove_claim(m_state.trials, claim);
     } else if (m_counted_reports.emplace(object.name, now + ABANDONED_REPORT_TIME).second) {
         add_claim(m_state.trials, claim, now);
@@ -321,13 +376,14 @@
     std::vector<TrialClaim> withdrawn_claims;
     for (const auto& [name, expires] : m_counted_reports) {
         const std::optional<TrialClaim> claim = parse_trial_claim(name);
-        if (claim.has_value() && listed.count(name) == 0) {
+        const bool is_missing = listed.count(name) == 0 && !is_lost(m_lost_reports, name) &&
+                                !m_reporter.is_queued(name);
+        if (claim.has_value() && is_missing) {
             withdrawn_claims.push_back(*claim);
         }
         const std::optional<CrashReport> report = parse_crash_report(name);
         // A report of this node may still be on its way to the store.
-        if (report.has_value() && report->node != m_options.feed.self.node &&
-            listed.count(name) == 0) {
+        if (report.has_value() && report->node != m_options.feed.self.node && is_missing) {
             withdrawn.push_back(*report);
         }
     }
@@ -349,28 +405,33 @@
     m_reporter.add(name, crash);
 }
 
+void FleetWatcher::write_claim(const TrialClaim& claim, CallHandler on_end) {
+    call_store("POST", platform::create_path(platform::Kind::quarantine),
+               platform::trial_claim_body(claim, m_options.feed.self.node), std::move(on_end));
+}
+
 void FleetWatcher::claim_trial(const TrialClaim& claim) {
     const std::string name = trial_claim_name(claim);
-    call_store("POST", platform::create_path(platform::Kind::quarantine),
-               platform::trial_claim_body(claim, m_options.feed.self.node),
-               [this, claim, name](CallStatus status, const HttpResponseMessage& response) {
-                   const bool is_granted =
-                       status == CallStatus::answered &&
-                       (response.status == http::OK || response.status == http::CREATED);
-                   if (is_granted || response.status == http::CONFLICT) {
-                       const Time now = monotonic_now();
-                       m_counted_reports.emplace(name, now + SUSPECT_TTL);
-                       add_claim(m_state.trials, claim, now);
-                   }
-                   end_claim(m_state.trials, claim, is_granted);
-                   LogEvent(LogLevel::info, "quarantine", "trial_claim")
-                       .add("fingerprint", std::to_string(claim.request))
-                       .add("number", claim.number)
-                       .add("granted", is_granted ? "yes" : "no")
-                       .add("outcome", name_of(status))
-                       .add("status", response.status)
-                       .write();
-               });
+    write_claim(claim, [this, claim, name](CallStatus status, const HttpResponseMessage& response) {
+        const bool is_granted = status == CallStatus::answered &&
+                                (response.status == http::OK || response.status == http::CREATED);
+        if (is_granted || response.status == http::CONFLICT) {
+            const Time now = monotonic_now();
+            m_counted_reports.emplace(name, now + SUSPECT_TTL);
+            add_claim(m_state.trials, claim, now);
+        }
+        if (is_granted) {
+            m_own_claims.insert(name);
+        }
+        end_claim(m_state.trials, claim, is_granted);
+        LogEvent(LogLevel::info, "quarantine", "trial_claim")
+            .add("fingerprint", std::to_string(claim.request))
+            .add("number", claim.number)
+            .add("granted", is_granted ? "yes" : "no")
+            .add("outcome", name_of(status))
+            .add("status", response.status)
+            .write();
+    });
 }
 
 void FleetWatcher::remove_old_reports(Time now) {
@@ -383,9 +444,12 @@
         // report later, after `ABANDONED_REPORT_TIME`.
         call_store("DELETE", platform::object_path(platform::Kind::quarantine, report->first), "",
                    [](CallStatus, const HttpResponseMessage&) {});
+        m_own_claims.erase(report->first);
         const std::optional<TrialClaim> claim = parse_trial_claim(report->first);
         if (claim.has_value()) {
             remove_claim(m_state.trials, *claim);
+        } else {
+            on_withdrawn(m_lost_reports, report->first, now);
         }
         report = m_counted_reports.erase(report);
     }
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -16,6 +16,7 @@
 #include "front/crash_reporter.h"
 #include "front/front_state.h"
 #include "front/store_feed.h"
+#include "policy/lost_reports.h"
 #include "policy/out_of_service.h"
 #include "policy/target_registry.h"
 
@@ -65,13 +66,18 @@
     /// Accepts what an older copy of the store says and nobody has written again.
     void accept_unconfirmed_state(Time now);
     void apply_nodes(const Objects& objects);
-    void apply_crash_reports(const Objects& objects, bool is_list);
+    void apply_crash_reports(const KindUpdate& update);
+    /// The store has returned from an older copy and lists these reports and claims.
+    void keep_lost_reports(const std::set<std::string>& listed);
+    /// Writes lost reports and claims again that are due.
+    void rewrite_lost_reports(Time now);
     void apply_trial_claim(const platform::StoredObject& object, const TrialClaim& claim);
     void forget_report(const std::string& name, std::uint64_t request);
     /// Reports of other nodes that are no longer in the store were withdrawn.
     void forget_unlisted_reports(const std::set<std::string>& listed);
     void report_crash(const Crash& crash);
     void claim_trial(const TrialClaim& claim);
+    void write_claim(const TrialClaim& claim, CallHandler on_end);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
@@ -97,10 +103,15 @@
     /// Names of the crash reports that were counted, with the time at which this node removes each
     /// from the store.
     std::map<std::string, Time> m_counted_reports;
+    /// Reports and claims that the store has lost, and those that were withdrawn.
+    LostReports m_lost_reports;
+    /// Names of the claims that were granted to this node.
+    std::set<std::string> m_own_claims;
     std::int64_t m_reported_crashes = 0;
     /// Wall-clock milliseconds; part of the names of crash reports, so that they differ from those
     /// of earlier starts.
     std::int64_t m_started_at_ms = 0;
+    Random m_random{process_seed()};
     CrashReporter m_reporter;
     StoreFeed m_feed;
 };
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -55,6 +55,7 @@
       crash_reports_stored(crash_report_counter(metrics, "stored")),
       crash_reports_failed(crash_report_counter(metrics, "failed")),
       crash_reports_dropped(crash_report_counter(metrics, "dropped")),
+      crash_reports_rewritten(crash_report_counter(metrics, "rewritten")),
       config_version(metrics.counter("ebonymount_front_config_version")),
       request_time(metrics.histogram("ebonymount_front_request_seconds")),
       attempt_time(metrics.histogram("ebonymount_front_try_seconds")) {}
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -71,6 +71,8 @@
     Counter& crash_reports_stored;
     Counter& crash_reports_failed;
     Counter& crash_reports_dropped;
+    /// Reports that the store had lost, and that this node has queued again.
+    Counter& crash_reports_rewritten;
     /// Gauge: version of the configuration that is in force at this node.
     Counter& config_version;
     Histogram& request_time;
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -53,6 +53,17 @@
     suspect.last_report_at = now;
 }
 
+const Crash* find_crash(const CrashQuarantine& quarantine, const std::string& report) {
+    const std::optional<CrashReport> parsed = parse_crash_report(report);
+    const auto suspect =
+        parsed.has_value() ? quarantine.suspects.find(parsed->request) : quarantine.suspects.end();
+    if (suspect == quarantine.suspects.end()) {
+        return nullptr;
+    }
+    const auto crash = suspect->second.crashes.find(report);
+    return crash == suspect->second.crashes.end() ? nullptr : &crash->second;
+}
+
 void remove_crash(CrashQuarantine& quarantine, const std::string& report, std::uint64_t request) {
     const auto found = quarantine.suspects.find(request);
     if (found != quarantine.suspects.end() && found->second.crashes.erase(report) > 0 &&
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -114,6 +114,9 @@
 void add_crash(CrashQuarantine& quarantine, const std::string& report, const Crash& crash,
                Time now);
 
+/// The crash of that report; null if it does not count, or no longer.
+const Crash* find_crash(const CrashQuarantine& quarantine, const std::string& report);
+
 /// Another node has withdrawn its report of a crash of that request.
 void remove_crash(CrashQuarantine& quarantine, const std::string& report, std::uint64_t request);
 
--- a/src/policy/quarantine_trial.cpp
+++ b/src/policy/quarantine_trial.cpp
@@ -91,6 +91,23 @@
     }
 }
 
+std::vector<TrialClaim> void_unused_trials(QuarantineTrials& trials,
+                                           const std::set<std::string>& claims_in_store) {
+    std::vector<TrialClaim> unused;
+    for (const auto& [request, trial] : trials.own) {
+        const TrialClaim claim = {request, trial.number};
+        if (trial.phase != TrialPhase::running &&
+            claims_in_store.count(trial_claim_name(claim)) == 0) {
+            unused.push_back(claim);
+        }
+    }
+    for (const TrialClaim& claim : unused) {
+        trials.own.erase(claim.request);
+        remove_claim(trials, claim);
+    }
+    return unused;
+}
+
 bool take_trial(QuarantineTrials& trials, std::uint64_t request) {
     const auto own = trials.own.find(request);
     if (own == trials.own.end() || own->second.phase != TrialPhase::granted) {
--- a/src/policy/quarantine_trial.h
+++ b/src/policy/quarantine_trial.h
@@ -11,8 +11,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "policy/crash_quarantine.h"
 
@@ -82,6 +84,11 @@
 /// the call failed.
 void end_claim(QuarantineTrials& trials, const TrialClaim& claim, bool granted);
 
+/// Gives up the trials of this node that no request has taken yet and whose claims are not among
+/// those in the store, and returns these claims.
+std::vector<TrialClaim> void_unused_trials(QuarantineTrials& trials,
+                                           const std::set<std::string>& claims_in_store);
+
 /// True if this request is the trial; the caller must report its end.
 bool take_trial(QuarantineTrials& trials, std::uint64_t request);
 void end_trial(QuarantineTrials& trials, std::uint64_t request, TrialEnd end);
--- a/test/correctness/test_quarantine_trial.cpp
+++ b/test/correctness/test_quarantine_trial.cpp
@@ -104,4 +104,29 @@
     CHECK_FALSE(parse_crash_report(trial_claim_name(claim)).has_value());
 }
 
+// Guards against two nodes that hold the same trial: the store has lost the claim of the first one
+// and granted its number to another.
+TEST_CASE("a trial whose claim the store has lost is given up unless a request has taken it") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    for (const TrialPhase phase :
+         {TrialPhase::claiming, TrialPhase::granted, TrialPhase::running}) {
+        for (const bool is_in_store : {false, true}) {
+            CAPTURE(static_cast<int>(phase), is_in_store);
+            QuarantineTrials trials;
+            const Time now = START + TRIAL_DELAY;
+            const TrialClaim claim = *begin_claim(trials, quarantine, REQUEST, now);
+            add_claim(trials, claim, now);
+            trials.own.at(REQUEST).phase = phase;
+            const std::set<std::string> in_store =
+                is_in_store ? std::set<std::string>{trial_claim_name(claim)}
+                            : std::set<std::string>{};
+            const std::vector<TrialClaim> given_up = void_unused_trials(trials, in_store);
+            const bool is_given_up = !is_in_store && phase != TrialPhase::running;
+            CHECK(given_up.size() == (is_given_up ? 1 : 0));
+            CHECK(trials.own.count(REQUEST) == (is_given_up ? 0 : 1));
+            CHECK(trials.claims.count(REQUEST) == (is_given_up ? 0 : 1));
+        }
+    }
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_crashing_requests.cpp
+++ b/test/failure/test_crashing_requests.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "front_fleet.h"
+#include "platform/names.h"
 
 namespace ebonymount {
 namespace {
@@ -177,4 +178,71 @@
                               }}}));
 }
 
+// Guards against crash reports that the store has lost by its return from an older copy and that
+// nobody writes again: machines that are added know nothing of the request (review case 13). The
+// node that wrote them may be gone.
+TEST_CASE("crash reports that the store has lost are written again, by their writer or another") {
+    for (const bool is_writer_gone : {false, true}) {
+        CAPTURE(is_writer_gone);
+        constexpr std::size_t NODES = 3;
+        FrontFleet fleet(NODES);
+        fleet.add_targets("booking", 9);
+        fleet.start({{"book", {"booking"}}});
+        standin::TargetBehaviour behaviour;
+        behaviour.crashing_path = CRASHING;
+        fleet.set_behaviour(behaviour);
+        const auto reports = [&fleet] {
+            std::set<std::string> names = fleet.store().names(platform::names::QUARANTINE_KIND);
+            std::erase_if(names, [](const std::string& name) {
+                return !parse_crash_report(name).has_value();
+            });
+            return names;
+        };
+        std::set<std::string> before;
+        std::set<std::size_t> refusing;
+        const std::function<void(std::size_t)> send = [&](std::size_t node) {
+            fleet.send(node, CRASHING, [&, node](int status, const std::string&) {
+                if (status == 503) {
+                    refusing.insert(node);
+                }
+                if (refusing.count(node) == 0) {
+                    fleet.run_after(from_ms(50), [&send, node] { send(node); });
+                }
+            });
+        };
+        const auto has_all_again = [&] {
+            const std::set<std::string> now = reports();
+            return std::includes(now.begin(), now.end(), before.begin(), before.end());
+        };
+        const auto begin = [&] {
+            fleet.store().take_copy();
+            send(0);
+        };
+        const auto ask_others = [&] {
+            before = reports();
+            for (std::size_t node = 1; node < NODES; ++node) {
+                send(node);
+            }
+        };
+        const auto lose_reports = [&] {
+            before = reports();
+            if (is_writer_gone) {
+                fleet.stop_node(0);
+            }
+        };
+        const auto go_back = [&] {
+            fleet.store().return_from_copy();
+            CHECK(reports().empty());
+        };
+        CHECK(fleet.run_steps(
+            {{[&] { return fleet.is_ready(); }, begin},
+             {[&] { return refusing.count(0) > 0 && reports().size() >= CRASHES; }, ask_others},
+             {[&] { return refusing.size() == NODES; }, lose_reports},
+             {[&] { return !is_writer_gone || fleet.has_stopped(0); }, go_back},
+             {has_all_again, nullptr}}));
+        CHECK(before.size() >= CRASHES);
+        CHECK(has_all_again());
+    }
+}
+
 }  // namespace ebonymount
--- a/test/failure/test_store_return.cpp
+++ b/test/failure/test_store_return.cpp
@@ -143,26 +143,33 @@
     fleet.add_targets("old", 3);
     fleet.add_targets("new", 1);
     fleet.add_targets("leaving", 2);
-    fleet.start({before, {"leave", {"leaving"}}});
-    Prober prober(fleet, NODE_COUNT, {"/book/1", "/check/1", "/added/1", "/leave/1"});
-    const auto lose_changes = [&fleet, &before] {
+    fleet.add_targets("witness", 2);
+    const std::vector<FleetRoute> unchanged = {{"leave", {"leaving"}}, {"witness", {"witness"}}};
+    const auto publish = [&](std::vector<FleetRoute> routes) {
+        routes.insert(routes.end(), unchanged.begin(), unchanged.end());
+        fleet.publish_routes(routes);
+    };
+    fleet.start({before, unchanged[0], unchanged[1]});
+    Prober prober(fleet, NODE_COUNT, {"/book/1", "/check/1", "/added/1", "/leave/1", "/witness/1"});
+    const auto lose_changes = [&] {
         fleet.store().take_copy();
         for (int i = 0; i < LOST_CHANGES; ++i) {
             fleet.set_target_state("new-0", "ready");
         }
         fleet.set_target_state("leaving-0", "ready");
-        fleet.publish_routes({before, {"leave", {"leaving"}}, {"check", {"old"}}});
+        // Shows when nodes have received all changes of targets before it.
+        fleet.set_target_state("witness-0", "draining");
+        publish({before, {"check", {"old"}}});
     };
-    const auto change = [&fleet] {
+    const auto change = [&] {
         return_from_copy(fleet.store());
         fleet.publish_again(names::CONFIG_KIND, names::CONFIG_NAME);
-        for (const char* target : {"new-0", "leaving-0"}) {
+        for (const char* target : {"new-0", "leaving-0", "witness-0"}) {
             fleet.publish_again(names::TARGETS_KIND, target);
         }
         FleetRoute moved_home = {"check", {"old"}};
         moved_home.regions = {"west"};
-        fleet.publish_routes(
-            {{"book", {"new"}}, {"leave", {"leaving"}}, moved_home, {"added", {"new"}}});
+        publish({{"book", {"new"}}, moved_home, {"added", {"new"}}});
         fleet.set_target_state("leaving-0", "draining");
     };
     CHECK(fleet.run_steps({{[&] { return fleet.is_ready(); },
@@ -170,7 +177,11 @@
                                 prober.begin();
                             }},
                            {[&] { return prober.all_end_with("/book/1", 200); }, lose_changes},
-                           {[&] { return prober.all_end_with("/check/1", 200); }, change},
+                           {[&] {
+                                return prober.all_end_with("/check/1", 200) &&
+                                       prober.all_reach("/witness/1", "witness-1");
+                            },
+                            change},
                            {[&] { return prober.all_end_with("/added/1", 200); }, nullptr},
                            {[&] { return prober.all_reach("/book/1", "new-0"); }, nullptr},
                            {[&] { return prober.all_reach("/check/1", "old-1"); }, nullptr},
--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -137,6 +137,14 @@
     return m_listeners.front()->address();
 }
 
+std::set<std::string> PlatformStore::names(const std::string& kind) const {
+    std::set<std::string> names;
+    for (const auto& [name, change] : objects_of(m_history, kind, m_history.changes.size())) {
+        names.insert(name);
+    }
+    return names;
+}
+
 std::int64_t PlatformStore::calls() const {
     return m_calls;
 }
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -79,6 +80,9 @@
     /// The address, with the port that the system chose if the given port was 0.
     std::string address() const;
 
+    /// Names of the objects of a kind.
+    std::set<std::string> names(const std::string& kind) const;
+
     /// Number of calls received, including those that were refused.
     std::int64_t calls() const;
 
