Store feed: a node does not follow changes that its copy cannot take

What callers would see: after a rolling update of the program, nodes of data centres with five nodes or more on an old state for good, with a small age (CONFIG, HOME, DENIED, DRAIN).

Cause: an unknown era had two meanings. A follower whose copy came from a reader of an earlier version has no era; a reader with one took that for its own and sent no list, and then all its changes were of another era than the copy and were dropped without a line. And a reader that states no era and has missed a return could bring a node back to the state before it.

Change: a follow request tells whether its sender reads eras; one that does, and has none, gets a list. A change of a later era than the copy ends the stream, so that lists are asked for again. Updates without an era are used only as long as this process has seen no return of the store; after that the stream ends, and the line reader_without_era says so.

Evidence: test_store_mirror, new case, fails without the change of lists_of (read off the old condition, which the test next to it asserted in part; that assertion now holds for followers that read no eras, and the new one is added).

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -216,7 +216,7 @@
 
 void StoreFeed::apply_update(KindUpdate update) {
     const Time now = monotonic_now();
-    if (update.position.era != UNKNOWN_ERA) {
+    if (update.is_list && update.position.era != UNKNOWN_ERA) {
         on_store_era(update.position.era);
     }
     const StorePosition known = position_of(m_mirror, update.kind);
@@ -301,6 +301,7 @@
         return;
     }
     const bool is_return = m_era != UNKNOWN_ERA;
+    m_has_seen_return = m_has_seen_return || is_return;
     LogEvent(is_return ? LogLevel::warning : LogLevel::info, "store", "era")
         .add("era", era)
         .add("before", m_era)
@@ -485,8 +486,8 @@
         upstream->link.ended = true;
     };
     upstream->call =
-        m_peers.call(reader.address, FEED_PATH, encode(FollowRequest{positions_of(m_mirror), true}),
-                     std::move(events));
+        m_peers.call(reader.address, FEED_PATH,
+                     encode(FollowRequest{positions_of(m_mirror), true, true}), std::move(events));
 }
 
 void StoreFeed::on_upstream_data(const std::shared_ptr<Upstream>& upstream,
@@ -518,7 +519,10 @@
         }
         if (value_of(update).change.has_value()) {
             ++m_updates_received;
-            report_missing_era(*upstream, *value_of(update).change);
+            if (!may_apply(*upstream, *value_of(update).change)) {
+                upstream->link.ended = true;
+                return;
+            }
             apply_update(*value_of(update).change);
         }
     }
@@ -530,15 +534,22 @@
     }
 }
 
-void StoreFeed::report_missing_era(Upstream& upstream, const KindUpdate& update) const {
+bool StoreFeed::may_apply(Upstream& upstream, const KindUpdate& update) const {
     const bool lacks_era = m_era != UNKNOWN_ERA && update.position.era == UNKNOWN_ERA;
     if (lacks_era && !upstream.lacks_era) {
         LogEvent(LogLevel::warning, "store", "reader_without_era")
             .add("reader", upstream.link.reader.node)
             .add("era", m_era)
+            .add("used", m_has_seen_return ? "no" : "yes")
             .write();
     }
     upstream.lacks_era = lacks_era;
+    if (lacks_era) {
+        return !m_has_seen_return;
+    }
+    // Changes that do not continue this node's copy were preceded by a list that it has not got.
+    const std::int64_t known_era = position_of(m_mirror, update.kind).era;
+    return update.is_list || update.position.era <= known_era;
 }
 
 void StoreFeed::close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason) {
@@ -643,7 +654,7 @@
 }
 
 void StoreFeed::send_lists(Follower& follower, Time now) {
-    for (const KindUpdate& list : lists_of(m_mirror, follower.request.known, now)) {
+    for (const KindUpdate& list : lists_of(m_mirror, follower.request, now)) {
         follower.stream->write(encoded_list(list, follower.request.accepts_compressed));
     }
     follower.has_lists = true;
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -119,9 +119,11 @@
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
-    /// Logs once a stream that the updates of a reader come without an era, as those of an earlier
-    /// version of this program do. They are compared by revisions alone.
-    void report_missing_era(Upstream& upstream, const KindUpdate& update) const;
+    /// False if the update of a reader says nothing that this node can rely on: it is of a later
+    /// era than the list before it, or states none, as those of an earlier version of this program
+    /// do, and the store has returned from an older copy, which that reader does not notice. The
+    /// stream is to be ended then. A reader without eras is logged once a stream.
+    bool may_apply(Upstream& upstream, const KindUpdate& update) const;
     void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
     void probe_store();
@@ -165,6 +167,8 @@
     StoreProgress m_progress;
     /// The highest era that the store has stated.
     std::int64_t m_era = UNKNOWN_ERA;
+    /// The era has risen since this process started.
+    bool m_has_seen_return = false;
     std::vector<Member> m_members;
     StoreSource m_source;
     Random m_random{process_seed()};
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -275,14 +275,17 @@
             eras.push_back({static_cast<int>(kind), position.era});
         }
     }
-    return Json{{"revisions", std::move(revisions)},
-                {"eras", std::move(eras)},
-                {"compressed", request.accepts_compressed}}
-        .dump();
+    Json message = {{"revisions", std::move(revisions)},
+                    {"compressed", request.accepts_compressed}};
+    if (request.reads_eras) {
+        message["eras"] = std::move(eras);
+    }
+    return message.dump();
 }
 
 FollowRequest decode_follow_request(const std::string& text) {
     FollowRequest request;
+    request.reads_eras = false;
     const Result<Json> parsed = parse_json_text(text);
     if (!has_value(parsed) || !value_of(parsed).is_object()) {
         return request;
@@ -294,6 +297,7 @@
     for (const auto& [kind, revision] : numbers_by_kind(document, "revisions")) {
         request.known[kind].revision = revision;
     }
+    request.reads_eras = document.contains("eras");
     for (const auto& [kind, era] : numbers_by_kind(document, "eras")) {
         const auto known = request.known.find(kind);
         if (known != request.known.end() && is_valid_era(era)) {
@@ -325,13 +329,16 @@
     }
 }
 
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindPositions& known, Time now) {
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const FollowRequest& follower,
+                                 Time now) {
     std::vector<KindUpdate> lists;
     for (const auto& [kind, mirrored] : mirror) {
-        const auto found = known.find(kind);
-        const StorePosition known_position =
-            with_era_of(found == known.end() ? StorePosition{} : found->second, mirrored.position);
-        if (with_era_of(mirrored.position, known_position) <= known_position) {
+        const auto found = follower.known.find(kind);
+        StorePosition known = found == follower.known.end() ? StorePosition{} : found->second;
+        if (!follower.reads_eras) {
+            known = with_era_of(known, mirrored.position);
+        }
+        if (with_era_of(mirrored.position, known) <= known) {
             continue;
         }
         KindUpdate list;
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -70,8 +70,9 @@
 
 /// Applies an update to the mirror and returns the part of it to pass on: a list as a whole, unless
 /// the mirrored copy is newer, and of changes only those newer than the mirrored objects. Empty if
-/// there is nothing to pass on. An update without an era is compared by revisions. Changes are only
-/// applied to a copy of their own era, as they do not say what the return of the store has undone.
+/// there is nothing to pass on. An update without an era is compared by revisions, so it must not
+/// come from a source that may have missed a return of the store. Changes are only applied to a
+/// copy of their own era, as they do not say what the return has undone.
 std::optional<KindUpdate> merge_update(StoreMirror& mirror, KindUpdate update, Time now);
 
 /// Position of the mirrored copy of a kind; its revision is 0 if the kind has not been read.
@@ -88,6 +89,9 @@
 /// What a node tells a reader when it begins to follow it.
 struct FollowRequest {
     KindPositions known;
+    /// The node reads eras, so an unknown one above means that its copy came without one. Earlier
+    /// versions of this program do not read them.
+    bool reads_eras = true;
     /// The node can decode compressed messages.
     bool accepts_compressed = false;
 
@@ -102,8 +106,8 @@
 std::string encode(const Member& node);
 std::optional<Member> decode_member(const std::string& text);
 
-/// Returns a list of each kind of which the mirrored copy is newer than `known`, to be sent to a
-/// new follower that knows those positions.
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindPositions& known, Time now);
+/// Returns a list of each kind of which the mirrored copy is newer than the follower's.
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const FollowRequest& follower,
+                                 Time now);
 
 }  // namespace ebonymount
--- a/test/correctness/test_store_mirror.cpp
+++ b/test/correctness/test_store_mirror.cpp
@@ -163,14 +163,32 @@
     CHECK(merge_update(mirror, list(12, {object("b", 11)}), NOW).has_value());
     CHECK_FALSE(merge_update(mirror, list(9, {}), NOW).has_value());
     CHECK(position_of(mirror, Kind::targets) == StorePosition{3, 12});
-    // Followers without eras get what is newer by its revision, and so do followers of a reader
-    // without eras.
-    CHECK(lists_of(mirror, {{Kind::targets, {UNKNOWN_ERA, 12}}}, NOW).empty());
-    CHECK(lists_of(mirror, {{Kind::targets, {UNKNOWN_ERA, 11}}}, NOW).size() == 1);
+    // Followers that read no eras get what is newer by its revision, and so do followers of a
+    // reader that states none.
+    const auto follower = [](std::int64_t era, std::int64_t revision, bool reads_eras) {
+        return FollowRequest{{{Kind::targets, {era, revision}}}, reads_eras, true};
+    };
+    CHECK(lists_of(mirror, follower(UNKNOWN_ERA, 12, false), NOW).empty());
+    CHECK(lists_of(mirror, follower(UNKNOWN_ERA, 11, false), NOW).size() == 1);
     StoreMirror without_era;
     merge_update(without_era, list(10, {object("a", 4)}), NOW);
-    CHECK(lists_of(without_era, {{Kind::targets, {3, 9}}}, NOW).size() == 1);
-    CHECK(lists_of(without_era, {{Kind::targets, {3, 10}}}, NOW).empty());
+    CHECK(lists_of(without_era, follower(3, 9, true), NOW).size() == 1);
+    CHECK(lists_of(without_era, follower(3, 10, true), NOW).empty());
+}
+
+// Guards against a node that drops all changes after it has moved from a reader without eras to one
+// with eras: its copy has no era, and it gets no list.
+TEST_CASE("a follower whose copy came without an era gets a list from a reader that states one") {
+    StoreMirror reader;
+    merge_update(reader, in_era(1, list(10, {object("a", 4)})), NOW);
+    StoreMirror mirror;
+    merge_update(mirror, list(10, {object("a", 4)}), NOW);
+    const FollowRequest request =
+        decode_follow_request(encode(FollowRequest{positions_of(mirror), true, true}));
+    REQUIRE(lists_of(reader, request, NOW).size() == 1);
+    CHECK(merge_update(mirror, lists_of(reader, request, NOW).front(), NOW).has_value());
+    const KindUpdate change = in_era(1, changes(11, {object("b", 11)}));
+    CHECK(merge_update(mirror, change, NOW).has_value());
 }
 
 // Guards against a removed object that comes back with a late change, such as one from a second
@@ -264,9 +282,9 @@
     KindUpdate after_outage = list(10, {object("a", 4)});
     after_outage.after_outage = true;
     merge_update(mirror, after_outage, NOW);
-    CHECK(lists_of(mirror, {}, NOW + from_ms(1500)).front().after_outage);
-    CHECK_FALSE(lists_of(mirror, {}, NOW + from_ms(2500)).front().after_outage);
-    CHECK(lists_of(mirror, {}, NOW).front().objects == after_outage.objects);
+    CHECK(lists_of(mirror, FollowRequest{}, NOW + from_ms(1500)).front().after_outage);
+    CHECK_FALSE(lists_of(mirror, FollowRequest{}, NOW + from_ms(2500)).front().after_outage);
+    CHECK(lists_of(mirror, FollowRequest{}, NOW).front().objects == after_outage.objects);
 }
 
 TEST_CASE("messages between nodes are decoded as they were encoded") {
@@ -334,19 +352,22 @@
     StoreMirror mirror;
     merge_update(mirror, {Kind::targets, true, false, {UNKNOWN_ERA, 7}, {}}, NOW);
     merge_update(mirror, {Kind::config, true, false, {2, 9}, {}}, NOW);
-    const FollowRequest request = {positions_of(mirror), true};
-    CHECK(decode_follow_request(encode(request)) == request);
-    const KindPositions& known = request.known;
-    CHECK(lists_of(mirror, known, NOW).empty());
+    for (const bool reads_eras : {false, true}) {
+        const FollowRequest sent = {
+            {{Kind::config, {reads_eras ? 2 : UNKNOWN_ERA, 9}}}, reads_eras, true};
+        CHECK(decode_follow_request(encode(sent)) == sent);
+    }
+    const FollowRequest request = {positions_of(mirror), true, true};
+    CHECK(lists_of(mirror, request, NOW).empty());
     merge_update(mirror, {Kind::config, true, false, {UNKNOWN_ERA, 10}, {}}, NOW);
-    REQUIRE(lists_of(mirror, known, NOW).size() == 1);
-    CHECK(lists_of(mirror, known, NOW).front().kind == Kind::config);
+    REQUIRE(lists_of(mirror, request, NOW).size() == 1);
+    CHECK(lists_of(mirror, request, NOW).front().kind == Kind::config);
     // Whatever cannot be read counts as no copy, so everything is sent.
     for (const char* text :
          {"", "null", "[]", "{\"revisions\":[[99,1],[\"a\",2],7,[1]]}", "{\"revisions\":7}", "\xff",
           R"({"revisions":[],"eras":[[0,2],[1,2]]})",
           R"({"revisions":[[0,8]],"eras":[[0,-7],[0,9007199254740992]]})"}) {
-        CHECK(lists_of(mirror, decode_follow_request(text).known, NOW).size() == 2);
+        CHECK(lists_of(mirror, decode_follow_request(text), NOW).size() == 2);
     }
 }
 
