Store era: one value that is too high does not make a node deaf for ever

Each later response was "of an earlier era" and refused.

Change: policy/store_era decides what a stated era means, for all watchers of a node and the lists of other nodes alike (one state instead of one a watcher). A rise by more than 1,000 is no era, and is logged. An earlier era that current reads alone state for 20 s is the store's: all lists are read again, and the copies count as older. Changes of a reader that are of an earlier era than is known end its stream, so that a follower with a wrong era goes to the store. Beside it: current reads for 20 s now begin with the rise itself, also for watchers that are paused or listing, and the list of nodes is polled soon again.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -83,17 +83,16 @@
     }
     m_paused = false;
     m_consecutive_failures = 0;
-    const bool is_of_earlier_era = position.era < m_era;
-    if (position.revision == 0 || is_of_earlier_era || m_options.poll_interval > Duration::zero()) {
+    if (store_failed_recently) {
+        m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
+    }
+    m_position = position;
+    if (position.revision == 0 || !is_of_known_era() ||
+        m_options.poll_interval > Duration::zero()) {
         read_list();
         return;
     }
-    m_position = position;
-    m_era = position.era;
     m_next_watch_is_first = true;
-    if (store_failed_recently) {
-        m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
-    }
     wait_for_changes();
 }
 
@@ -161,11 +160,9 @@
             self->m_loop.cancel(timer);
             const bool is_awaited = !self->m_stopped && self->m_call_number == number;
             const auto handle = [&] {
-                const std::int64_t known_era = self->m_era;
-                const std::int64_t era = self->take_era(response);
-                if (era != UNKNOWN_ERA && era < known_era) {
+                if (!self->take_era(response)) {
                     self->m_listed_objects.clear();
-                    self->on_failure("earlier era " + std::to_string(era));
+                    self->on_failure("a response of an earlier era");
                     return;
                 }
                 on_end(status, response);
@@ -214,8 +211,8 @@
     if (m_listed_objects.empty()) {
         // The watch starts from the first page's revision, so changes made while further pages are
         // read are received again.
-        m_position = {m_era, decoded.store_revision};
-    } else if (m_position.era != m_era) {
+        m_position = {m_options.era->known, decoded.store_revision};
+    } else if (!is_of_known_era()) {
         // Pages of two eras make no list.
         m_listed_objects.clear();
         read_list();
@@ -256,7 +253,7 @@
 }
 
 void KindWatcher::on_watch_end(CallStatus status, const HttpResponseMessage& response) {
-    if (m_position.era != m_era) {
+    if (!is_of_known_era()) {
         begin_era();
         return;
     }
@@ -314,8 +311,13 @@
     }
 }
 
-std::int64_t KindWatcher::take_era(const HttpResponseMessage& response) {
-    const platform::StatedEra stated = platform::decode_era(response.headers);
+bool KindWatcher::take_era(const HttpResponseMessage& response) {
+    platform::StatedEra stated = platform::decode_era(response.headers);
+    const EraChange change =
+        on_stated_era(*m_options.era, stated.era, m_call_is_current, monotonic_now());
+    if (change == EraChange::ignored) {
+        stated.ignored = std::to_string(stated.era);
+    }
     if (!stated.ignored.empty() && stated.ignored != m_ignored_era) {
         LogEvent(LogLevel::warning, "store", "ignored_era")
             .add("kind", platform::name_of(m_options.kind))
@@ -323,14 +325,19 @@
             .write();
     }
     m_ignored_era = stated.ignored;
-    if (stated.era > m_era) {
-        m_era = stated.era;
+    const bool has_changed = change == EraChange::returned || change == EraChange::corrected;
+    if (has_changed || change == EraChange::earlier) {
+        // Recent reads may be of the earlier era for a while.
         m_lists_current_until = monotonic_now() + CURRENT_READS_TIME;
     }
-    if (stated.era != UNKNOWN_ERA && m_handlers.on_era) {
-        m_handlers.on_era(stated.era);
+    if ((has_changed || change == EraChange::learned) && m_handlers.on_era_change) {
+        m_handlers.on_era_change();
     }
-    return stated.era;
+    return change != EraChange::earlier;
+}
+
+bool KindWatcher::is_of_known_era() const {
+    return m_position.era == m_options.era->known;
 }
 
 void KindWatcher::begin_era() {
@@ -338,15 +345,13 @@
     run_later(scaled(RETURN_SPREAD, m_options.pause_jitter), &KindWatcher::read_list);
 }
 
-void KindWatcher::enter_era(std::int64_t era) {
-    if (era <= m_era) {
-        return;
-    }
-    m_era = era;
+void KindWatcher::enter_era() {
     m_lists_current_until = monotonic_now() + CURRENT_READS_TIME;
+    m_reads_current_until = m_lists_current_until;
+    m_polls = 0;
     // A list that is being read now is of the new era, or is refused for its era.
     const bool is_listing = !m_is_watching && !m_pause_timer.has_value();
-    if (m_paused || m_stopped || is_listing) {
+    if (m_paused || m_stopped || is_listing || is_of_known_era()) {
         return;
     }
     end_call();
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -23,6 +23,7 @@
 #include "io/http_channel.h"
 #include "io/metrics.h"
 #include "platform/store_calls.h"
+#include "policy/store_era.h"
 
 namespace ebonymount {
 
@@ -61,6 +62,8 @@
     bool is_always_current = false;
     /// Starts paused: makes no call before `resume`.
     bool is_paused = false;
+    /// The store's era, shared by all watchers of a node.
+    std::shared_ptr<StoreEra> era = std::make_shared<StoreEra>();
     /// Added to the pauses after failures, as a fraction of them, so that nodes that fail together
     /// do not call again together.
     double pause_jitter = 0.0;
@@ -80,8 +83,9 @@
     std::function<void(const StorePosition& position, bool is_current)> on_position{};
     /// True while recent data may be too old, as another watcher has found. May be empty.
     std::function<bool()> must_read_current{};
-    /// Receives the era of the store that a response states. May be empty.
-    std::function<void(std::int64_t era)> on_era{};
+    /// Called when a response shows that the store's era is another one than was known. May be
+    /// empty.
+    std::function<void()> on_era_change{};
 };
 
 class KindWatcher : public std::enable_shared_from_this<KindWatcher> {
@@ -127,9 +131,9 @@
     /// data.
     void require_current_data();
 
-    /// The store is known to be in that era: reads the list again if the data is of an earlier one,
-    /// and accepts no response of an earlier one. Also while the watcher is paused.
-    void enter_era(std::int64_t era);
+    /// The store's era has changed: reads the list again if the data is of another one. Also while
+    /// the watcher is paused.
+    void enter_era();
 
 private:
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
@@ -147,9 +151,10 @@
     void log_objects_without_name(const platform::ObjectPage& page) const;
     void on_success(Time complete_at);
     void report_position() const;
-    /// Reports the era that a response states, and returns it.
-    std::int64_t take_era(const HttpResponseMessage& response);
-    /// The store has returned from an older copy: reads the list.
+    /// Applies the era that a response states. False if the response is out of date.
+    bool take_era(const HttpResponseMessage& response);
+    bool is_of_known_era() const;
+    /// Reads the list in the store's new era, after a delay.
     void begin_era();
     void on_failure(const std::string& reason);
     platform::Freshness watch_freshness() const;
@@ -166,8 +171,6 @@
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
     StorePosition m_position;
-    /// The highest era that is known, by this or another watcher's calls.
-    std::int64_t m_era = UNKNOWN_ERA;
     /// The last era that could not be used, which is logged once.
     std::string m_ignored_era;
     std::int64_t m_consecutive_failures = 0;
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -148,6 +148,7 @@
         // Its changes are rare and must be in force everywhere in time.
         options.is_always_current = kind == platform::Kind::config;
         options.is_paused = true;
+        options.era = m_era;
         options.pause_jitter = MAX_PAUSE_JITTER * uniform(m_random);
         KindWatcherHandlers handlers;
         handlers.on_update = [this](KindUpdate update) {
@@ -159,8 +160,8 @@
         handlers.must_read_current = [this] {
             return has_recent_store_failure();
         };
-        handlers.on_era = [this](std::int64_t era) {
-            on_store_era(era);
+        handlers.on_era_change = [this] {
+            on_era_change();
         };
         if (!is_probe) {
             handlers.is_store_failing = [this] {
@@ -216,9 +217,6 @@
 
 void StoreFeed::apply_update(KindUpdate update) {
     const Time now = monotonic_now();
-    if (update.is_list && update.position.era != UNKNOWN_ERA) {
-        on_store_era(update.position.era);
-    }
     const StorePosition known = position_of(m_mirror, update.kind);
     if (update.is_list && with_era_of(update.position, known) < known) {
         report_older_list(update, known);
@@ -296,25 +294,31 @@
     });
 }
 
-void StoreFeed::on_store_era(std::int64_t era) {
-    if (era <= m_era) {
-        return;
-    }
-    const bool is_return = m_era != UNKNOWN_ERA;
-    m_has_seen_return = m_has_seen_return || is_return;
-    LogEvent(is_return ? LogLevel::warning : LogLevel::info, "store", "era")
+void StoreFeed::on_era_change() {
+    const std::int64_t era = m_era->known;
+    const bool is_first = m_era_before == UNKNOWN_ERA;
+    m_has_seen_return = m_has_seen_return || !is_first;
+    LogEvent(is_first ? LogLevel::info : LogLevel::warning, "store", "era")
         .add("era", era)
-        .add("before", m_era)
+        .add("before", m_era_before)
         .add("config", describe(position_of(m_mirror, platform::Kind::config)))
         .add("reads", m_source.reading ? "yes" : "no")
         .write();
-    m_era = era;
+    if (era < m_era_before) {
+        // What is known of the era that was wrong must not outlast it.
+        withdraw_eras_after(m_mirror, era);
+        m_progress = StoreProgress{};
+    }
+    m_era_before = era;
     m_store_era = era;
+    if (is_first) {
+        return;
+    }
     // The watcher that reports this has not handled its response yet.
-    m_loop.post([this, era, alive = std::weak_ptr<bool>(m_alive)] {
+    m_loop.post([this, alive = std::weak_ptr<bool>(m_alive)] {
         if (!alive.expired()) {
             for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
-                watcher->enter_era(era);
+                watcher->enter_era();
             }
         }
     });
@@ -519,6 +523,7 @@
         }
         if (value_of(update).change.has_value()) {
             ++m_updates_received;
+            // Another reader, or the store itself, has what this one lacks.
             if (!may_apply(*upstream, *value_of(update).change)) {
                 upstream->link.ended = true;
                 return;
@@ -534,22 +539,29 @@
     }
 }
 
-bool StoreFeed::may_apply(Upstream& upstream, const KindUpdate& update) const {
-    const bool lacks_era = m_era != UNKNOWN_ERA && update.position.era == UNKNOWN_ERA;
+bool StoreFeed::may_apply(Upstream& upstream, const KindUpdate& update) {
+    const std::int64_t era = update.position.era;
+    const bool lacks_era = m_era->known != UNKNOWN_ERA && era == UNKNOWN_ERA;
     if (lacks_era && !upstream.lacks_era) {
         LogEvent(LogLevel::warning, "store", "reader_without_era")
             .add("reader", upstream.link.reader.node)
-            .add("era", m_era)
+            .add("era", m_era->known)
             .add("used", m_has_seen_return ? "no" : "yes")
             .write();
     }
     upstream.lacks_era = lacks_era;
-    if (lacks_era) {
+    if (era == UNKNOWN_ERA) {
         return !m_has_seen_return;
     }
     // Changes that do not continue this node's copy were preceded by a list that it has not got.
-    const std::int64_t known_era = position_of(m_mirror, update.kind).era;
-    return update.is_list || update.position.era <= known_era;
+    if (!update.is_list) {
+        return era <= position_of(m_mirror, update.kind).era && era >= m_era->known;
+    }
+    const EraChange change = on_stated_era(*m_era, era, false, monotonic_now());
+    if (change == EraChange::learned || change == EraChange::returned) {
+        on_era_change();
+    }
+    return change != EraChange::ignored;
 }
 
 void StoreFeed::close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason) {
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -99,9 +99,8 @@
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
     void on_store_position(platform::Kind kind, const StorePosition& position, bool is_current);
-    /// The store, or a node that reads it, has stated that era: if it is a later one, the store has
-    /// returned from an older copy, and all kinds are read again.
-    void on_store_era(std::int64_t era);
+    /// The store's era is known, or another one than before: all kinds are read again then.
+    void on_era_change();
     /// Counts and logs a list that the mirror does not take as it is older than `known`.
     void report_older_list(const KindUpdate& update, const StorePosition& known);
     /// Other nodes rely on what this node reads.
@@ -119,11 +118,11 @@
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
-    /// False if the update of a reader says nothing that this node can rely on: it is of a later
-    /// era than the list before it, or states none, as those of an earlier version of this program
-    /// do, and the store has returned from an older copy, which that reader does not notice. The
-    /// stream is to be ended then. A reader without eras is logged once a stream.
-    bool may_apply(Upstream& upstream, const KindUpdate& update) const;
+    /// False if this node cannot rely on the updates of a reader, whose stream is to be ended then:
+    /// its changes do not continue this node's copy, or it states no era, as an earlier version of
+    /// this program does, and the store has returned from an older copy, which that reader does not
+    /// notice. A reader without eras is logged once a stream.
+    bool may_apply(Upstream& upstream, const KindUpdate& update);
     void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
     void probe_store();
@@ -165,9 +164,11 @@
     std::vector<Follower> m_followers;
     StoreMirror m_mirror;
     StoreProgress m_progress;
-    /// The highest era that the store has stated.
-    std::int64_t m_era = UNKNOWN_ERA;
-    /// The era has risen since this process started.
+    /// The store's era, as this node's own calls and lists of other nodes show it.
+    std::shared_ptr<StoreEra> m_era = std::make_shared<StoreEra>();
+    /// The era before the latest change of it.
+    std::int64_t m_era_before = UNKNOWN_ERA;
+    /// The era has changed since it became known to this process.
     bool m_has_seen_return = false;
     std::vector<Member> m_members;
     StoreSource m_source;
--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -246,6 +246,12 @@
     return found == mirror.end() ? StorePosition{} : found->second.position;
 }
 
+void withdraw_eras_after(StoreMirror& mirror, std::int64_t era) {
+    for (auto& [kind, mirrored] : mirror) {
+        mirrored.position.era = std::min(mirrored.position.era, era - 1);
+    }
+}
+
 bool is_complete(const StoreMirror& mirror) {
     for (int kind = 0; kind < platform::KIND_COUNT; ++kind) {
         if (position_of(mirror, static_cast<platform::Kind>(kind)).revision == 0) {
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -78,6 +78,9 @@
 /// Position of the mirrored copy of a kind; its revision is 0 if the kind has not been read.
 StorePosition position_of(const StoreMirror& mirror, platform::Kind kind);
 
+/// A later era than that was stated by mistake: lists of that era are newer than all copies.
+void withdraw_eras_after(StoreMirror& mirror, std::int64_t era);
+
 /// True when every kind has been read.
 bool is_complete(const StoreMirror& mirror);
 
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -256,4 +256,18 @@
     CHECK(store.positions.back() == StorePosition{3, 9});
 }
 
+// Guards against one wrong header that makes a watcher refuse all responses after it.
+TEST_CASE("a response with a number that is no era is used, and so are those after it") {
+    const std::string change = R"({"events": [{"deleted": false, "object": )" + object("x") +
+                               R"(}], "store_revision": 21})";
+    ScriptedStore store({in_era("2", response(200, list(object("a"), false, 20))),
+                         in_era("9007199254740991", response(200, change)),
+                         in_era("2", response(200, R"({"events": [], "store_revision": 22})"))});
+    store.run();
+    REQUIRE(store.calls.size() == 4);
+    CHECK(store.lists.size() == 1);
+    CHECK(store.changes.size() == 1);
+    CHECK(store.calls[3].find("watch=22&") != std::string::npos);
+}
+
 }  // namespace ebonymount
