Kind watcher: a store whose history is always gone is called with pauses

What callers would see: nothing; the store would get a list and a watch without a pause, from each node that reads, as long as its watches end with 410.

Cause: a 410 is followed by a list at once, and the list by a watch; nothing counted them.

Change: from the second 410 in a row on the list waits, 100 ms, doubled each time up to 3 s. A watch that is answered ends the series.

Evidence: test_kind_watcher, new case: no pause before, pauses of at least 100, 200 and 400 ms now (lower bounds of timers only).

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -31,6 +31,12 @@
 /// second.
 constexpr Duration RETURN_SPREAD = from_ms(400);
 
+/// Pause after the given number of failures in a row, at least one.
+Duration doubled_pause(std::int64_t failures, Duration maximum) {
+    const std::int64_t doublings = std::min(failures - 1, MAX_PAUSE_DOUBLINGS);
+    return std::min(maximum, FIRST_RETRY_PAUSE * (std::int64_t{1} << doublings));
+}
+
 }  // namespace
 
 KindWatcher::KindWatcher(EventLoop& loop, const KindWatcherOptions& options,
@@ -264,7 +270,12 @@
             .write();
         on_success(m_complete_at);
         m_reads_current_until = monotonic_now() + CURRENT_READS_TIME;
-        read_list();
+        if (m_histories_gone++ == 0) {
+            read_list();
+        } else {
+            run_later(doubled_pause(m_histories_gone - 1, NON_PROBE_PAUSE),
+                      &KindWatcher::read_list);
+        }
         return;
     }
     if (status != CallStatus::answered || response.status != http::OK) {
@@ -279,6 +290,7 @@
     }
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
     on_success(std::min(monotonic_now(), m_called_at + m_call_wait));
+    m_histories_gone = 0;
     const std::int64_t known_revision = m_position.revision;
     m_position.revision = decoded.store_revision;
     report_position();
@@ -395,9 +407,7 @@
     const Duration maximum = m_options.is_probe ? m_options.timing.probe_pause
                              : m_options.poll_interval > Duration::zero() ? POLLED_LIST_PAUSE
                                                                           : NON_PROBE_PAUSE;
-    const std::int64_t doublings = std::min(m_consecutive_failures - 1, MAX_PAUSE_DOUBLINGS);
-    const Duration pause = std::min(maximum, FIRST_RETRY_PAUSE * (std::int64_t{1} << doublings));
-    return scaled(pause, 1.0 + m_options.pause_jitter);
+    return scaled(doubled_pause(m_consecutive_failures, maximum), 1.0 + m_options.pause_jitter);
 }
 
 bool KindWatcher::is_failing() const {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -175,6 +175,8 @@
     std::string m_ignored_era;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
+    /// Consecutive watches that ended because the store's history is gone.
+    std::int64_t m_histories_gone = 0;
     Time m_reads_current_until{};
     /// Polled lists ask for current data until then, too.
     Time m_lists_current_until{};
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -53,6 +53,8 @@
     }
 
     std::vector<std::string> calls;
+    /// When each call arrived.
+    std::vector<Time> call_times;
     std::vector<std::vector<platform::StoredObject>> lists;
     /// For each list and change, the position of the store after it.
     std::vector<StorePosition> positions;
@@ -68,6 +70,7 @@
     void on_call(const std::shared_ptr<HttpServerConnection>& connection,
                  const HttpRequestMessage& request) {
         calls.push_back(request.target);
+        call_times.push_back(monotonic_now());
         if (calls.size() > m_responses.size()) {
             m_loop.stop();
             return;
@@ -270,4 +273,21 @@
     CHECK(store.calls[3].find("watch=22&") != std::string::npos);
 }
 
+// Guards against calls without a pause at a store whose history is always gone: each list is
+// answered, and each watch after it ends with 410.
+TEST_CASE("a store that answers each watch with 410 is called with growing pauses") {
+    std::vector<HttpResponseMessage> responses;
+    for (int i = 0; i < 4; ++i) {
+        responses.push_back(response(200, list("", false, 5)));
+        responses.push_back(response(410, ""));
+    }
+    ScriptedStore store(responses);
+    store.run();
+    REQUIRE(store.calls.size() == 9);
+    // The list that follows the second, the third and the fourth 410.
+    CHECK(store.call_times[4] - store.call_times[3] >= from_ms(100));
+    CHECK(store.call_times[6] - store.call_times[5] >= from_ms(200));
+    CHECK(store.call_times[8] - store.call_times[7] >= from_ms(400));
+}
+
 }  // namespace ebonymount
