Store feed: an update that fails to be applied is delivered again

What callers would see: a node that goes on with an old configuration or old targets until the next change of that kind, although its log says that the version was accepted (CONFIG, HOME, DENIED). What could make the handler fail is not known: an exception that only the guard catches, of which a run would show the line `exception`.

Cause: the copy that is passed on takes the update before the node applies it. When that fails the watcher reads the list again, but a list that is the same as the copy says nothing new and is dropped.

Change: the copy's position is taken back if the node fails to apply an update, so the next list is delivered.

Evidence: test_store_feed, new case, in which each node fails once: all six nodes stayed without the version before, to the limit of 30 s; all have it now. "a list whose update fails is read again" (test_kind_watcher) has no copy and could not see it.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -229,7 +229,13 @@
         apply_members(*fresh);
     }
     send_to_followers(message(fresh, now));
-    m_on_update(*fresh);
+    try {
+        m_on_update(*fresh);
+    } catch (...) {
+        // The next list of this kind is delivered again, although the copy has it already.
+        m_mirror[fresh->kind].position = StorePosition{};
+        throw;
+    }
 }
 
 void StoreFeed::apply_members(const KindUpdate& update) {
--- a/test/failure/test_store_feed.cpp
+++ b/test/failure/test_store_feed.cpp
@@ -2,6 +2,7 @@
 // until a condition holds; no check depends on elapsed time.
 #include <catch2/catch.hpp>
 
+#include "catch_main.h"
 #include "feed_fleet.h"
 #include "io/server_socket.h"
 #include "platform/names.h"
@@ -114,4 +115,34 @@
                            {[&fleet] { return fleet.all_have_target("t1"); }, nullptr}}));
 }
 
+// Guards against a node that goes on with old state because an update of it could not be applied:
+// the copy that is passed on has it already, so the list that is read again says nothing new.
+TEST_CASE("an update that a node fails to apply is delivered again") {
+    const nlohmann::json spec = {{"version", 2}};
+    FeedFleet fleet;
+    std::set<std::string> failed;
+    fleet.on_update = [&failed](const FeedFleet::Node& node, const KindUpdate& update) {
+        const auto is_new = [](const platform::StoredObject& object) {
+            return object.name == platform::names::CONFIG_NAME;
+        };
+        if (update.kind == platform::Kind::config &&
+            std::any_of(update.objects.begin(), update.objects.end(), is_new) &&
+            failed.insert(node.self.node).second) {
+            throw std::runtime_error("update");
+        }
+    };
+    const auto missing = [&] {
+        return fleet.nodes_without(platform::Kind::config, platform::names::CONFIG_NAME, spec);
+    };
+    expect_exceptions(NODES);
+    CHECK(fleet.run_steps({{[&fleet] { return fleet.is_settled(); },
+                            [&] {
+                                fleet.store.put(platform::names::CONFIG_KIND,
+                                                platform::names::CONFIG_NAME, spec);
+                            }},
+                           {[&missing] { return missing().empty(); }, nullptr}}));
+    CHECK_THAT(missing(), Catch::Matchers::Equals(std::vector<std::string>{}));
+    CHECK(failed.size() == NODES);
+}
+
 }  // namespace ebonymount
--- a/test/support/feed_fleet.cpp
+++ b/test/support/feed_fleet.cpp
@@ -90,7 +90,10 @@
     options.config_apply = from_ms(1000);
     options.stable_window = from_ms(1500);
     node.feed = std::make_unique<StoreFeed>(
-        m_loop, node.metrics, options, [&node](const KindUpdate& update) {
+        m_loop, node.metrics, options, [this, &node](const KindUpdate& update) {
+            if (on_update) {
+                on_update(node, update);
+            }
             if (update.is_list) {
                 std::erase_if(node.objects, [&update](const auto& known) {
                     return known.first.first == update.kind;
--- a/test/support/feed_fleet.h
+++ b/test/support/feed_fleet.h
@@ -70,6 +70,8 @@
     std::vector<std::unique_ptr<Node>> nodes;
     /// Called with each sweep of the nodes; may be empty.
     std::function<void()> on_sweep;
+    /// Called with each update that a node receives, before it is applied; may be empty.
+    std::function<void(const Node&, const KindUpdate&)> on_update;
 
 private:
     void sweep();
