Front: nodes that an older copy of the store does not name keep their share

What callers would see: BUDGET and FAILBACK after a return of the store from an older copy. Each node divides the fleet's limits by the nodes that the list names; the copy lacks those that have registered since, in the worst case all, and the list is read again after ten seconds only. Found by the review.

Cause: absence from the copy taken for the node's end.

A run in which the shares were too large was not made.

--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -16,6 +16,7 @@
 #include "front/crash_reporter.h"
 #include "front/front_state.h"
 #include "front/store_feed.h"
+#include "policy/known_nodes.h"
 #include "policy/lost_reports.h"
 #include "policy/out_of_service.h"
 #include "policy/target_registry.h"
@@ -65,7 +66,7 @@
     void apply_evacuations(const KindUpdate& update);
     /// Accepts what an older copy of the store says and nobody has written again.
     void accept_unconfirmed_state(Time now);
-    void apply_nodes(const Objects& objects);
+    void apply_nodes(const KindUpdate& list);
     void apply_crash_reports(const KindUpdate& update);
     /// The store has returned from an older copy and lists these reports and claims.
     void keep_lost_reports(const std::set<std::string>& listed);
@@ -96,6 +97,7 @@
     OutOfService m_out_of_service;
     std::vector<std::string> m_node_names;
     bool m_registered = false;
+    KnownNodes m_known_nodes;
     /// The store has an object with this node's name.
     bool m_name_is_taken = false;
     Time m_next_registration{};
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -239,9 +239,14 @@
 }
 
 void StoreFeed::apply_members(const KindUpdate& update) {
-    m_members.clear();
+    std::vector<Member> listed;
     for (const platform::StoredObject& object : update.objects) {
-        m_members.push_back(platform::decode_registration(object));
+        listed.push_back(platform::decode_registration(object));
+    }
+    replace_all(m_known_nodes, listed, update.after_return, monotonic_now());
+    m_members.clear();
+    for (const auto& [name, member] : m_known_nodes.members) {
+        m_members.push_back(member);
     }
     update_watcher_timing();
     set_members(m_source, m_options.self, m_members, monotonic_now());
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -19,6 +19,7 @@
 #include "front/store_mirror.h"
 #include "io/peer_sessions.h"
 #include "policy/kind_contact.h"
+#include "policy/known_nodes.h"
 #include "policy/store_progress.h"
 #include "policy/store_source.h"
 
@@ -170,6 +171,7 @@
     std::int64_t m_era_before = UNKNOWN_ERA;
     /// The era has changed since it became known to this process.
     bool m_has_seen_return = false;
+    KnownNodes m_known_nodes;
     std::vector<Member> m_members;
     StoreSource m_source;
     Random m_random{process_seed()};
