Front: a version that was lost may be written again with another content

What callers would see: after a return of the store from an older copy, nodes that knew the lost version go on with it though operators have written that version anew with other routes; nodes started since obey it (CONFIG).

Cause: a configuration whose number is not above the one in force was dropped without a look at its content.

Change: the same version with another content is used if it comes from a later era than the one in force. A lower version is never used, as versions must not go back; the line older_version names it.

Evidence: test_route_table, new case. It would have failed: the version was compared alone.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -74,7 +74,7 @@
 void FleetWatcher::apply_update(const KindUpdate& update) {
     switch (update.kind) {
         case platform::Kind::config:
-            apply_config(update.objects);
+            apply_config(update);
             return;
         case platform::Kind::targets:
             if (update.is_list) {
@@ -95,8 +95,8 @@
     }
 }
 
-void FleetWatcher::apply_config(const Objects& objects) {
-    for (const platform::StoredObject& object : objects) {
+void FleetWatcher::apply_config(const KindUpdate& update) {
+    for (const platform::StoredObject& object : update.objects) {
         if (!platform::is_configuration(object)) {
             continue;
         }
@@ -110,33 +110,43 @@
                                     describe(error_of(table)));
             continue;
         }
-        const std::int64_t version = value_of(table).version;
-        if (m_table.has_value() && version <= m_table->version) {
-            if (version < m_table->version) {
-                LogEvent(LogLevel::warning, "config", "older_version")
-                    .add("version", version)
-                    .add("in_force", m_table->version)
-                    .add("revision", object.revision)
-                    .write();
-            }
+        const std::int64_t era = update.position.era;
+        const TableChange change = m_table.has_value()
+                                       ? compare_tables(*m_table, m_table_era, value_of(table), era)
+                                       : TableChange::newer;
+        if (change == TableChange::older) {
+            LogEvent(LogLevel::warning, "config", "older_version")
+                .add("version", value_of(table).version)
+                .add("in_force", m_table->version)
+                .add("position", describe(update.position))
+                .write();
             continue;
         }
-        LogEvent(LogLevel::info, "config", "accepted")
-            .add("version", version)
-            .add("before", m_table.has_value() ? m_table->version : -1)
-            .add("routes", static_cast<std::int64_t>(value_of(table).routes.size()))
-            .add("revision", object.revision)
-            .add("reader", m_state.store_source.reader)
-            .add("reads", m_state.store_source.reads_itself ? "yes" : "no")
-            .add_ms("age_ms", m_state.store_source.age)
-            .write();
-        m_table = std::move(std::get<RouteTable>(table));
-        m_state.counters.config_version = version;
-        m_handlers.on_table(*m_table);
-        rebuild_view();
+        m_table_era = era;
+        if (change != TableChange::same) {
+            accept_table(std::move(std::get<RouteTable>(table)), change, update.position);
+        }
     }
 }
 
+void FleetWatcher::accept_table(RouteTable table, TableChange change,
+                                const StorePosition& position) {
+    LogEvent(LogLevel::info, "config", "accepted")
+        .add("version", table.version)
+        .add("before", m_table.has_value() ? m_table->version : -1)
+        .add("rewritten", change == TableChange::rewritten ? "yes" : "no")
+        .add("routes", static_cast<std::int64_t>(table.routes.size()))
+        .add("position", describe(position))
+        .add("reader", m_state.store_source.reader)
+        .add("reads", m_state.store_source.reads_itself ? "yes" : "no")
+        .add_ms("age_ms", m_state.store_source.age)
+        .write();
+    m_table = std::move(table);
+    m_state.counters.config_version = m_table->version;
+    m_handlers.on_table(*m_table);
+    rebuild_view();
+}
+
 void FleetWatcher::apply_target_list(const KindUpdate& list) {
     m_state.targets_updated_at = monotonic_now();
     std::vector<TargetEntry> entries;
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -58,7 +58,8 @@
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
     void apply_update(const KindUpdate& update);
-    void apply_config(const Objects& objects);
+    void apply_config(const KindUpdate& update);
+    void accept_table(RouteTable table, TableChange change, const StorePosition& position);
     void apply_target_list(const KindUpdate& list);
     void apply_target_changes(const Objects& objects);
     /// If the target has restarted, connections to it that broke before were crashes.
@@ -90,6 +91,8 @@
     EventLoop& m_loop;
     FleetWatcherOptions m_options;
     FleetWatcherHandlers m_handlers;
+    /// The store's era in which the table was last seen there.
+    std::int64_t m_table_era = UNKNOWN_ERA;
     std::optional<RouteTable> m_table;
     TargetRegistry m_registry;
     bool m_has_targets = false;
--- a/src/policy/route_table.cpp
+++ b/src/policy/route_table.cpp
@@ -15,6 +15,15 @@
 
 }  // namespace
 
+TableChange compare_tables(const RouteTable& in_force, std::int64_t era_in_force,
+                           const RouteTable& offered, std::int64_t offered_era) {
+    if (offered.version != in_force.version) {
+        return offered.version > in_force.version ? TableChange::newer : TableChange::older;
+    }
+    const bool is_rewritten = offered_era > era_in_force && offered != in_force;
+    return is_rewritten ? TableChange::rewritten : TableChange::same;
+}
+
 std::int64_t match_route(const RouteTable& table, std::string_view host, std::string_view target) {
     const std::string_view name = host.substr(0, host.find(':'));
     const std::string_view path = target.substr(0, target.find('?'));
--- a/src/policy/route_table.h
+++ b/src/policy/route_table.h
@@ -89,6 +89,20 @@
     friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
 
+/// A table that the store offers, against the one in force.
+enum class TableChange : std::uint8_t {
+    newer,      ///< A later version, to be used.
+    rewritten,  ///< The same version with another content, written after the store has lost the one
+                ///< in force by its return from an older copy; to be used.
+    same,       ///< The same version.
+    older,      ///< An earlier version, which is not used: versions never go back.
+};
+
+/// Compares a table of the store's era `offered_era` with the one in force, which was last seen in
+/// the store in `era_in_force`.
+TableChange compare_tables(const RouteTable& in_force, std::int64_t era_in_force,
+                           const RouteTable& offered, std::int64_t offered_era);
+
 /// Index of the route whose host matches and whose prefix is the longest that begins the path of
 /// `target` (path and query as sent); -1 without a match. A port in `host` is ignored.
 std::int64_t match_route(const RouteTable& table, std::string_view host, std::string_view target);
--- a/test/correctness/test_route_table.cpp
+++ b/test/correctness/test_route_table.cpp
@@ -64,4 +64,21 @@
     CHECK(merge_records({"short"}, 10).empty());
 }
 
+// Guards against a version that is written again with another content after the store has lost it,
+// and that the nodes which know the lost one ignore for ever.
+TEST_CASE("the same version with another content is used only in a later era of the store") {
+    RouteTable in_force;
+    in_force.version = 7;
+    RouteTable other = in_force;
+    other.limits.max_body_bytes = 1;
+    CHECK(compare_tables(in_force, 1, other, 2) == TableChange::rewritten);
+    CHECK(compare_tables(in_force, 1, other, 1) == TableChange::same);
+    CHECK(compare_tables(in_force, 2, other, 1) == TableChange::same);
+    CHECK(compare_tables(in_force, 1, in_force, 2) == TableChange::same);
+    other.version = 6;
+    CHECK(compare_tables(in_force, 1, other, 2) == TableChange::older);
+    other.version = 8;
+    CHECK(compare_tables(in_force, 2, other, 2) == TableChange::newer);
+}
+
 }  // namespace ebonymount
