Targets: an entry of an earlier start is no restart

What callers would see: after a return of the store from an older copy, a target that had restarted since the copy counts as crashed once more when its old entry is listed again, and requests that ran there are suspected (quarantine, BUDGET); its state is reset when the copy is believed. Found by the review.

Cause: any other start time under the same id counted as a restart.

Change: only a later start is evidence of a crash, and an unconfirmed entry of an earlier start than the one in use is dropped.

Evidence: test_target_registry, new case (virtual time).

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -156,10 +156,7 @@
             continue;
         }
         if (has_value(entry)) {
-            // An older copy of the store may have the entry of an earlier start.
-            if (!list.after_return) {
-                check_for_restart(value_of(entry));
-            }
+            check_for_restart(value_of(entry));
             entries.push_back(value_of(entry));
         } else {
             log_warning("targets", "ignored an invalid entry: " + describe(error_of(entry)));
@@ -213,10 +210,8 @@
 }
 
 void FleetWatcher::check_for_restart(const TargetEntry& entry) {
-    const auto before = m_registry.entries.find(entry.id);
     const auto target = m_state.targets.by_id.find(entry.id);
-    if (before != m_registry.entries.end() && target != m_state.targets.by_id.end() &&
-        before->second.started_at_ms != entry.started_at_ms) {
+    if (target != m_state.targets.by_id.end() && is_of_later_start(m_registry, entry)) {
         on_crash_evidence(m_state, target->second, "restarted");
     }
 }
--- a/src/policy/target_registry.cpp
+++ b/src/policy/target_registry.cpp
@@ -101,6 +101,11 @@
     return gone;
 }
 
+bool is_of_later_start(const TargetRegistry& registry, const TargetEntry& entry) {
+    const auto known = registry.entries.find(entry.id);
+    return known != registry.entries.end() && entry.started_at_ms > known->second.started_at_ms;
+}
+
 std::vector<std::string> accept_unconfirmed(TargetRegistry& registry, Time now) {
     std::vector<TargetEntry> accepted;
     for (const auto& [id, waiting] : registry.unconfirmed) {
@@ -110,6 +115,11 @@
     }
     std::vector<std::string> ids;
     for (const TargetEntry& entry : accepted) {
+        const auto known = registry.entries.find(entry.id);
+        if (known != registry.entries.end() && entry.started_at_ms < known->second.started_at_ms) {
+            registry.unconfirmed.erase(entry.id);
+            continue;
+        }
         upsert(registry, entry);
         ids.push_back(entry.id);
     }
--- a/src/policy/target_registry.h
+++ b/src/policy/target_registry.h
@@ -88,6 +88,10 @@
 /// Applies an entry that its target has written.
 void upsert(TargetRegistry& registry, const TargetEntry& entry);
 
+/// True if the entry is of a later start of its target than the one in use.
+/// An older copy of the store may have entries of earlier starts.
+bool is_of_later_start(const TargetRegistry& registry, const TargetEntry& entry);
+
 /// Applies the removal of an entry, which is kept for `REMOVAL_GRACE` unless it was draining.
 void remove(TargetRegistry& registry, const std::string& id, Time now);
 
@@ -95,6 +99,7 @@
 std::vector<std::string> expire_missing(TargetRegistry& registry, Time now);
 
 /// Uses the unconfirmed entries that have waited long enough, and returns the ids of their targets.
+/// An entry of an earlier start than the one in use is dropped.
 std::vector<std::string> accept_unconfirmed(TargetRegistry& registry, Time now);
 
 }  // namespace ebonymount
--- a/test/correctness/test_target_registry.cpp
+++ b/test/correctness/test_target_registry.cpp
@@ -139,6 +139,23 @@
     CHECK(registry.entries.at("a").draining);
 }
 
+// Guards against a target that is taken for restarted, and its connections for crashes, because an
+// older copy of the store has the entry of an earlier start.
+TEST_CASE("an entry of an earlier start replaces none of a later one, and is no restart") {
+    TargetEntry restarted = entry("a");
+    restarted.started_at_ms = 2;
+    TargetRegistry registry = registry_of({entry("a")});
+    CHECK(is_of_later_start(registry, restarted));
+    upsert(registry, restarted);
+    CHECK_FALSE(is_of_later_start(registry, restarted));
+    CHECK_FALSE(is_of_later_start(registry, entry("a")));
+    replace_all(registry, {entry("a")}, ListOrigin::after_return, START);
+    replace_all(registry, {entry("a")}, ListOrigin::regular, START + from_ms(1000));
+    CHECK(accept_unconfirmed(registry, START + REWRITE_TIME).empty());
+    CHECK(registry.entries.at("a").started_at_ms == 2);
+    CHECK(registry.unconfirmed.empty());
+}
+
 TEST_CASE("a target that is missing from an older copy is kept until it could register again") {
     TargetRegistry registry = registry_of({entry("a"), entry("b")});
     replace_all(registry, {entry("a")}, ListOrigin::after_return, START);
