Front: operators have half a minute to take a data centre out of service again

Cause: five seconds are three heartbeats of a target, and no page says how fast operators write again what a return of the store has lost; after them requests went to a data centre that they had taken out of service (EVAC). Found by the review.

Change: a time of its own, 30 s. It only costs the capacity of a data centre that nobody takes back.

--- a/src/policy/out_of_service.cpp
+++ b/src/policy/out_of_service.cpp
@@ -14,7 +14,7 @@
         }
         const auto waiting = state.unconfirmed.find(data_centre);
         if (after_return) {
-            unconfirmed.emplace(data_centre, now + REWRITE_TIME);
+            unconfirmed.emplace(data_centre, now + OPERATOR_REWRITE_TIME);
         } else if (waiting != state.unconfirmed.end()) {
             unconfirmed.insert(*waiting);
         }
--- a/src/policy/store_return.h
+++ b/src/policy/store_return.h
@@ -10,10 +10,14 @@
 
 namespace ebonymount {
 
-/// How long others may take to write again what a return has undone: three heartbeats of a target,
-/// after which the store itself removes the entry of one that is silent, and the time of a read.
+/// How long targets and nodes may take to write again what a return has undone: three heartbeats of
+/// a target, after which the store itself removes the entry of one that is silent, and the time of
+/// a read.
 constexpr Duration REWRITE_TIME = from_ms(5000);
 
+/// The same for what operators write.
+constexpr Duration OPERATOR_REWRITE_TIME = from_ms(30000);
+
 /// How long a node remembers what was withdrawn. A copy is some seconds old.
 constexpr Duration WITHDRAWAL_MEMORY = from_ms(60000);
 
