Crash reports: claims are written again until the store has them, withdrawals by one node

Change: claims go through the queue of crash reports, which repeats a call until the store has taken it. Only the node that has withdrawn a report does so again. A claim that is forgotten is no longer its owner's.

Evidence: test_crashing_requests, new case (a claim is in the store again after a return), and test_lost_reports. That a call of all nodes was refused was not run.

--- a/src/front/crash_reporter.h
+++ b/src/front/crash_reporter.h
@@ -23,6 +23,10 @@
     /// Queues a report with that name. If the queue is full, the oldest call is dropped.
     void add(const std::string& name, const Crash& crash);
 
+    /// Queues the creation of an object beside the reports, without waiting for an answer of a
+    /// target. If the queue is full, the oldest call is dropped.
+    void write(const std::string& name, const std::string& body);
+
     /// Withdraws a report of this or another node, whether or not the store has it yet.
     void withdraw(const std::string& name);
 
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -40,7 +40,7 @@
     m_state.on_crash_refuted = [this](const std::string& report) {
         m_counted_reports.erase(report);
         if (parse_crash_report(report).has_value()) {
-            on_withdrawn(m_lost_reports, report, monotonic_now());
+            on_withdrawn(m_lost_reports, report, true, monotonic_now());
         }
         m_reporter.withdraw(report);
     };
@@ -87,7 +87,7 @@
             apply_evacuations(update);
             return;
         case platform::Kind::nodes:
-            apply_nodes(update.objects);
+            apply_nodes(update);
             return;
         case platform::Kind::quarantine:
             apply_crash_reports(update);
@@ -254,20 +254,25 @@
     }
 }
 
-void FleetWatcher::apply_nodes(const Objects& objects) {
-    const auto own =
-        std::find_if(objects.begin(), objects.end(), [this](const platform::StoredObject& object) {
-            return object.name == m_options.feed.self.node;
-        });
-    m_name_is_taken = own != objects.end();
-    m_registered = m_name_is_taken && platform::decode_registration(*own) == m_options.feed.self;
+void FleetWatcher::apply_nodes(const KindUpdate& list) {
+    std::vector<Member> listed;
+    for (const platform::StoredObject& object : list.objects) {
+        listed.push_back(platform::decode_registration(object));
+    }
+    const Member& self = m_options.feed.self;
+    const auto own = std::find_if(listed.begin(), listed.end(), [&self](const Member& member) {
+        return member.node == self.node;
+    });
+    m_name_is_taken = own != listed.end();
+    m_registered = m_name_is_taken && *own == self;
     m_next_registration = Time{};
+    replace_all(m_known_nodes, listed, list.after_return, monotonic_now());
     std::vector<std::string> names;
-    for (const platform::StoredObject& object : objects) {
-        names.push_back(object.name);
+    for (const auto& [name, member] : m_known_nodes.members) {
+        names.push_back(name);
     }
-    if (!m_name_is_taken) {
-        names.push_back(m_options.feed.self.node);
+    if (m_known_nodes.members.count(self.node) == 0) {
+        names.push_back(self.node);
     }
     if (names == m_node_names) {
         return;
@@ -296,13 +301,13 @@
             continue;
         }
         if (object.removed) {
-            on_withdrawn(m_lost_reports, object.name, now);
+            on_withdrawn(m_lost_reports, object.name, false, now);
             forget_report(object.name, crash->request);
             continue;
         }
         if (is_withdrawn(m_lost_reports, object.name)) {
             // An older copy of the store has it again.
-            if (update.after_return) {
+            if (update.after_return && is_withdrawn_by_self(m_lost_reports, object.name)) {
                 m_reporter.withdraw(object.name);
             }
             continue;
@@ -345,7 +350,7 @@
     for (const std::string& name : take_due(m_lost_reports, now)) {
         const std::optional<TrialClaim> claim = parse_trial_claim(name);
         if (claim.has_value() && m_own_claims.count(name) > 0) {
-            write_claim(*claim, [](CallStatus, const HttpResponseMessage&) {});
+            m_reporter.write(name, platform::trial_claim_body(*claim, m_options.feed.self.node));
         } else if (claim.has_value()) {
             // Its owner is gone, or has not used it.
             m_counted_reports.erase(name);
@@ -397,6 +402,7 @@
     }
     for (const TrialClaim& claim : withdrawn_claims) {
         m_counted_reports.erase(trial_claim_name(claim));
+        m_own_claims.erase(trial_claim_name(claim));
         remove_claim(m_state.trials, claim);
     }
 }
@@ -410,33 +416,31 @@
     m_reporter.add(name, crash);
 }
 
-void FleetWatcher::write_claim(const TrialClaim& claim, CallHandler on_end) {
-    call_store("POST", platform::create_path(platform::Kind::quarantine),
-               platform::trial_claim_body(claim, m_options.feed.self.node), std::move(on_end));
-}
-
 void FleetWatcher::claim_trial(const TrialClaim& claim) {
     const std::string name = trial_claim_name(claim);
-    write_claim(claim, [this, claim, name](CallStatus status, const HttpResponseMessage& response) {
-        const bool is_granted = status == CallStatus::answered &&
-                                (response.status == http::OK || response.status == http::CREATED);
-        if (is_granted || response.status == http::CONFLICT) {
-            const Time now = monotonic_now();
-            m_counted_reports.emplace(name, now + SUSPECT_TTL);
-            add_claim(m_state.trials, claim, now);
-        }
-        if (is_granted) {
-            m_own_claims.insert(name);
-        }
-        end_claim(m_state.trials, claim, is_granted);
-        LogEvent(LogLevel::info, "quarantine", "trial_claim")
-            .add("fingerprint", std::to_string(claim.request))
-            .add("number", claim.number)
-            .add("granted", is_granted ? "yes" : "no")
-            .add("outcome", name_of(status))
-            .add("status", response.status)
-            .write();
-    });
+    call_store("POST", platform::create_path(platform::Kind::quarantine),
+               platform::trial_claim_body(claim, m_options.feed.self.node),
+               [this, claim, name](CallStatus status, const HttpResponseMessage& response) {
+                   const bool is_granted =
+                       status == CallStatus::answered &&
+                       (response.status == http::OK || response.status == http::CREATED);
+                   if (is_granted || response.status == http::CONFLICT) {
+                       const Time now = monotonic_now();
+                       m_counted_reports.emplace(name, now + SUSPECT_TTL);
+                       add_claim(m_state.trials, claim, now);
+                   }
+                   if (is_granted) {
+                       m_own_claims.insert(name);
+                   }
+                   end_claim(m_state.trials, claim, is_granted);
+                   LogEvent(LogLevel::info, "quarantine", "trial_claim")
+                       .add("fingerprint", std::to_string(claim.request))
+                       .add("number", claim.number)
+                       .add("granted", is_granted ? "yes" : "no")
+                       .add("outcome", name_of(status))
+                       .add("status", response.status)
+                       .write();
+               });
 }
 
 void FleetWatcher::remove_old_reports(Time now) {
@@ -454,7 +458,7 @@
         if (claim.has_value()) {
             remove_claim(m_state.trials, *claim);
         } else {
-            on_withdrawn(m_lost_reports, report->first, now);
+            on_withdrawn(m_lost_reports, report->first, true, now);
         }
         report = m_counted_reports.erase(report);
     }
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -79,7 +79,6 @@
     void forget_unlisted_reports(const std::set<std::string>& listed);
     void report_crash(const Crash& crash);
     void claim_trial(const TrialClaim& claim);
-    void write_claim(const TrialClaim& claim, CallHandler on_end);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
@@ -91,16 +90,16 @@
     EventLoop& m_loop;
     FleetWatcherOptions m_options;
     FleetWatcherHandlers m_handlers;
+    std::optional<RouteTable> m_table;
     /// The store's era in which the table was last seen there.
     std::int64_t m_table_era = UNKNOWN_ERA;
-    std::optional<RouteTable> m_table;
     TargetRegistry m_registry;
     bool m_has_targets = false;
     bool m_has_evacuations = false;
     OutOfService m_out_of_service;
+    KnownNodes m_known_nodes;
     std::vector<std::string> m_node_names;
     bool m_registered = false;
-    KnownNodes m_known_nodes;
     /// The store has an object with this node's name.
     bool m_name_is_taken = false;
     Time m_next_registration{};
--- a/src/policy/lost_reports.cpp
+++ b/src/policy/lost_reports.cpp
@@ -21,9 +21,10 @@
     reports.due.erase(name);
 }
 
-void on_withdrawn(LostReports& reports, const std::string& name, Time now) {
+void on_withdrawn(LostReports& reports, const std::string& name, bool by_self, Time now) {
     reports.due.erase(name);
-    reports.withdrawn[name] = now;
+    Withdrawal& withdrawal = reports.withdrawn[name];
+    withdrawal = {now, withdrawal.is_own || by_self};
 }
 
 bool is_lost(const LostReports& reports, const std::string& name) {
@@ -34,9 +35,14 @@
     return reports.withdrawn.count(name) > 0;
 }
 
+bool is_withdrawn_by_self(const LostReports& reports, const std::string& name) {
+    const auto found = reports.withdrawn.find(name);
+    return found != reports.withdrawn.end() && found->second.is_own;
+}
+
 std::vector<std::string> take_due(LostReports& reports, Time now) {
     std::erase_if(reports.withdrawn,
-                  [now](const auto& entry) { return now - entry.second > WITHDRAWAL_MEMORY; });
+                  [now](const auto& entry) { return now - entry.second.at > WITHDRAWAL_MEMORY; });
     std::vector<std::string> due;
     for (const auto& [name, at] : reports.due) {
         if (at <= now) {
--- a/src/policy/lost_reports.h
+++ b/src/policy/lost_reports.h
@@ -17,12 +17,18 @@
 
 namespace ebonymount {
 
+struct Withdrawal {
+    Time at{};
+    /// This node has withdrawn the report, and does so again if the store has it again.
+    bool is_own = false;
+};
+
 struct LostReports {
     /// Names of reports that are missing from the store, with the time at which this node writes
     /// them again.
     std::map<std::string, Time> due;
-    /// Names of reports that were withdrawn within `WITHDRAWAL_MEMORY`, and when.
-    std::map<std::string, Time> withdrawn;
+    /// Names of reports that were withdrawn within `WITHDRAWAL_MEMORY`.
+    std::map<std::string, Withdrawal> withdrawn;
 };
 
 /// A report that a node knows, and whether it wrote it itself.
@@ -40,12 +46,13 @@
 void on_written(LostReports& reports, const std::string& name);
 
 /// The report was withdrawn, by this or another node.
-void on_withdrawn(LostReports& reports, const std::string& name, Time now);
+void on_withdrawn(LostReports& reports, const std::string& name, bool by_self, Time now);
 
 /// True if the report is missing from the store and not written again yet.
 bool is_lost(const LostReports& reports, const std::string& name);
 
 bool is_withdrawn(const LostReports& reports, const std::string& name);
+bool is_withdrawn_by_self(const LostReports& reports, const std::string& name);
 
 /// Removes and returns the reports that are due, and forgets old withdrawals.
 std::vector<std::string> take_due(LostReports& reports, Time now);
--- a/test/correctness/test_lost_reports.cpp
+++ b/test/correctness/test_lost_reports.cpp
@@ -55,9 +55,15 @@
     Random random(1);
     LostReports reports;
     on_return(reports, {{"other", false}}, {}, random, START);
-    on_withdrawn(reports, "other", START);
+    on_withdrawn(reports, "other", false, START);
+    on_withdrawn(reports, "own", true, START);
+    // The store tells of the removal as well.
+    on_withdrawn(reports, "own", false, START);
     CHECK(take_due(reports, START + WITHDRAWAL_MEMORY).empty());
     CHECK(is_withdrawn(reports, "other"));
+    // Only one node writes the withdrawal again.
+    CHECK_FALSE(is_withdrawn_by_self(reports, "other"));
+    CHECK(is_withdrawn_by_self(reports, "own"));
     take_due(reports, START + WITHDRAWAL_MEMORY + from_ms(1));
     CHECK_FALSE(is_withdrawn(reports, "other"));
 }
--- a/test/failure/test_crashing_requests.cpp
+++ b/test/failure/test_crashing_requests.cpp
@@ -245,4 +245,49 @@
     }
 }
 
+// Guards against a trial that is made a second time, by another node, because the store has lost
+// the claim of its number and the owner does not write it again.
+TEST_CASE("the claim of a trial that was made is written again after the store has lost it") {
+    FrontFleet fleet(1);
+    fleet.add_targets("booking", 9);
+    fleet.start({{"book", {"booking"}}});
+    standin::TargetBehaviour behaviour;
+    behaviour.crashing_path = CRASHING;
+    fleet.set_behaviour(behaviour);
+    const auto claims = [&fleet] {
+        std::set<std::string> names = fleet.store().names(platform::names::QUARANTINE_KIND);
+        std::erase_if(names,
+                      [](const std::string& name) { return !parse_trial_claim(name).has_value(); });
+        return names;
+    };
+    std::size_t crashed_before_trial = 0;
+    const std::function<void()> send = [&] {
+        fleet.send(0, CRASHING,
+                   [&](int, const std::string&) { fleet.run_after(from_ms(50), send); });
+        if (claims().empty()) {
+            crashed_before_trial = fleet.crashed();
+        }
+    };
+    std::set<std::string> lost;
+    const auto begin = [&] {
+        fleet.store().take_copy();
+        send();
+    };
+    const auto go_back = [&] {
+        lost = claims();
+        fleet.store().return_from_copy();
+        CHECK(claims().empty());
+    };
+    const auto has_claims_again = [&] {
+        const std::set<std::string> now = claims();
+        return std::includes(now.begin(), now.end(), lost.begin(), lost.end());
+    };
+    CHECK(fleet.run_steps(
+        {{[&] { return fleet.is_ready(); }, begin},
+         {[&] { return !claims().empty() && fleet.crashed() > crashed_before_trial; }, go_back},
+         {has_claims_again, nullptr}}));
+    CHECK_FALSE(lost.empty());
+    CHECK(has_claims_again());
+}
+
 }  // namespace ebonymount
