Soak: a node must not go back to a version older than one that targets saw in force

The soak checked versions by the time since their acknowledgement only, and only while the store is stable, so it could not see a node that takes a version back when the store returns from an older copy. The checker now keeps, for each process of a node, the oldest version that explains where a request ran, and compares later runs and denials with it. No existing check changes.

Unit cases show that it detects a run and a denial by an older version, in disturbed times of the store too, and that a new process, the slack and an ambiguous run count as none. One more case shows that the existing checks hold what the store acknowledged before a return for done (DRAIN, EVAC).

--- a/test/soak/soak_checker.cpp
+++ b/test/soak/soak_checker.cpp
@@ -17,6 +17,9 @@
 
 constexpr int SERVER_ERROR = 500;
 
+/// Factor for the downgrade slack of a disturbed node.
+constexpr std::int64_t DISTURBED_SLACK_FACTOR = 8;
+
 /// Minimum fraction of the requests sent after recovery that must be served.
 constexpr double MIN_SERVED_SHARE = 0.75;
 
@@ -107,6 +110,12 @@
     return now > later(node_disturbed_until, m_store_disturbed_until) + m_bounds.stable_window;
 }
 
+bool SoakChecker::is_node_disturbed(const std::string& node, Time now) const {
+    const auto disturbance = m_node_disturbed_until.find(node);
+    return disturbance != m_node_disturbed_until.end() &&
+           now <= disturbance->second + m_bounds.stable_window;
+}
+
 std::vector<const SoakConfig*> SoakChecker::valid_configs(const Entry& entry) const {
     std::vector<const SoakConfig*> configs;
     const bool stable = is_stable(entry.request.node, entry.request.sent);
@@ -228,21 +237,55 @@
     if (entry.answered && promises_not_run(entry.status) && !is_idempotent) {
         add_violation("REFUSED", request + " ran at " + target.id + " after it was rejected");
     }
-    check_service(entry, target.service);
+    check_service(entry, target.service, now);
 }
 
-void SoakChecker::check_service(const Entry& entry, const std::string& service) {
-    bool known = false;
-    for (const SoakConfig& config : m_configs) {
-        const SoakRoute* route = find_route(config, entry.request.route);
-        known = known || (route != nullptr &&
-                          std::count(route->services.begin(), route->services.end(), service) > 0);
+bool SoakChecker::allows(const SoakConfig& config, const Entry& entry, const std::string& service) {
+    const SoakRoute* route = find_route(config, entry.request.route);
+    return route != nullptr &&
+           std::count(route->services.begin(), route->services.end(), service) > 0;
+}
+
+void SoakChecker::check_regress(const Entry& entry, std::size_t newest, const std::string& what) {
+    const auto found = m_versions_seen.find(entry.request.node);
+    if (found == m_versions_seen.end() || entry.request.sent < found->second.started) {
+        return;
+    }
+    const Duration slack =
+        m_bounds.downgrade_slack *
+        (is_node_disturbed(entry.request.node, entry.request.sent) ? DISTURBED_SLACK_FACTOR : 1);
+    for (const auto& [time, oldest] : found->second.since) {
+        if (oldest > newest && entry.request.sent > time + slack) {
+            add_violation("CONFIG",
+                          entry.request.id + " (" + entry.request.path + ") from " +
+                              entry.request.node + " " + what + ", which only version " +
+                              std::to_string(m_configs[newest].version) +
+                              " or older allows, though version " +
+                              std::to_string(m_configs[oldest].version) + " was seen in force " +
+                              std::to_string(to_ms(entry.request.sent - time)) + " ms earlier");
+            return;
+        }
+    }
+}
+
+void SoakChecker::check_service(const Entry& entry, const std::string& service, Time now) {
+    std::vector<std::size_t> allowing;
+    for (std::size_t i = 0; i < m_configs.size(); ++i) {
+        if (allows(m_configs[i], entry, service)) {
+            allowing.push_back(i);
+        }
     }
-    if (!known) {
+    if (allowing.empty()) {
         add_violation("ROUTE", entry.request.id + " ran at service " + service +
                                    ", which no configuration version allows");
         return;
     }
+    check_regress(entry, allowing.back(), "ran at service " + service);
+    VersionsSeen& seen = m_versions_seen[entry.request.node];
+    if (entry.request.sent >= seen.started &&
+        (seen.since.empty() || seen.since.back().second < allowing.front())) {
+        seen.since.emplace_back(now, allowing.front());
+    }
     const std::vector<const SoakRoute*> routes = valid_routes(entry);
     const bool allowed =
         std::any_of(routes.begin(), routes.end(), [&service](const SoakRoute* route) {
@@ -333,6 +376,9 @@
         // A 4xx from the node itself is allowed only if a version that may be in force lacks the
         // route.
         const bool denied_by_node = response.status < SERVER_ERROR && response.signature.empty();
+        if (denied_by_node) {
+            check_denied(entry, response.status);
+        }
         if (denied_by_node && !may_lack_route(entry)) {
             add_violation("DENIED", request + " (" + entry.request.path + ") from " +
                                         entry.request.node + " was denied with status " +
@@ -341,6 +387,15 @@
     }
 }
 
+void SoakChecker::check_denied(const Entry& entry, int status) {
+    for (std::size_t i = m_configs.size(); i > 0; --i) {
+        if (find_route(m_configs[i - 1], entry.request.route) == nullptr) {
+            check_regress(entry, i - 1, "was denied with status " + std::to_string(status));
+            return;
+        }
+    }
+}
+
 void SoakChecker::check_plain(const Entry& entry, const SoakResponse& response) {
     const auto part = m_parts.find(response.signature);
     if (part == m_parts.end() || part->second.request != entry.request.id) {
@@ -447,6 +502,10 @@
     m_target_disturbed_until[target] = later(m_target_disturbed_until[target], until);
 }
 
+void SoakChecker::on_node_started(const std::string& node, Time now) {
+    m_versions_seen[node] = {now, {}};
+}
+
 void SoakChecker::on_planned_stop(const std::string& node, Time now) {
     m_planned_stops[node] = now;
 }
--- a/test/soak/soak_checker.h
+++ b/test/soak/soak_checker.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -29,6 +30,9 @@
     Duration evacuate = ebonymount::from_ms(5000);
     /// The time bounds apply once node and store have been undisturbed for this long.
     Duration stable_window = ebonymount::from_ms(4000);
+    /// Once a target has seen the effect of a version, requests sent later than this are handled by
+    /// that version or a newer one. Eight times as long at a node that was disturbed.
+    Duration downgrade_slack = ebonymount::from_ms(250);
     /// Time that a node has to finish after SIGTERM.
     Duration grace = ebonymount::from_ms(6000);
     /// A request that is cut off later than this after it was sent counts as read by the node.
@@ -142,6 +146,8 @@
     void mark_node_disturbed(const std::string& node, Time until);
     void mark_store_disturbed(Time until);
     void mark_target_disturbed(const std::string& target, Time until);
+    /// A new process of the node was started.
+    void on_node_started(const std::string& node, Time now);
     /// A node was asked to shut down gracefully.
     void on_planned_stop(const std::string& node, Time now);
     /// A process ended without being stopped or killed by the plan, or its graceful stop failed.
@@ -181,10 +187,23 @@
         std::deque<Time> counted;
     };
 
+    /// What targets have seen of the versions that a process of a node has in force.
+    struct VersionsSeen {
+        Time started{};
+        /// A time and the position in `m_configs` of the oldest version that was seen to be in
+        /// force from then on; both rise.
+        std::vector<std::pair<Time, std::size_t>> since;
+    };
+
+    /// True if the route of the request in that version has the service.
+    static bool allows(const SoakConfig& config, const Entry& entry, const std::string& service);
+    /// A request was handled as only versions up to the given position allow.
+    void check_regress(const Entry& entry, std::size_t newest, const std::string& what);
     void check_limit(const SoakTarget& target, const std::string& node, Time now);
     void add_violation(const std::string& rule, const std::string& message);
     /// True if neither the node nor the store was disturbed within the stable window before `now`.
     bool is_stable(const std::string& node, Time now) const;
+    bool is_node_disturbed(const std::string& node, Time now) const;
     const SoakRoute* newest_route(const std::string& name) const;
     /// Every configuration version that may be in force when the request is sent.
     std::vector<const SoakConfig*> valid_configs(const Entry& entry) const;
@@ -193,7 +212,9 @@
     /// True if a version that may be in force has no route for the request.
     bool may_lack_route(const Entry& entry) const;
     void check_home(const Entry& entry, const SoakTarget& target);
-    void check_service(const Entry& entry, const std::string& service);
+    void check_service(const Entry& entry, const std::string& service, Time now);
+    /// Checks a request that the node itself denied against the versions that were seen in force.
+    void check_denied(const Entry& entry, int status);
     void check_fan_out(const Entry& entry, const SoakResponse& response);
     void check_plain(const Entry& entry, const SoakResponse& response);
     void check_cut_off(const Entry& entry, Time now);
@@ -210,6 +231,7 @@
     std::map<std::string, Time> m_node_disturbed_until;
     std::map<std::string, Time> m_target_disturbed_until;
     Time m_store_disturbed_until{};
+    std::map<std::string, VersionsSeen> m_versions_seen;
     std::map<std::string, Time> m_planned_stops;
     /// Times by service: arrivals of a request beyond its first, and requests sent.
     std::map<std::string, std::vector<Time>> m_extra_arrivals;
--- a/test/soak/soak_environment.cpp
+++ b/test/soak/soak_environment.cpp
@@ -287,6 +287,7 @@
     node.killed = false;
     node.missed_checks = 0;
     node.started_at = monotonic_now();
+    m_checker.on_node_started(node.name, node.started_at);
     mark_disturbed(node, Duration::zero());
     node.process.start({m_options.front_program, "--settings", node.settings_file, "--metrics-port",
                         std::to_string(METRICS_PORT)},
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -278,6 +278,107 @@
     }
 }
 
+/// A checker with three versions, of which the second moves `book` to another service and adds a
+/// route, and whose node was disturbed until `disturbed`.
+SoakChecker with_versions(Time disturbed) {
+    SoakChecker checked = checker();
+    checked.on_node_started("node-1", at(0));
+    for (const std::int64_t version : {2, 3}) {
+        SoakConfig moved = config(version, at(20000 + version));
+        moved.routes["book"].services = {"awards"};
+        moved.routes["added"] = moved.routes["book"];
+        checked.on_config(moved);
+    }
+    checked.mark_node_disturbed("node-1", disturbed);
+    return checked;
+}
+
+const SoakTarget AWARDS = {"t-6", "awards", "east", "region-east"};
+
+// Guards against not seeing that a node takes a version back, as it may after the store has
+// returned from an older copy: the store is disturbed then, so that no bound in time applies.
+TEST_CASE("CONFIG: a node goes back to a version older than one whose effect a target saw") {
+    const auto goes_back = [](std::int64_t after_ms, Time disturbed, bool is_new_process) {
+        SoakChecker checked = with_versions(disturbed);
+        checked.mark_store_disturbed(at(30000));
+        const SoakRequest first = request("r1", "book", at(20100));
+        checked.on_request(first);
+        run_at(checked, AWARDS, first, at(20110), "s1", "done");
+        if (is_new_process) {
+            checked.on_node_started("node-1", at(20200));
+        }
+        const SoakRequest second = request("r2", "book", at(20110 + after_ms));
+        checked.on_request(second);
+        run_at(checked, BOOKING, second, second.sent + from_ms(1), "s2", "done");
+        return has_violation(checked, "CONFIG");
+    };
+    CHECK(goes_back(251, Time{}, false));
+    CHECK_FALSE(goes_back(250, Time{}, false));
+    CHECK_FALSE(goes_back(251, Time{}, true));
+    // A disturbed node has eight times as long.
+    CHECK_FALSE(goes_back(2000, at(18200), false));
+    CHECK(goes_back(2001, at(18200), false));
+}
+
+TEST_CASE("CONFIG: a node denies a route of a version whose effect a target saw") {
+    const auto denies = [](std::int64_t after_ms, int status) {
+        SoakChecker checked = with_versions(Time{});
+        checked.mark_store_disturbed(at(30000));
+        const SoakRequest first = request("r1", "book", at(20100));
+        checked.on_request(first);
+        run_at(checked, AWARDS, first, at(20110), "s1", "done");
+        checked.on_request(request("r2", "added", at(20110 + after_ms)));
+        checked.on_response("r2", plain(status, "", ""), at(20120 + after_ms));
+        return has_violation(checked, "CONFIG");
+    };
+    CHECK(denies(251, 404));
+    CHECK_FALSE(denies(250, 404));
+    CHECK_FALSE(denies(251, 503));
+}
+
+TEST_CASE("CONFIG: what several versions allow is no sign of the newest of them") {
+    SoakChecker checked = with_versions(Time{});
+    checked.on_config(config(4, at(20004)));
+    const SoakRequest first = request("r1", "book", at(20100));
+    checked.on_request(first);
+    run_at(checked, BOOKING, first, at(20110), "s1", "done");
+    const SoakRequest second = request("r2", "book", at(21000));
+    checked.on_request(second);
+    run_at(checked, AWARDS, second, at(21010), "s2", "done");
+    CHECK(checked.violations().empty());
+    // By now version 2 or newer is in force; only version 4 allows this after it.
+    const SoakRequest third = request("r3", "book", at(22000));
+    checked.on_request(third);
+    run_at(checked, BOOKING, third, at(22010), "s3", "done");
+    CHECK(checked.violations().empty());
+}
+
+// Guards against taking what the store acknowledged before its return for undone: a copy may say
+// that the target is ready and that the data centre is in service.
+TEST_CASE("a target that left and a data centre taken out before the store returned stay so") {
+    for (const std::string rule : {"DRAIN", "EVAC"}) {
+        SoakChecker checked = checker();
+        if (rule == "DRAIN") {
+            checked.on_target_leaving("t-1", at(20000));
+        } else {
+            checked.on_data_centre("east", false, at(20000));
+        }
+        // The store is away until its return, and the change is written again.
+        checked.mark_store_disturbed(at(24000));
+        if (rule == "DRAIN") {
+            checked.on_target_leaving("t-1", at(25500));
+        } else {
+            checked.on_data_centre("east", false, at(25500));
+        }
+        const SoakRequest made = request("r1", "book", at(27000));
+        checked.on_request(made);
+        checked.on_arrival(BOOKING, made, at(28000));
+        CHECK(checked.violations().empty());
+        checked.on_arrival(BOOKING, made, at(28001));
+        CHECK(has_violation(checked, rule));
+    }
+}
+
 TEST_CASE("a route that is in force is not denied while a newer version is on its way") {
     SoakChecker checked = checker();
     checked.on_config(config(2, at(20000)));
