Soak: the store returns from an older copy

New kinds of steps at the end of the enum: store_returns and store_returns_twice. The store takes a copy, goes on for 0.5 to 6 s, is away for 0.2 to 1.5 s (silent, or connections reset) and returns; recent reads may stay in the earlier era for up to 2 s. The operator and the targets write what was lost again within 0.2 to 1.5 s, as they want it by then: the newest configuration, targets as they are, removals too. What nodes wrote stays lost. The store counts as disturbed while it is away.

Between copy and outage targets renew up to 120 entries. Without that a return loses few revisions, later changes pass them before the bounds apply, and the soak sees nothing.

A data centre that two steps take out is out until both ended.

--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -168,6 +168,14 @@
     }
 }
 
+void SoakEnvironment::probe_all_routes() {
+    Duration delay{};
+    for (const auto& [name, route] : m_config.routes) {
+        run_after(delay, [this, name = name] { probe_nodes(name); });
+        delay += PROBE_GAP * static_cast<std::int64_t>(m_nodes.size());
+    }
+}
+
 void SoakEnvironment::send_request(Node& node, const Channel& channel, const SoakRoute& route) {
     if (channel == nullptr) {
         return;
--- a/test/soak/soak_environment.cpp
+++ b/test/soak/soak_environment.cpp
@@ -228,8 +228,11 @@
 
 void SoakEnvironment::register_target(TargetSlot& slot, const std::string& state) {
     slot.registered = true;
-    m_store->put(names::TARGETS_KIND, slot.parameters.id,
-                 target_json(slot.parameters, address(TARGET_LINKS, slot.host, PORT), state));
+    m_store->put(names::TARGETS_KIND, slot.parameters.id, entry_of(slot, state));
+}
+
+Json SoakEnvironment::entry_of(const TargetSlot& slot, const std::string& state) const {
+    return target_json(slot.parameters, address(TARGET_LINKS, slot.host, PORT), state);
 }
 
 void SoakEnvironment::unregister_target(TargetSlot& slot) {
@@ -349,7 +352,8 @@
     m_config.routes["browse"] = {"browse", true, 2, from_ms(1200), shards, true, 20, 0.8};
     m_config.routes["check"] = {"check", true, 2, from_ms(800), shards, true, 5, 0.6};
     m_config.version += 1 + static_cast<std::int64_t>(m_random() % 4);
-    m_store->put(names::CONFIG_KIND, names::CONFIG_NAME, config_json(m_config));
+    m_published_config = config_json(m_config);
+    m_store->put(names::CONFIG_KIND, names::CONFIG_NAME, m_published_config);
     m_config.acknowledged = monotonic_now();
     m_checker.on_config(m_config);
 }
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,6 +126,7 @@
     void make_nodes();
     void open_target(TargetSlot& slot);
     void register_target(TargetSlot& slot, const std::string& state);
+    nlohmann::json entry_of(const TargetSlot& slot, const std::string& state) const;
     void unregister_target(TargetSlot& slot);
     void write_settings(Node& node) const;
     void start_node(Node& node);
@@ -161,9 +163,23 @@
     /// Silences connections between the store and the nodes that read it for others, or freezes
     /// their links or those of a whole data centre.
     void apply_to_store_links(const SoakStep& step);
+    /// The store goes on for some seconds after a copy was taken, is away for a moment and returns
+    /// from the copy. `ended` is called upon the return.
+    void return_store(const SoakStep& step, Duration age, const std::function<void()>& ended);
+    void apply_return(const SoakStep& step);
+    /// The store has this fault for a time, besides those of other steps.
+    void add_store_fault(const SoakStep& step);
+    /// A target writes its entry anew with nothing changed.
+    void renew_entry(TargetSlot& slot);
+    /// Writes an object that the store has lost again, as its writer wants it by now: the operator
+    /// or a target. Objects of nodes are not written again.
+    void write_again(const std::string& kind, const std::string& name);
+    /// Sends each node a request on every route.
+    void probe_all_routes();
     void limit_target(const SoakStep& step, TargetSlot& slot);
     void apply_to_target(const SoakStep& step, TargetSlot& slot);
     void apply_by_operator(const SoakStep& step);
+    void take_out(const std::string& data_centre, Duration length);
     void stop_node(Node& node);
     void kill_node(Node& node, Duration downtime);
     void crash_target(TargetSlot& slot, Duration downtime, const std::string& new_service);
@@ -186,9 +202,15 @@
     std::unique_ptr<standin::PlatformStore> m_store;
     /// Steps whose fault of the store has not ended.
     std::vector<SoakStep> m_store_steps;
+    /// From the copy that a step has the store take until its last return.
+    bool m_store_is_returning = false;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<TargetSlot>> m_slots;
     SoakConfig m_config;
+    /// The newest configuration as it was published.
+    nlohmann::json m_published_config;
+    /// Data centres that the operator has out of service, once for each step that wants them so.
+    std::multiset<std::string> m_out_of_service;
     bool m_repartitioned = false;
     std::int64_t m_next_id = 1;
     double m_rate_per_s = 0.0;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -45,6 +45,37 @@
     return both ? std::min(left, right) : std::max(left, right);
 }
 
+/// The copy from which the store returns is this old, as far as the step's length allows it.
+constexpr Duration MIN_COPY_AGE = from_ms(500);
+constexpr Duration MAX_COPY_AGE = from_ms(6000);
+
+/// Time for which the store is away before it returns.
+constexpr std::int64_t MIN_AWAY_MS = 200;
+constexpr std::int64_t MAX_AWAY_MS = 1500;
+
+/// Maximum number of entries that targets write anew, with nothing changed, between the copy and
+/// the outage. The revisions after the return stay below those before it for as long.
+constexpr std::int64_t MAX_RENEWED_ENTRIES = 120;
+
+/// Writers notice within this time that the store has lost what they wrote, and write it again.
+constexpr std::int64_t MIN_REWRITE_MS = 200;
+constexpr std::int64_t MAX_REWRITE_MS = 1500;
+
+/// Recent reads may be answered from the earlier era for this long after the return.
+constexpr std::int64_t MAX_EARLIER_ERA_MS = 2000;
+
+/// Time from a return until the copy of the next one is taken: before or after its writers have
+/// written again. Then the store goes on for up to `MAX_SECOND_AGE`.
+constexpr Duration SECOND_COPY_DELAY = from_ms(MAX_REWRITE_MS);
+constexpr Duration MAX_SECOND_AGE = from_ms(3000);
+
+/// Probes after a return start once the nodes count as stable again.
+constexpr Duration PROBE_DELAY = from_ms(100);
+
+std::int64_t between(std::uint64_t pick, std::int64_t from, std::int64_t to) {
+    return from + static_cast<std::int64_t>(pick % static_cast<std::uint64_t>(to - from + 1));
+}
+
 LinkDirection direction_of(std::uint64_t pick) {
     constexpr std::uint64_t DIRECTIONS = 3;
     return static_cast<LinkDirection>(pick / 7 % DIRECTIONS);
@@ -63,7 +94,11 @@
 void SoakEnvironment::apply(const SoakStep& step) {
     Node& node = *m_nodes[step.pick % m_nodes.size()];
     TargetSlot& slot = *m_slots[step.pick % m_slots.size()];
-    if (step.kind > StepKind::target_names_limit) {
+    if (step.kind == StepKind::store_returns || step.kind == StepKind::store_returns_twice) {
+        apply_return(step);
+    } else if (step.kind == StepKind::data_centre_stays_out) {
+        take_out(slot.parameters.data_centre, m_bounds.evacuate + step.length);
+    } else if (step.kind > StepKind::target_names_limit) {
         apply_to_store_links(step);
     } else if (step.kind <= StepKind::kill_all_nodes) {
         apply_to_node(step, node);
@@ -229,6 +264,10 @@
             case StepKind::store_is_stale:
                 faults.stale_by = from_ms(6000);
                 break;
+            case StepKind::store_returns:
+            case StepKind::store_returns_twice:
+                faults.stale_reads_are_of_earlier_era = true;
+                break;
             default:
                 break;
         }
@@ -242,8 +281,7 @@
         m_store->compact();
         return;
     }
-    m_store_steps.push_back(step);
-    m_store->set_faults(combined_store_faults(m_store_steps));
+    add_store_fault(step);
     if (step.kind == StepKind::entries_lapse) {
         for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
             if (slot->registered && ebonymount::uniform(m_random) < step.strength) {
@@ -259,12 +297,106 @@
             }
         });
     }
+}
+
+void SoakEnvironment::add_store_fault(const SoakStep& step) {
+    m_store_steps.push_back(step);
+    m_store->set_faults(combined_store_faults(m_store_steps));
     run_after(step.length, [this, step] {
         m_store_steps.erase(std::find(m_store_steps.begin(), m_store_steps.end(), step));
         m_store->set_faults(combined_store_faults(m_store_steps));
     });
 }
 
+void SoakEnvironment::apply_return(const SoakStep& step) {
+    if (m_store_is_returning) {
+        return;
+    }
+    m_store_is_returning = true;
+    const Duration age = MIN_COPY_AGE + scaled(MAX_COPY_AGE - MIN_COPY_AGE, step.strength);
+    return_store(step, std::min(age, step.length), [this, step] {
+        if (step.kind == StepKind::store_returns) {
+            m_store_is_returning = false;
+            return;
+        }
+        SoakStep second = step;
+        second.pick = step.pick / 11;
+        run_after(second.pick % 2 == 0 ? Duration::zero() : SECOND_COPY_DELAY, [this, second] {
+            return_store(second, MIN_COPY_AGE + scaled(MAX_SECOND_AGE, second.strength),
+                         [this] { m_store_is_returning = false; });
+        });
+    });
+}
+
+void SoakEnvironment::return_store(const SoakStep& step, Duration age,
+                                   const std::function<void()>& ended) {
+    SoakStep away = step;
+    away.kind = step.pick % 2 == 0 ? StepKind::store_silent : StepKind::store_resets;
+    away.length = from_ms(between(step.pick / 2, MIN_AWAY_MS, MAX_AWAY_MS));
+    m_store->take_copy();
+    const std::int64_t renewed = between(step.pick / 13, 0, MAX_RENEWED_ENTRIES);
+    for (std::int64_t i = 0; i < renewed; ++i) {
+        run_after(age * i / renewed,
+                  [this] { renew_entry(*m_slots[m_random() % m_slots.size()]); });
+    }
+    run_after(age, [this, away] {
+        m_checker.mark_store_disturbed(monotonic_now() + away.length);
+        add_store_fault(away);
+    });
+    run_after(age + away.length, [this, step, ended] {
+        // The outage ends in the same turn of the loop or the next.
+        m_checker.mark_store_disturbed(monotonic_now());
+        for (const auto& [kind, name] : m_store->return_from_copy()) {
+            const Duration delay = from_ms(between(m_random(), MIN_REWRITE_MS, MAX_REWRITE_MS));
+            run_after(delay, [this, kind = kind, name = name] { write_again(kind, name); });
+        }
+        if (step.pick / 3 % 2 == 0) {
+            SoakStep earlier = step;
+            earlier.length = from_ms(between(step.pick / 5, 0, MAX_EARLIER_ERA_MS));
+            add_store_fault(earlier);
+        }
+        run_after(m_bounds.stable_window + PROBE_DELAY, [this] { probe_all_routes(); });
+        ended();
+    });
+}
+
+void SoakEnvironment::renew_entry(TargetSlot& slot) {
+    if (slot.registered && !slot.target->is_down()) {
+        register_target(slot, slot.target->behaviour().draining ? "draining" : "ready");
+    }
+}
+
+void SoakEnvironment::write_again(const std::string& kind, const std::string& name) {
+    std::optional<nlohmann::json> wanted;
+    if (kind == names::CONFIG_KIND) {
+        wanted = m_published_config;
+    } else if (kind == names::EVACUATIONS_KIND) {
+        if (m_out_of_service.count(name) > 0) {
+            wanted = nlohmann::json::object();
+        }
+    } else if (kind == names::TARGETS_KIND) {
+        for (const std::unique_ptr<TargetSlot>& slot : m_slots) {
+            if (slot->parameters.id != name || !slot->registered) {
+                continue;
+            }
+            if (slot->target->is_down()) {
+                return;  // Its entry expires.
+            }
+            wanted = entry_of(*slot, slot->target->behaviour().draining ? "draining" : "ready");
+        }
+    } else {
+        return;
+    }
+    if (wanted == m_store->find_spec(kind, name)) {
+        return;
+    }
+    if (wanted.has_value()) {
+        m_store->put(kind, name, *wanted);
+    } else {
+        m_store->remove(kind, name);
+    }
+}
+
 void SoakEnvironment::restart_target(TargetSlot& slot, const std::string& service) {
     slot.target->crash();
     unregister_target(slot);
@@ -399,17 +531,9 @@
             m_repartitioned = !m_repartitioned;
             publish_and_probe("browse");
             return;
-        case StepKind::data_centre_out: {
-            const std::string data_centre =
-                m_slots[step.pick % m_slots.size()]->parameters.data_centre;
-            m_store->put(names::EVACUATIONS_KIND, data_centre, nlohmann::json::object());
-            m_checker.on_data_centre(data_centre, false, monotonic_now());
-            run_after(step.length, [this, data_centre] {
-                m_store->remove(names::EVACUATIONS_KIND, data_centre);
-                m_checker.on_data_centre(data_centre, true, monotonic_now());
-            });
+        case StepKind::data_centre_out:
+            take_out(m_slots[step.pick % m_slots.size()]->parameters.data_centre, step.length);
             return;
-        }
         case StepKind::burst:
             m_rate_per_s = m_options.rate_per_s * (1.0 + 3.0 * step.strength);
             run_after(step.length, [this] { m_rate_per_s = m_options.rate_per_s; });
@@ -421,4 +545,17 @@
     }
 }
 
+void SoakEnvironment::take_out(const std::string& data_centre, Duration length) {
+    m_out_of_service.insert(data_centre);
+    m_store->put(names::EVACUATIONS_KIND, data_centre, nlohmann::json::object());
+    m_checker.on_data_centre(data_centre, false, monotonic_now());
+    run_after(length, [this, data_centre] {
+        m_out_of_service.erase(m_out_of_service.find(data_centre));
+        if (m_out_of_service.count(data_centre) == 0) {
+            m_store->remove(names::EVACUATIONS_KIND, data_centre);
+            m_checker.on_data_centre(data_centre, true, monotonic_now());
+        }
+    });
+}
+
 }  // namespace soak
--- a/test/soak/soak_plan.cpp
+++ b/test/soak/soak_plan.cpp
@@ -70,7 +70,10 @@
     "target_names_limit",
     "silence_reader_links",
     "freeze_reader_links",
-    "freeze_data_centre"};
+    "freeze_data_centre",
+    "store_returns",
+    "store_returns_twice",
+    "data_centre_stays_out"};
 
 /// Number of kinds that are drawn for series.
 constexpr std::size_t SERIES_KINDS = static_cast<std::size_t>(StepKind::target_names_limit);
@@ -79,6 +82,12 @@
 /// holds from the stable window on.
 constexpr std::size_t LIMIT_STEPS = 4;
 
+/// Maximum number of returns of the store besides the series. They start in the first two thirds,
+/// so that later steps of the plan meet the store after its return.
+constexpr std::size_t MAX_RETURN_STEPS = 2;
+constexpr double MIN_RETURN_MS = 1000.0;
+constexpr double MAX_RETURN_MS = 7500.0;
+
 Duration random_duration(Random& random, double min_ms, double max_ms) {
     return Duration(
         static_cast<std::int64_t>((min_ms + (max_ms - min_ms) * uniform(random)) * 1000.0));
@@ -96,6 +105,24 @@
     }
 }
 
+bool is_return(StepKind kind) {
+    return kind == StepKind::store_returns || kind == StepKind::store_returns_twice;
+}
+
+void add_return_steps(Random& random, Duration length, std::vector<SoakStep>& plan) {
+    const std::size_t steps = 1 + random() % MAX_RETURN_STEPS;
+    for (std::size_t i = 0; i < steps; ++i) {
+        SoakStep step;
+        step.kind = random() % 2 == 0 ? StepKind::store_returns : StepKind::store_returns_twice;
+        step.at = random_duration(random, 0.0, to_ms(length) * 2.0 / 3.0);
+        step.length =
+            std::min(random_duration(random, MIN_RETURN_MS, MAX_RETURN_MS), length - step.at);
+        step.strength = uniform(random);
+        step.pick = random();
+        plan.push_back(step);
+    }
+}
+
 }  // namespace
 
 const char* name_of(StepKind kind) {
@@ -134,6 +161,9 @@
         at += random_duration(random, 0.0, 2.0 * SERIES_GAP_MS);
     }
     add_limit_steps(random, length, plan);
+    if (kinds.empty() || std::any_of(kinds.begin(), kinds.end(), is_return)) {
+        add_return_steps(random, length, plan);
+    }
     const auto earlier = [](const SoakStep& left, const SoakStep& right) {
         return left.at < right.at;
     };
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -64,8 +64,11 @@
     target_names_limit,  ///< First of the kinds that are not drawn for series.
     silence_reader_links,
     freeze_reader_links,
-    freeze_data_centre,  ///< No node of a data centre reaches the store.
-    count,               ///< Number of kinds; not a kind itself.
+    freeze_data_centre,     ///< No node of a data centre reaches the store.
+    store_returns,          ///< The store is away and returns from a copy some seconds old.
+    store_returns_twice,    ///< Returns once more, a few seconds later.
+    data_centre_stays_out,  ///< Out of service for longer than the bound of an evacuation.
+    count,                  ///< Number of kinds; not a kind itself.
 };
 
 /// Name of a kind, as printed in the timeline.
@@ -90,7 +93,8 @@
 
 /// Generates the steps of a fault phase of `length`, ordered by time. The series come first, so
 /// that kinds added later leave the series of a kept seed as they were. Series are of the given
-/// kinds, or of all kinds that are drawn for series if none are given.
+/// kinds, or of all kinds that are drawn for series if none are given. A plan of all kinds, or of
+/// kinds in which the store returns from a copy, has one or two such steps besides its series.
 std::vector<SoakStep> make_plan(std::uint64_t seed, Duration length,
                                 const std::vector<StepKind>& kinds = {});
 
--- a/test/soak/test_soak_checker.cpp
+++ b/test/soak/test_soak_checker.cpp
@@ -526,6 +526,9 @@
     CHECK(left.outage == standin::Outage::busy);
     CHECK(left.response_time == from_ms(200));
     CHECK(left.stale_by == from_ms(6000));
+    CHECK(combined_store_faults({busy, step(StepKind::store_returns, 1.0)})
+              .stale_reads_are_of_earlier_era);
+    CHECK_FALSE(left.stale_reads_are_of_earlier_era);
     const standin::PlatformFaults none = combined_store_faults({});
     CHECK(none.outage == standin::Outage::none);
     CHECK(none.response_time == standin::PlatformFaults{}.response_time);
@@ -544,6 +547,23 @@
     CHECK(series_steps > 0);
 }
 
+TEST_CASE("a plan has one or two returns of the store, unless it is of other kinds only") {
+    const auto returns = [](const std::vector<StepKind>& kinds) {
+        std::size_t count = 0;
+        for (const SoakStep& step : make_plan(7, from_ms(14000), kinds)) {
+            count +=
+                step.kind == StepKind::store_returns || step.kind == StepKind::store_returns_twice
+                    ? 1
+                    : 0;
+        }
+        return count;
+    };
+    CHECK(returns({}) >= 1);
+    CHECK(returns({}) <= 2);
+    CHECK(returns({StepKind::store_is_stale}) == 0);
+    CHECK(returns({StepKind::store_returns}) > 0);
+}
+
 TEST_CASE(
     "the same seed gives the same plan, another seed a different one, and steps end within the "
     "length of the plan") {
--- a/test/standin/platform_store.cpp
+++ b/test/standin/platform_store.cpp
@@ -89,6 +89,16 @@
     append(kind, name, true, nullptr);
 }
 
+std::optional<Json> PlatformStore::find_spec(const std::string& kind,
+                                             const std::string& name) const {
+    const auto found = std::find_if(m_history.changes.rbegin(), m_history.changes.rend(),
+                                    [&kind, &name](const Change& change) {
+                                        return change.kind == kind && change.name == name;
+                                    });
+    return found == m_history.changes.rend() || found->removed ? std::nullopt
+                                                               : std::optional<Json>(found->spec);
+}
+
 void PlatformStore::append(const std::string& kind, const std::string& name, bool removed,
                            const Json& spec) {
     m_history.changes.push_back({kind, name, ++m_history.revision, monotonic_now(), removed, spec});
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -51,6 +51,8 @@
     /// Writes an object, as the operator or a target does. The write is acknowledged on return.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void remove(const std::string& kind, const std::string& name);
+    /// An object as it is at present, if there is one.
+    std::optional<nlohmann::json> find_spec(const std::string& kind, const std::string& name) const;
 
     void set_faults(const PlatformFaults& faults);
     const PlatformFaults& faults() const;
