Front: targets and data centres are read again before a change to them is due

Cause: a watch that takes recent data shows nothing while it waits. The lag was noticed only when a current watch of the configuration had shown a newer revision (up to 2.4 s), that was 1.2 s ago and a recent watch ended (up to 2.4 s); then the grace of removed entries, 1 s, began. Class: the lag counted from the moment at which it was noticed, not from the last proof of the data.

Change: StoreProgress also keeps until when each position was the newest. Data of targets and of data centres out of service is overdue when the store is known to have moved on from it and its last proof was 0.8 of the drain or evacuation bound ago (is_overdue, a function without clock or calls). An overdue kind makes one recent read that ends at once, in place of its watch or pause; if that does not reach the newer position, a current watch follows. The configuration's watches, which are current anyway, end at least as often as that, also after a pause. Updates state a time before their changes, and a removed target is used until 0.93 of the drain bound after it and no longer than its grace of 1 s. Nodes that others follow leave them that grace: 0.9 of the bound less 1 s. The bounds come from bounds.drain_ms and bounds.evacuate_ms.

Calls added: none while the store does not change. After a change a node that reads for itself makes, for each of the two kinds that its own watch has not shown it by then, one recent read and one recent watch, and instead of the latter a current watch if recent data still lacks the change. Readers with followers see changes in their frequent watches before a proof is due. In force the current watch covers the time that it waits, so there is at most one of a kind for each wait of the configuration's watch.

Why it works: a change is never older than the last proof, so a bound from there holds whatever the lag. What the bound does not cover: a list after a lost history gives removed targets the full grace.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -76,7 +76,7 @@
             if (update.is_list) {
                 apply_target_list(update);
             } else {
-                apply_target_changes(update.objects);
+                apply_target_changes(update.objects, update.made_after);
             }
             return;
         case platform::Kind::evacuations:
@@ -166,12 +166,14 @@
     rebuild_view();
 }
 
-void FleetWatcher::apply_target_changes(const Objects& objects) {
+void FleetWatcher::apply_target_changes(const Objects& objects, std::optional<Time> made_after) {
     const std::int64_t generation_before = m_registry.generation;
+    const Time latest =
+        made_after.has_value() ? latest_use(*made_after, m_options.feed.drain) : Time::max();
     m_state.targets_updated_at = monotonic_now();
     for (const platform::StoredObject& object : objects) {
         if (object.removed || object.deleting) {
-            remove(m_registry, object.name, monotonic_now());
+            remove(m_registry, object.name, monotonic_now(), latest);
             LogEvent(LogLevel::info, "targets", "entry_removed").add("target", object.name).write();
             continue;
         }
@@ -180,7 +182,7 @@
             // The entry no longer describes a usable target. `apply_target_list` leaves such an
             // entry out, too.
             log_warning("targets", "ignored an invalid entry: " + describe(error_of(entry)));
-            remove(m_registry, object.name, monotonic_now());
+            remove(m_registry, object.name, monotonic_now(), latest);
             continue;
         }
         check_for_restart(value_of(entry));
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -58,7 +58,7 @@
     void apply_update(const KindUpdate& update);
     void apply_config(const Objects& objects);
     void apply_target_list(const KindUpdate& list);
-    void apply_target_changes(const Objects& objects);
+    void apply_target_changes(const Objects& objects, std::optional<Time> made_after);
     /// If the target has restarted, connections to it that broke before were crashes.
     void check_for_restart(const TargetEntry& entry);
     void apply_evacuations(const KindUpdate& update);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -149,6 +149,8 @@
     feed.store_address = m_settings.store_address;
     feed.initial_peers = m_settings.initial_peers;
     feed.config_apply = m_settings.config_apply;
+    feed.drain = m_settings.drain;
+    feed.evacuate = m_settings.evacuate;
     feed.stable_window = m_settings.stable_window;
     feed.first_start = m_settings.first_start;
     const FleetWatcherOptions options{feed, m_settings.regions};
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -1,6 +1,7 @@
 #include "front/kind_watcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "io/exception_guard.h"
 #include "io/http_status.h"
@@ -43,7 +44,12 @@
       m_failures(metrics.counter(std::string("ebonymount_store_failures_total{kind=\"") +
                                  platform::name_of(options.kind) + "\"}")),
       m_age_ms(metrics.counter(std::string("ebonymount_store_kind_age_ms{kind=\"") +
-                               platform::name_of(options.kind) + "\"}")) {}
+                               platform::name_of(options.kind) + "\"}")),
+      m_proofs(metrics.counter(std::string("ebonymount_store_proofs_total{kind=\"") +
+                               platform::name_of(options.kind) + "\"}")),
+      m_current_proofs(
+          metrics.counter(std::string("ebonymount_store_current_proofs_total{kind=\"") +
+                          platform::name_of(options.kind) + "\"}")) {}
 
 std::shared_ptr<KindWatcher> KindWatcher::start(EventLoop& loop, const KindWatcherOptions& options,
                                                 KindWatcherHandlers handlers, Metrics& metrics) {
@@ -245,8 +251,19 @@
 void KindWatcher::wait_for_changes() {
     m_is_watching = true;
     m_called_at = monotonic_now();
-    m_call_wait = m_next_watch_is_first ? Duration::zero() : m_options.timing.watch_wait;
-    const platform::Freshness freshness = watch_freshness();
+    m_call_wait = next_watch_wait();
+    const bool is_proof = std::exchange(m_next_watch_is_proof, false);
+    const platform::Freshness freshness =
+        is_proof && !reads_only_current() ? platform::Freshness::recent : watch_freshness();
+    if (is_proof) {
+        ++m_proofs;
+    } else if (!reads_only_current() && must_be_proven()) {
+        ++m_current_proofs;
+        LogEvent(LogLevel::info, "store", "recent_data_unproven")
+            .add("kind", platform::name_of(m_options.kind))
+            .add("position", describe(m_position))
+            .write();
+    }
     m_call_is_current = freshness == platform::Freshness::current;
     call(platform::watch_path(m_options.kind, m_position.revision, m_call_wait, freshness),
          m_call_wait + STORE_CALL_TIMEOUT,
@@ -255,6 +272,28 @@
          });
 }
 
+Duration KindWatcher::next_watch_wait() const {
+    if (m_next_watch_is_first || m_next_watch_is_proof) {
+        return Duration::zero();
+    }
+    const Duration wait = m_options.timing.watch_wait;
+    if (!m_options.is_always_current || m_options.timing.proof_interval == Duration::zero()) {
+        return wait;
+    }
+    const Duration left = m_complete_at + m_options.timing.proof_interval - monotonic_now();
+    return std::clamp(left, Duration::zero(), wait);
+}
+
+std::optional<Time> KindWatcher::changes_made_after() const {
+    // A current watch that has waited for longer than a call takes is answered at once.
+    const Time now = monotonic_now();
+    if (m_call_is_current && now > m_called_at + STORE_CALL_TIMEOUT) {
+        return now - STORE_CALL_TIMEOUT;
+    }
+    const Time proven = m_handlers.proven_until ? m_handlers.proven_until(m_position) : Time{};
+    return proven == Time{} ? std::nullopt : std::optional<Time>(proven);
+}
+
 void KindWatcher::on_watch_end(CallStatus status, const HttpResponseMessage& response) {
     if (m_position.era != m_era) {
         begin_era();
@@ -282,17 +321,23 @@
     }
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(changes);
     on_success(std::min(monotonic_now(), m_called_at + m_call_wait));
+    const std::optional<Time> made_after = changes_made_after();
     const std::int64_t known_revision = m_position.revision;
     m_position.revision = decoded.store_revision;
     report_position();
     m_position.revision = std::max(known_revision, decoded.store_revision);
     m_next_watch_is_first = false;
     log_objects_without_name(decoded);
-    if (decoded.objects.empty()) {
+    const bool has_changes = !decoded.objects.empty();
+    if (has_changes) {
+        KindUpdate update{m_options.kind, false, false, m_position, std::move(decoded.objects)};
+        update.made_after = made_after;
+        m_handlers.on_update(std::move(update));
+    }
+    if (!has_changes || must_be_proven()) {
         wait_for_changes();
         return;
     }
-    m_handlers.on_update({m_options.kind, false, false, m_position, std::move(decoded.objects)});
     const bool is_costly =
         watch_freshness() == platform::Freshness::current && !m_options.is_always_current;
     run_later(is_costly ? m_options.timing.pause_after_current_changes
@@ -418,6 +463,26 @@
     }
 }
 
+void KindWatcher::prove() {
+    if (m_paused || m_stopped || !m_is_watching || m_consecutive_failures > 0 ||
+        m_position.era != m_era) {
+        return;
+    }
+    if (m_pause_timer.has_value()) {
+        m_loop.cancel(*m_pause_timer);
+        m_pause_timer.reset();
+        m_next_watch_is_proof = true;
+        wait_for_changes();
+    } else if (!m_call_is_current && m_call_wait > Duration::zero()) {
+        m_next_watch_is_proof = true;
+        restart_watch();
+    }
+}
+
+StorePosition KindWatcher::position() const {
+    return m_position;
+}
+
 void KindWatcher::restart_watch() {
     const bool is_waiting = m_is_watching && !m_paused && !m_stopped &&
                             !m_pause_timer.has_value() && m_channel != nullptr;
@@ -428,11 +493,18 @@
     wait_for_changes();
 }
 
+bool KindWatcher::reads_only_current() const {
+    return m_options.is_always_current || m_next_watch_is_first || has_recent_store_failure() ||
+           (m_handlers.must_read_current && m_handlers.must_read_current());
+}
+
+bool KindWatcher::must_be_proven() const {
+    return m_handlers.must_be_proven && m_handlers.must_be_proven();
+}
+
 platform::Freshness KindWatcher::watch_freshness() const {
-    const bool is_current = m_options.is_always_current || m_next_watch_is_first ||
-                            has_recent_store_failure() ||
-                            (m_handlers.must_read_current && m_handlers.must_read_current());
-    return is_current ? platform::Freshness::current : platform::Freshness::recent;
+    return reads_only_current() || must_be_proven() ? platform::Freshness::current
+                                                    : platform::Freshness::recent;
 }
 
 void KindWatcher::run_later(Duration delay, void (KindWatcher::*next)()) {
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -36,6 +36,9 @@
     /// The same if the watch asked for current data, which costs ten times as much and reports
     /// changes a second earlier.
     Duration pause_after_current_changes{};
+    /// For a kind that is always read current: maximum time between two calls that show whether the
+    /// store has moved on; a pause before a watch counts. Zero for none.
+    Duration proof_interval{};
     /// Maximum pause between the probing watcher's calls to an unavailable store; the pauses grow
     /// up to it.
     Duration probe_pause = from_ms(200);
@@ -80,6 +83,11 @@
     std::function<void(const StorePosition& position, bool is_current)> on_position{};
     /// True while recent data may be too old, as another watcher has found. May be empty.
     std::function<bool()> must_read_current{};
+    /// True if the data must be shown to be current now, which takes a current read if a recent one
+    /// has not shown it. May be empty.
+    std::function<bool()> must_be_proven{};
+    /// As of when data of a position is known to have been complete. May be empty.
+    std::function<Time(const StorePosition& position)> proven_until{};
     /// Receives the era of the store that a response states. May be empty.
     std::function<void(std::int64_t era)> on_era{};
 };
@@ -123,6 +131,13 @@
     /// True for a while after a failure, when only current data is read.
     bool has_recent_store_failure() const;
 
+    /// Makes one recent read at once, in place of a pause or of a watch that waits for recent data.
+    /// If `must_be_proven` still holds after it, a current watch follows.
+    void prove();
+
+    /// The store's position up to which the data is complete.
+    StorePosition position() const;
+
     /// Reads only current data for a while, and begins again with a watch that waits for recent
     /// data.
     void require_current_data();
@@ -141,6 +156,9 @@
     void restart_watch();
     /// Ends the call or pause in progress.
     void end_call();
+    Duration next_watch_wait() const;
+    /// A time after which the changes of the watch in progress were made, if one is known.
+    std::optional<Time> changes_made_after() const;
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
@@ -152,6 +170,9 @@
     /// The store has returned from an older copy: reads the list.
     void begin_era();
     void on_failure(const std::string& reason);
+    /// Watches ask for current data, whatever recent reads would show.
+    bool reads_only_current() const;
+    bool must_be_proven() const;
     platform::Freshness watch_freshness() const;
     Duration pause_after_failure() const;
     void retry_list();
@@ -163,6 +184,10 @@
     Counter& m_calls;
     Counter& m_failures;
     Counter& m_age_ms;
+    /// Recent reads that were made to show that data is current, and current watches that were
+    /// needed for it.
+    Counter& m_proofs;
+    Counter& m_current_proofs;
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
     StorePosition m_position;
@@ -188,6 +213,8 @@
     bool m_is_watching = false;
     /// The next watch asks for current data at once, as its revision comes from another source.
     bool m_next_watch_is_first = false;
+    /// The next watch is a recent read that ends at once.
+    bool m_next_watch_is_proof = false;
     bool m_paused = false;
     bool m_stopped = false;
 };
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -159,6 +159,12 @@
         handlers.must_read_current = [this] {
             return has_recent_store_failure();
         };
+        handlers.must_be_proven = [this, kind] {
+            return must_be_proven(kind, monotonic_now());
+        };
+        handlers.proven_until = [this](const StorePosition& position) {
+            return proven_until(m_progress, position);
+        };
         handlers.on_era = [this](std::int64_t era) {
             on_store_era(era);
         };
@@ -180,7 +186,9 @@
 
 void StoreFeed::update_watcher_timing() {
     m_reads_for_others = reads_for_others();
+    m_proof_timing = proof_timing(m_options.drain, m_options.evacuate, m_reads_for_others);
     WatcherTiming timing;
+    timing.proof_interval = m_proof_timing.interval;
     timing.probe_pause = scaled(m_options.config_apply, PROBE_PAUSE_SHARE);
     timing.pause_after_changes = m_reads_for_others ? m_timing.reader_pause : m_timing.change_pause;
     // Current reads cost more, so the pause after them is longer; not where followers would take
@@ -274,7 +282,13 @@
                                   bool is_current) {
     const Time now = monotonic_now();
     if (is_current) {
-        on_current_read(m_progress, position, now);
+        on_current_read(m_progress, position, watcher_of(kind).complete_at(), now);
+        // The watcher that reports this is about to make its next call.
+        m_loop.post([this, alive = std::weak_ptr<bool>(m_alive)] {
+            if (!alive.expired()) {
+                prove_overdue_data(monotonic_now());
+            }
+        });
         return;
     }
     const Duration lag = lag_of(m_progress, position, now);
@@ -296,6 +310,33 @@
     });
 }
 
+KindWatcher& StoreFeed::watcher_of(platform::Kind kind) const {
+    const auto found = std::find_if(
+        m_watchers.begin(), m_watchers.end(),
+        [kind](const std::shared_ptr<KindWatcher>& watcher) { return watcher->kind() == kind; });
+    return **found;
+}
+
+bool StoreFeed::must_be_proven(platform::Kind kind, Time now) const {
+    if (kind != platform::Kind::targets && kind != platform::Kind::evacuations) {
+        return false;
+    }
+    const Duration max_unproven =
+        kind == platform::Kind::targets ? m_proof_timing.targets : m_proof_timing.evacuations;
+    return is_overdue(m_progress, watcher_of(kind).position(), max_unproven, now);
+}
+
+void StoreFeed::prove_overdue_data(Time now) {
+    if (!m_source.reading) {
+        return;
+    }
+    for (const std::shared_ptr<KindWatcher>& watcher : m_watchers) {
+        if (must_be_proven(watcher->kind(), now)) {
+            watcher->prove();
+        }
+    }
+}
+
 void StoreFeed::on_store_era(std::int64_t era) {
     if (era <= m_era) {
         return;
@@ -369,6 +410,7 @@
     if (reads_for_others() != m_reads_for_others) {
         update_watcher_timing();
     }
+    prove_overdue_data(now);
     report_source(now);
     report_kinds(now);
     send_due_lists(now);
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -32,6 +32,9 @@
     /// unavailable.
     std::vector<std::string> initial_peers;
     Duration config_apply{};
+    /// Times in which leaving targets and data centres out of service must be in force.
+    Duration drain = from_ms(3000);
+    Duration evacuate = from_ms(5000);
     Duration stable_window{};
     /// True on the first start of the whole deployment, when the list of nodes is still incomplete.
     bool first_start = false;
@@ -99,6 +102,11 @@
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
     void on_store_position(platform::Kind kind, const StorePosition& position, bool is_current);
+    KindWatcher& watcher_of(platform::Kind kind) const;
+    /// The kind's data may lack a change that must be in force soon, so it is read again, if need
+    /// be with a current read.
+    bool must_be_proven(platform::Kind kind, Time now) const;
+    void prove_overdue_data(Time now);
     /// The store, or a node that reads it, has stated that era: if it is a later one, the store has
     /// returned from an older copy, and all kinds are read again.
     void on_store_era(std::int64_t era);
@@ -142,6 +150,7 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     StoreFeedOptions m_options;
     StoreReadTiming m_timing;
+    ProofTiming m_proof_timing;
     std::function<void(const KindUpdate&)> m_on_update;
     Counter& m_updates_relayed;
     Counter& m_updates_received;
--- a/src/policy/store_readers.cpp
+++ b/src/policy/store_readers.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "base/hash.h"
+#include "policy/target_registry.h"
 
 namespace ebonymount {
 namespace {
@@ -29,6 +30,13 @@
 // recent data, about a second, and by the grace period of removed targets.
 constexpr double CHANGE_PAUSE_SHARE = 0.2;
 
+// Parts of the time in which a target or data centre must be out of use: when its data must be
+// shown to be complete, and when a follower must have applied it. The rest is left for two reads
+// and for requests on their way.
+constexpr double PROOF_SHARE = 0.8;
+constexpr double FOLLOWER_SHARE = 0.9;
+constexpr double MIN_FOLLOWER_PROOF_SHARE = 0.4;
+
 std::uint64_t rank_of(const Member& member) {
     return stable_hash(member.data_centre + "/" + member.node);
 }
@@ -80,6 +88,18 @@
     return timing;
 }
 
+ProofTiming proof_timing(Duration drain, Duration evacuate, bool reads_for_others) {
+    ProofTiming timing;
+    timing.interval = scaled(std::min(drain, evacuate), PROOF_SHARE);
+    timing.targets = scaled(drain, PROOF_SHARE);
+    timing.evacuations = scaled(evacuate, PROOF_SHARE);
+    if (reads_for_others) {
+        timing.targets = std::max(scaled(drain, MIN_FOLLOWER_PROOF_SHARE),
+                                  scaled(drain, FOLLOWER_SHARE) - REMOVAL_GRACE);
+    }
+    return timing;
+}
+
 std::vector<Member> readers_for(const Member& self, const std::vector<Member>& members,
                                 const AvoidedReaders& avoided, Time now) {
     if (is_reader(self, members)) {
--- a/src/policy/store_readers.h
+++ b/src/policy/store_readers.h
@@ -73,6 +73,21 @@
 /// undisturbed for `stable_window`.
 StoreReadTiming store_read_timing(Duration config_apply, Duration stable_window);
 
+/// Times by which data that the store has moved on from must be shown to be complete.
+struct ProofTiming {
+    /// Maximum time between two current reads, which show whether the store has moved on.
+    Duration interval{};
+    /// How long data of targets and of data centres out of service may go unproven.
+    Duration targets{};
+    Duration evacuations{};
+
+    friend bool operator==(const ProofTiming&, const ProofTiming&) = default;
+};
+
+/// Timing for targets that must be out of use within `drain` and data centres within `evacuate`.
+/// A node that reads for others leaves them the time for which they keep a removed target.
+ProofTiming proof_timing(Duration drain, Duration evacuate, bool reads_for_others);
+
 /// Readers that failed, with the time until which this node does not follow them.
 using AvoidedReaders = std::map<std::string, Time>;
 
--- a/src/policy/target_registry.cpp
+++ b/src/policy/target_registry.cpp
@@ -1,9 +1,14 @@
 #include "policy/target_registry.h"
 
+#include <algorithm>
+
 namespace ebonymount {
 
 namespace {
 
+/// Part of the drain bound in which a target is used; the rest is left for a request on its way.
+constexpr double LATEST_USE_SHARE = 0.93;
+
 void erase(TargetRegistry& registry, const std::string& id, Time now) {
     registry.missing.erase(id);
     registry.entries.erase(id);
@@ -73,7 +78,11 @@
     ++registry.generation;
 }
 
-void remove(TargetRegistry& registry, const std::string& id, Time now) {
+Time latest_use(Time after, Duration drain) {
+    return after + scaled(drain, LATEST_USE_SHARE);
+}
+
+void remove(TargetRegistry& registry, const std::string& id, Time now, Time latest) {
     registry.unconfirmed.erase(id);
     const auto found = registry.entries.find(id);
     if (found == registry.entries.end()) {
@@ -83,7 +92,7 @@
         erase(registry, id, now);
         return;
     }
-    registry.missing.emplace(id, now + REMOVAL_GRACE);
+    registry.missing.emplace(id, std::min(now + REMOVAL_GRACE, latest));
 }
 
 std::vector<std::string> expire_missing(TargetRegistry& registry, Time now) {
--- a/src/policy/target_registry.h
+++ b/src/policy/target_registry.h
@@ -66,9 +66,10 @@
 /// platform promises about two seconds.
 constexpr Duration REREGISTRATION_TIME = from_ms(2000);
 
-/// How long a target is used after its entry was removed while the platform was reachable: a third
-/// of the minimum time for which targets continue to serve after that. The update that reports the
-/// removal takes up to the other two thirds.
+/// How long a target is used at most after its entry was removed while the platform was reachable:
+/// a third of the minimum time for which targets continue to serve after that. It is used for a
+/// shorter time if the update that reports the removal may have taken more than the other two
+/// thirds.
 constexpr Duration REMOVAL_GRACE = from_ms(1000);
 
 /// What precedes a list.
@@ -88,8 +89,13 @@
 /// Applies an entry that its target has written.
 void upsert(TargetRegistry& registry, const TargetEntry& entry);
 
-/// Applies the removal of an entry, which is kept for `REMOVAL_GRACE` unless it was draining.
-void remove(TargetRegistry& registry, const std::string& id, Time now);
+/// Until when a target may be used whose entry was removed after the time `after`, so that the last
+/// requests reach it within `drain`.
+Time latest_use(Time after, Duration drain);
+
+/// Applies the removal of an entry, which is kept for `REMOVAL_GRACE` but not beyond `latest`,
+/// unless it was draining.
+void remove(TargetRegistry& registry, const std::string& id, Time now, Time latest = Time::max());
 
 /// Removes the targets that have not registered again in time, and returns their ids.
 std::vector<std::string> expire_missing(TargetRegistry& registry, Time now);
--- a/test/correctness/test_store_readers.cpp
+++ b/test/correctness/test_store_readers.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "policy/store_readers.h"
+#include "policy/target_registry.h"
 
 namespace ebonymount {
 namespace {
@@ -116,4 +117,30 @@
     }
 }
 
+// Guards against bounds that add up to more than a leaving target's: the wait for a current read,
+// two reads, and the time for which a removed target is still used.
+TEST_CASE("data is proven in time for its targets and data centres to be left") {
+    const Duration reads = from_ms(100);
+    for (const auto& [drain, evacuate] :
+         {std::pair(from_ms(3000), from_ms(5000)), std::pair(from_ms(5000), from_ms(5000)),
+          std::pair(from_ms(2000), from_ms(8000)), std::pair(from_ms(6000), from_ms(4000))}) {
+        const ProofTiming alone = proof_timing(drain, evacuate, false);
+        CHECK(alone.interval <= alone.targets);
+        CHECK(alone.interval <= alone.evacuations);
+        CHECK(alone.targets + reads < latest_use(Time{}, drain) - Time{});
+        CHECK(alone.evacuations + reads < evacuate);
+        const ProofTiming followed = proof_timing(drain, evacuate, true);
+        CHECK(followed.targets + reads + REMOVAL_GRACE <= drain);
+        CHECK(followed.evacuations + reads < evacuate);
+    }
+}
+
+// Guards against proofs of data that a reader's own calls are about to show as complete: a read
+// that may be a second old ends after a probe's wait.
+TEST_CASE("a reader's calls prove its data before a proof is due") {
+    const StoreReadTiming timing = store_read_timing(from_ms(3000), from_ms(4000));
+    const ProofTiming followed = proof_timing(from_ms(3000), from_ms(5000), true);
+    CHECK(from_ms(1000) + timing.probe_wait < followed.targets);
+}
+
 }  // namespace ebonymount
--- a/test/correctness/test_target_registry.cpp
+++ b/test/correctness/test_target_registry.cpp
@@ -61,6 +61,23 @@
     CHECK(expire_missing(registry, START + from_ms(1000)).size() == 1);
 }
 
+// Guards against a fixed grace after an update that may be late itself.
+TEST_CASE("a target whose entry was removed is not used beyond the given time") {
+    TargetRegistry registry = registry_of({entry("a"), entry("b")});
+    remove(registry, "a", START, START + from_ms(300));
+    remove(registry, "b", START, START - from_ms(300));
+    CHECK(expire_missing(registry, START) == std::vector<std::string>{"b"});
+    CHECK(expire_missing(registry, START + from_ms(299)).empty());
+    CHECK(expire_missing(registry, START + from_ms(300)) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("the last use of a target leaves time for a request on its way") {
+    for (const Duration drain : {from_ms(1000), from_ms(3000), from_ms(6000)}) {
+        CHECK(latest_use(START, drain) > START + drain * 9 / 10);
+        CHECK(latest_use(START, drain) <= START + drain * 19 / 20);
+    }
+}
+
 TEST_CASE("a draining target is removed together with its entry") {
     TargetEntry draining = entry("a");
     draining.draining = true;
--- a/test/error/test_platform_input.cpp
+++ b/test/error/test_platform_input.cpp
@@ -101,6 +101,8 @@
         {"limits.cpu_share", decimal(&Settings::cpu_share), 33.158, 1, 1},
         {"bounds.grace_s", ms(&Settings::grace), 33158, 1000, 0},
         {"bounds.config_apply_ms", ms(&Settings::config_apply), 33.158, 1, 0},
+        {"bounds.drain_ms", ms(&Settings::drain), 33.158, 1, 0},
+        {"bounds.evacuate_ms", ms(&Settings::evacuate), 33.158, 1, 0},
         {"bounds.stable_window_ms", ms(&Settings::stable_window), 33.158, 1, 0},
         {"bounds.retry_budget_ratio", decimal(&Settings::retry_ratio), 33.158, 1, 0},
         {"bounds.budget_slack", whole(&Settings::retry_slack), 33, 1, 0},
