--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -107,9 +107,8 @@
     /// be with a current read.
     bool must_be_proven(platform::Kind kind, Time now) const;
     void prove_overdue_data(Time now);
-    /// The store, or a node that reads it, has stated that era: if it is a later one, the store has
-    /// returned from an older copy, and all kinds are read again.
-    void on_store_era(std::int64_t era);
+    /// The store's era is known, or another one than before: all kinds are read again then.
+    void on_era_change();
     /// Counts and logs a list that the mirror does not take as it is older than `known`.
     void report_older_list(const KindUpdate& update, const StorePosition& known);
     /// Other nodes rely on what this node reads.
@@ -127,9 +126,11 @@
     void execute(const SourceAction& action, Time now);
     void open_candidate(const Member& reader, Time now);
     void on_upstream_data(const std::shared_ptr<Upstream>& upstream, std::string_view bytes);
-    /// Logs once a stream that the updates of a reader come without an era, as those of an earlier
-    /// version of this program do. They are compared by revisions alone.
-    void report_missing_era(Upstream& upstream, const KindUpdate& update) const;
+    /// False if this node cannot rely on the updates of a reader, whose stream is to be ended then:
+    /// its changes do not continue this node's copy, or it states no era, as an earlier version of
+    /// this program does, and the store has returned from an older copy, which that reader does not
+    /// notice. A reader without eras is logged once a stream.
+    bool may_apply(Upstream& upstream, const KindUpdate& update);
     void close_upstream(std::shared_ptr<Upstream>& upstream, const char* reason);
     void follow_candidate(Time now);
     void probe_store();
@@ -172,8 +173,12 @@
     std::vector<Follower> m_followers;
     StoreMirror m_mirror;
     StoreProgress m_progress;
-    /// The highest era that the store has stated.
-    std::int64_t m_era = UNKNOWN_ERA;
+    /// The store's era, as this node's own calls and lists of other nodes show it.
+    std::shared_ptr<StoreEra> m_era = std::make_shared<StoreEra>();
+    /// The era before the latest change of it.
+    std::int64_t m_era_before = UNKNOWN_ERA;
+    /// The era has changed since it became known to this process.
+    bool m_has_seen_return = false;
     std::vector<Member> m_members;
     StoreSource m_source;
     Random m_random{process_seed()};
