--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -61,7 +61,7 @@
     void apply_config(const KindUpdate& update);
     void accept_table(RouteTable table, TableChange change, const StorePosition& position);
     void apply_target_list(const KindUpdate& list);
-    void apply_target_changes(const Objects& objects);
+    void apply_target_changes(const Objects& objects, std::optional<Time> made_after);
     /// If the target has restarted, connections to it that broke before were crashes.
     void check_for_restart(const TargetEntry& entry);
     void apply_evacuations(const KindUpdate& update);
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -33,6 +33,9 @@
     /// unavailable.
     std::vector<std::string> initial_peers;
     Duration config_apply{};
+    /// Times in which leaving targets and data centres out of service must be in force.
+    Duration drain = from_ms(3000);
+    Duration evacuate = from_ms(5000);
     Duration stable_window{};
     /// True on the first start of the whole deployment, when the list of nodes is still incomplete.
     bool first_start = false;
@@ -100,6 +103,11 @@
     KindContact contact_of(const KindWatcher& watcher) const;
     bool own_reads_fail() const;
     void on_store_position(platform::Kind kind, const StorePosition& position, bool is_current);
+    KindWatcher& watcher_of(platform::Kind kind) const;
+    /// The kind's data may lack a change that must be in force soon, so it is read again, if need
+    /// be with a current read.
+    bool must_be_proven(platform::Kind kind, Time now) const;
+    void prove_overdue_data(Time now);
     /// The store's era is known, or another one than before: all kinds are read again then.
     void on_era_change();
     /// Counts and logs a list that the mirror does not take as it is older than `known`.
@@ -144,6 +152,7 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     StoreFeedOptions m_options;
     StoreReadTiming m_timing;
+    ProofTiming m_proof_timing;
     std::function<void(const KindUpdate&)> m_on_update;
     Counter& m_updates_relayed;
     Counter& m_updates_received;
