Retry budget: more nodes than the slack has tokens stay within it

What callers saw: BUDGET on large fleets with a small slack: when requests to a service fail at many nodes at once, more extra arrivals reach its targets than the ratio and the slack allow.

Cause: a node's share of the slack was rounded up to one token. With more nodes than 0.8 of the slack, the nodes hold more tokens together than that.

Change: `node_share_of_budget` has a second way, for a slack that has less than a token for each node. Another node keeps whole tokens only, as far as 0.07 of its own requests in the last window make up: what is kept from the window before and what is earned in it are both fractions of the requests that the rule takes the larger of. - A node with fewer requests draws one lot for each request that wants another attempt, with the probability that it has earned, and keeps nothing. The slack that is left covers six standard deviations of the draws. A bound that no node can exceed alone and that 250 nodes share without talking to each other allows 0.2 + 40 / 323 = 0.32 of the requests a second attempt at most, also when only few fail; this gives about 0.2. Lending between nodes is what is missing.

A deployment that states no bound counts as one with two tokens a node.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -50,6 +50,7 @@
 
 /// Hedges and retries per request if the platform sets no bound on extra arrivals.
 constexpr double DEFAULT_RETRY_RATIO = 0.1;
+constexpr std::int64_t DEFAULT_RETRY_SLACK_PER_NODE = 2;
 
 /// A request that takes longer than the longest time limit cannot be served any more.
 Duration longest_timeout(const RouteTable& table) {
@@ -198,13 +199,15 @@
     m_state.targets.own_region = m_settings.region;
     m_state.targets.cold_overrun = m_settings.cold_overrun;
     m_state.targets.cold_slack = m_settings.cold_slack;
+    const bool has_bound = m_settings.retry_ratio > 0.0 || m_settings.retry_slack > 0;
     const double ratio =
         m_settings.retry_ratio > 0.0 ? m_settings.retry_ratio : DEFAULT_RETRY_RATIO;
+    const std::int64_t slack =
+        has_bound ? m_settings.retry_slack : DEFAULT_RETRY_SLACK_PER_NODE * nodes;
     m_state.part_cpu_time =
         scaled(PART_CPU_TIME, 1.0 / std::max(m_settings.cpu_share, MIN_CPU_SHARE));
     m_state.max_signature_bytes = static_cast<std::size_t>(m_settings.max_signature_bytes);
-    m_state.retry_budget =
-        node_share_of_budget(ratio, m_settings.retry_slack, m_settings.retry_window, nodes);
+    m_state.retry_budget = node_share_of_budget(ratio, slack, m_settings.retry_window, nodes);
 }
 
 bool Front::is_ready() const {
--- a/src/policy/fan_out.cpp
+++ b/src/policy/fan_out.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace ebonymount {
 namespace {
@@ -257,15 +258,16 @@
     }
 }
 
-/// Spends a token of the retry budget; an attempt is free until one has reached a target of the
-/// shard.
-bool spend_token(Step& s, const ShardState& shard) {
+/// Spends a token of the retry budget, or draws the lot of the shard; an attempt is free until one
+/// has reached a target of the shard.
+bool spend_token(Step& s, ShardState& shard) {
     if (shard.arrivals == 0) {
         return true;
     }
     RetryBudget& budget = s.context.budgets[shard.service];
     refill(budget, s.context.retry_budget, s.context.now);
-    if (try_spend(budget)) {
+    if (try_spend(budget) ||
+        draw_token(budget, std::exchange(shard.drawn_permille, 0), s.context.random)) {
         return true;
     }
     ++s.state.attempts_without_token;
@@ -467,8 +469,11 @@
         return;
     }
     for (ShardState& shard : s.state.shards) {
-        add_tokens(s.context.budgets[shard.service], 1, s.context.retry_budget.permille,
-                   s.context.retry_budget.max_tokens);
+        RetryBudget& budget = s.context.budgets[shard.service];
+        const RetryBudgetLimits& limits = s.context.retry_budget;
+        update_slack(budget, limits, s.context.targets.group, service_of(s, shard).limits.name,
+                     s.context.now);
+        shard.drawn_permille = plan_request(budget, limits, s.context.now);
     }
     bool has_trial = false;
     std::vector<FirstAttempt> attempts;
--- a/src/policy/fan_out.h
+++ b/src/policy/fan_out.h
@@ -82,6 +82,9 @@
     std::int64_t runs = 0;
     /// Number of attempts that have not ended.
     std::int64_t live_attempts = 0;
+    /// Probability, in thousandths, that the retry budget allows one extra attempt that the node
+    /// has no token for; zero once the lot was drawn.
+    std::int64_t drawn_permille = 0;
     /// Targets of the attempts so far; cleared when no untried replica is available.
     std::vector<TargetIndex> tried;
     std::optional<Time> hedge_at;
--- a/test/correctness/test_fan_out.cpp
+++ b/test/correctness/test_fan_out.cpp
@@ -178,6 +178,31 @@
     CHECK(request.state.attempts_without_token > 0);
 }
 
+// Guards against a request that draws again each time that it asks for a token.
+TEST_CASE("without a token a straggler draws one lot, and is hedged if it wins") {
+    for (const std::int64_t permille : {0, 1000}) {
+        FleetFixture fleet(1, 3);
+        fleet.retry_budget.slack_is_for_all = false;
+        fleet.retry_budget.drawn_permille = permille;
+        FanOutParameters parameters = fleet.parameters(START);
+        parameters.max_attempts = 3;
+        Request request(fleet, parameters);
+        const std::vector<StartAttempt> first = started(request.begin());
+        request.sent(first[0].id, START);
+        const std::vector<StartAttempt> hedge = started(request.tick(next_tick(request.state)));
+        REQUIRE(hedge.size() == (permille > 0 ? 1 : 0));
+        CHECK(fleet.budgets[0].extra == static_cast<std::int64_t>(hedge.size()));
+        for (const StartAttempt& attempt : hedge) {
+            request.sent(attempt.id, START + from_ms(60));
+        }
+        for (Time now = next_tick(request.state); now < START + from_ms(1000);
+             now = next_tick(request.state)) {
+            CHECK(started(request.tick(now)).empty());
+        }
+        CHECK(request.state.attempts_without_token > 0);
+    }
+}
+
 TEST_CASE("a request that was never sent goes to another replica without a token") {
     FleetFixture fleet(1, 3);
     fleet.retry_budget = {0, 0, 0};
