Front: an empty list of nodes does not mean a single node

What callers saw: BUDGET at a first start of many nodes: each node takes the retry slack, and any other limit that nodes share, of the whole fleet.

Cause: a node adds itself to the list that it reads. If it reads the list before the first node has registered, it counts one node until the next update of the list.

A node that is not listed among others still counts itself.

Test: test_rate_limit, "an empty list of nodes says nothing about their number"; the function is new, the front's own code returned the node's own name for that list.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -1,6 +1,7 @@
 #include "front/fleet_watcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "front/crash_detector.h"
 #include "front/store_call.h"
@@ -226,13 +227,12 @@
     m_name_is_taken = own != objects.end();
     m_registered = m_name_is_taken && platform::decode_registration(*own) == m_options.feed.self;
     m_next_registration = Time{};
-    std::vector<std::string> names;
+    std::vector<std::string> registered;
     for (const platform::StoredObject& object : objects) {
-        names.push_back(object.name);
-    }
-    if (!m_name_is_taken) {
-        names.push_back(m_options.feed.self.node);
+        registered.push_back(object.name);
     }
+    const std::vector<std::string> names =
+        names_in_group(std::move(registered), m_options.feed.self.node);
     if (names == m_node_names) {
         return;
     }
--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -57,6 +57,16 @@
 
 }  // namespace
 
+std::vector<std::string> names_in_group(std::vector<std::string> registered,
+                                        const std::string& self) {
+    const bool is_listed =
+        std::find(registered.begin(), registered.end(), self) != registered.end();
+    if (!registered.empty() && !is_listed) {
+        registered.push_back(self);
+    }
+    return registered;
+}
+
 RateShare share_of_limit(double per_second, std::size_t rank, std::int64_t nodes) {
     const double burst = BURST_SECONDS * per_second + BURST_REQUESTS;
     const std::int64_t senders =
--- a/src/policy/rate_limit.h
+++ b/src/policy/rate_limit.h
@@ -33,6 +33,12 @@
     std::int64_t generation = 0;
 };
 
+/// Names for a group: the registered nodes, and this one if it is not among them yet. An empty list
+/// is from before the first nodes of a deployment had registered, so it says nothing about their
+/// number; the names stay unknown then.
+std::vector<std::string> names_in_group(std::vector<std::string> registered,
+                                        const std::string& self);
+
 /// This node's part in a target's limit.
 struct RateShare {
     /// Requests per second, and the most that may be sent at once; zero for a node that only checks
--- a/test/correctness/test_rate_limit.cpp
+++ b/test/correctness/test_rate_limit.cpp
@@ -165,4 +165,14 @@
     CHECK(limit.tokens <= limit.share.burst);
 }
 
+// Guards against many nodes of a first start that each take the limits of the whole fleet.
+TEST_CASE("an empty list of nodes says nothing about their number") {
+    CHECK(names_in_group({}, "a").empty());
+}
+
+TEST_CASE("a node counts itself before it is listed") {
+    CHECK(names_in_group({"b", "c"}, "a") == std::vector<std::string>{"b", "c", "a"});
+    CHECK(names_in_group({"a", "b"}, "a") == std::vector<std::string>{"a", "b"});
+}
+
 }  // namespace ebonymount
