--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -1,6 +1,7 @@
 #include "front/fleet_watcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "front/crash_detector.h"
 #include "front/store_call.h"
@@ -269,13 +270,12 @@
     m_registered = m_name_is_taken && *own == self;
     m_next_registration = Time{};
     replace_all(m_known_nodes, listed, list.after_return, monotonic_now());
-    std::vector<std::string> names;
+    std::vector<std::string> registered;
     for (const auto& [name, member] : m_known_nodes.members) {
-        names.push_back(name);
-    }
-    if (m_known_nodes.members.count(self.node) == 0) {
-        names.push_back(self.node);
+        registered.push_back(name);
     }
+    const std::vector<std::string> names =
+        names_in_group(std::move(registered), self.node);
     if (names == m_node_names) {
         return;
     }
