Quarantine: one trial without the store, by votes of a few nodes

Cause: a trial needs a claim in the store, and the other nodes learn of its answer by reports that are withdrawn there. Class: a state that cuts off the evidence that would end it, for the second time. Besides, each refused request made a call to the store that did not answer.

Evidence: failure/test_crashing_requests on with the new cases.

Change: if the store does not answer a claim, the node asks the request's voters, up to seven nodes by rendezvous hashing over the list of nodes, one after the other, by calls between the nodes' peer addresses. A voter gives its vote on a request to one start of one node; five of seven (four of five, two of three) are needed. The trial that is won has a number of its own, so that it is unique whatever the store has granted, and it counts with the others: it is written to the store through the queue of crash reports, before the report of a crash in it. Whoever gets the answer of a trial tells the voters. A voter tells a node that asks later and whose last crash was before the answer, and that node's crashes no longer count. A failed claim is repeated after a second.

Why it works: two nodes that win have a voter in common, also if one list lacks the two newest nodes (test_trial_vote checks it for 1 to 40 nodes, and 3,000 random interleavings). So there are two trials where nodes know of each other's claims, and three, which the rule allows, if none does. All nodes ask in the same order, so nodes that ask at the same time do not split the votes.

Weighed: one named node (no trial if it is gone, a second one if it restarts); a second node by rank after a delay (four trials with the store's); each node or each data centre on its own (as many crashes); results by the streams of store updates (they do not leave a data centre, and carry revisions of the store).

Not proved: a second trial by votes if enough voters restart and forget, or if lists differ by more nodes.

--- a/src/front/crash_detector.cpp
+++ b/src/front/crash_detector.cpp
@@ -56,7 +56,7 @@
     }
     const std::vector<std::string> refuted = refute_request(front.quarantine, request, service);
     if (!refuted.empty()) {
-        withdraw_claims(front, request);
+        withdraw_claims(front, request, service);
     }
     for (const std::string& report : refuted) {
         LogEvent(LogLevel::info, "quarantine", "crash_refuted")
--- a/src/front/crash_reporter.cpp
+++ b/src/front/crash_reporter.cpp
@@ -41,6 +41,10 @@
     push({name, platform::crash_report_body(name, crash), monotonic_now() + ANSWER_WAIT});
 }
 
+void CrashReporter::add_claim(const TrialClaim& claim, const std::string& node) {
+    push({trial_claim_name(claim), platform::trial_claim_body(claim, node), monotonic_now()});
+}
+
 void CrashReporter::withdraw(const std::string& name) {
     const auto first_unsent = m_queue.begin() + (m_in_flight ? 1 : 0);
     const auto found = std::find_if(first_unsent, m_queue.end(),
--- a/src/front/crash_reporter.h
+++ b/src/front/crash_reporter.h
@@ -23,7 +23,11 @@
     /// Queues a report with that name. If the queue is full, the oldest call is dropped.
     void add(const std::string& name, const Crash& crash);
 
-    /// Withdraws a report of this or another node, whether or not the store has it yet.
+    /// Queues the claim of a trial of this node. Calls are made in the order in which they were
+    /// queued, so the store has the claim before the report of a crash in that trial.
+    void add_claim(const TrialClaim& claim, const std::string& node);
+
+    /// Withdraws a report or claim of this or another node, whether or not the store has it yet.
     void withdraw(const std::string& name);
 
     /// True if a call for that report is queued or in progress.
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -19,6 +19,12 @@
 /// The store responds within milliseconds; a call that takes longer than this has hit an outage.
 constexpr Duration STORE_TIMEOUT = from_ms(1000);
 
+/// True if the store has not answered a call, or has turned it away for a time.
+bool is_store_unavailable(CallStatus status, int http_status) {
+    return status != CallStatus::answered || http_status >= http::INTERNAL_ERROR ||
+           http_status == http::TOO_MANY_REQUESTS;
+}
+
 }  // namespace
 
 FleetWatcher::FleetWatcher(FrontState& state, FleetWatcherOptions options,
@@ -29,7 +35,8 @@
       m_handlers(std::move(handlers)),
       m_started_at_ms(wall_clock_ms()),
       m_reporter(state, m_options.feed.store_address),
-      m_feed(state.event_loop, state.metrics, m_options.feed,
+      m_voting(state, m_options.feed.self, m_started_at_ms),
+      m_feed(state.event_loop, state.metrics, feed_options(m_options.feed),
              [this](const KindUpdate& update) { apply_update(update); }) {
     m_state.on_crash = [this](const Crash& crash) {
         report_crash(crash);
@@ -37,6 +44,9 @@
     m_state.on_trial_due = [this](const TrialClaim& claim) {
         claim_trial(claim);
     };
+    m_state.on_trial_answered = [this](const AnsweredRequest& answered) {
+        m_voting.announce(answered);
+    };
     m_state.on_crash_refuted = [this](const std::string& report) {
         m_counted_reports.erase(report);
         if (parse_crash_report(report).has_value()) {
@@ -52,6 +62,13 @@
 
 FleetWatcher::~FleetWatcher() = default;
 
+StoreFeedOptions FleetWatcher::feed_options(StoreFeedOptions options) {
+    options.on_peer_call = [this](const std::string& path, const std::string& body) {
+        return m_voting.serve(path, body);
+    };
+    return options;
+}
+
 void FleetWatcher::sweep(Time now) {
     m_feed.sweep(now);
     m_state.store_source = m_feed.report(now);
@@ -68,6 +85,7 @@
         static_cast<std::int64_t>(drop_expired_suspects(m_state.quarantine, now));
     rewrite_lost_reports(now);
     m_reporter.sweep(now);
+    m_voting.sweep(now);
     remove_old_reports(now);
 }
 
@@ -258,9 +276,12 @@
     m_registered = m_name_is_taken && platform::decode_registration(*own) == m_options.feed.self;
     m_next_registration = Time{};
     std::vector<std::string> names;
+    std::vector<Member> members;
     for (const platform::StoredObject& object : objects) {
         names.push_back(object.name);
+        members.push_back(platform::decode_registration(object));
     }
+    m_voting.set_members(members);
     if (!m_name_is_taken) {
         names.push_back(m_options.feed.self.node);
     }
@@ -423,7 +444,6 @@
         if (is_granted) {
             m_own_claims.insert(name);
         }
-        end_claim(m_state.trials, claim, is_granted);
         LogEvent(LogLevel::info, "quarantine", "trial_claim")
             .add("fingerprint", std::to_string(claim.request))
             .add("number", claim.number)
@@ -431,6 +451,26 @@
             .add("outcome", name_of(status))
             .add("status", response.status)
             .write();
+        if (is_store_unavailable(status, response.status)) {
+            ask_for_trial(claim);
+        } else {
+            end_claim(m_state.trials, claim, is_granted);
+        }
+    });
+}
+
+void FleetWatcher::ask_for_trial(const TrialClaim& claim) {
+    m_voting.ask(claim.request, [this, claim](bool is_won) {
+        const Time now = monotonic_now();
+        const std::optional<TrialClaim> voted =
+            is_won ? grant_by_vote(m_state.trials, claim, now) : std::nullopt;
+        if (!voted.has_value()) {
+            fail_claim(m_state.trials, claim, now);
+            return;
+        }
+        m_counted_reports.emplace(trial_claim_name(*voted), now + SUSPECT_TTL);
+        m_own_claims.insert(trial_claim_name(*voted));
+        m_reporter.add_claim(*voted, m_options.feed.self.node);
     });
 }
 
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -16,6 +16,7 @@
 #include "front/crash_reporter.h"
 #include "front/front_state.h"
 #include "front/store_feed.h"
+#include "front/trial_voting.h"
 #include "policy/lost_reports.h"
 #include "policy/out_of_service.h"
 #include "policy/target_registry.h"
@@ -56,6 +57,8 @@
     using Objects = std::vector<platform::StoredObject>;
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
+    /// The options with a handler of other nodes' calls.
+    StoreFeedOptions feed_options(StoreFeedOptions options);
     void apply_update(const KindUpdate& update);
     void apply_config(const Objects& objects);
     void apply_target_list(const KindUpdate& list);
@@ -78,6 +81,8 @@
     void report_crash(const Crash& crash);
     void claim_trial(const TrialClaim& claim);
     void write_claim(const TrialClaim& claim, CallHandler on_end);
+    /// The store has not answered the claim: asks the other nodes for a trial.
+    void ask_for_trial(const TrialClaim& claim);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
@@ -113,6 +118,7 @@
     std::int64_t m_started_at_ms = 0;
     Random m_random{process_seed()};
     CrashReporter m_reporter;
+    TrialVoting m_voting;
     StoreFeed m_feed;
 };
 
--- a/src/front/front_state.h
+++ b/src/front/front_state.h
@@ -22,6 +22,7 @@
 #include "policy/quarantine_trial.h"
 #include "policy/retry_budget.h"
 #include "policy/store_source.h"
+#include "policy/trial_vote.h"
 
 namespace ebonymount {
 
@@ -124,6 +125,8 @@
     /// Called with the name of a crash report, or of the claim of a trial, when a target has
     /// answered the request.
     std::function<void(const std::string& report)> on_crash_refuted;
+    /// Called when a target of the service has answered a request for which trials were claimed.
+    std::function<void(const AnsweredRequest& answered)> on_trial_answered;
 };
 
 }  // namespace ebonymount
--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -104,6 +104,8 @@
         }
         if (path == OFFER_PATH && !alive.expired()) {
             take_offer(body);
+        } else if (!alive.expired() && m_options.on_peer_call) {
+            stream->write(m_options.on_peer_call(path, body).value_or(""));
         }
         stream->finish();
     };
--- a/src/front/store_feed.h
+++ b/src/front/store_feed.h
@@ -35,6 +35,10 @@
     Duration stable_window{};
     /// True on the first start of the whole deployment, when the list of nodes is still incomplete.
     bool first_start = false;
+    /// Answers calls of other nodes that are not about the store's updates; empty for a call that
+    /// is not known.
+    std::function<std::optional<std::string>(const std::string& path, const std::string& body)>
+        on_peer_call{};
 };
 
 /// Source of store updates for one node: the store itself, or a reader that the node follows.
--- a/src/front/trial_claims.cpp
+++ b/src/front/trial_claims.cpp
@@ -53,7 +53,7 @@
         .write();
 }
 
-void withdraw_claims(FrontState& front, std::uint64_t request) {
+void withdraw_claims(FrontState& front, std::uint64_t request, const std::string& service) {
     const auto found = front.trials.claims.find(request);
     if (found == front.trials.claims.end()) {
         return;
@@ -63,6 +63,7 @@
         remove_claim(front.trials, {request, number});
         front.on_crash_refuted(trial_claim_name({request, number}));
     }
+    front.on_trial_answered({request, service});
 }
 
 }  // namespace ebonymount
--- a/src/front/trial_claims.h
+++ b/src/front/trial_claims.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "front/front_state.h"
 
@@ -20,7 +21,8 @@
 /// The attempt of a trial has ended, or was never started.
 void report_trial_end(FrontState& front, std::uint64_t request, TrialEnd end);
 
-/// A target has answered the request: removes the claims of its trials.
-void withdraw_claims(FrontState& front, std::uint64_t request);
+/// A target of the service has answered the request: removes the claims of its trials, and tells
+/// other nodes of the answer if there are any.
+void withdraw_claims(FrontState& front, std::uint64_t request, const std::string& service);
 
 }  // namespace ebonymount
--- a/src/policy/quarantine_trial.cpp
+++ b/src/policy/quarantine_trial.cpp
@@ -61,7 +61,9 @@
             last = std::max(last, learned_at);
         }
     }
-    return last + TRIAL_DELAY;
+    const auto paused = trials.paused_until.find(request);
+    return paused == trials.paused_until.end() ? last + TRIAL_DELAY
+                                               : std::max(last + TRIAL_DELAY, paused->second);
 }
 
 std::optional<TrialClaim> begin_claim(QuarantineTrials& trials, const CrashQuarantine& quarantine,
@@ -108,6 +110,25 @@
     return unused;
 }
 
+void fail_claim(QuarantineTrials& trials, const TrialClaim& claim, Time now) {
+    end_claim(trials, claim, false);
+    std::erase_if(trials.paused_until, [now](const auto& entry) { return entry.second <= now; });
+    trials.paused_until[claim.request] = now + FAILED_CLAIM_PAUSE;
+}
+
+std::optional<TrialClaim> grant_by_vote(QuarantineTrials& trials, const TrialClaim& claim,
+                                        Time now) {
+    const auto own = trials.own.find(claim.request);
+    if (own == trials.own.end() || own->second.number != claim.number ||
+        own->second.phase != TrialPhase::claiming) {
+        return std::nullopt;
+    }
+    const TrialClaim voted{claim.request, VOTED_TRIAL};
+    own->second = {voted.number, TrialPhase::granted, false};
+    add_claim(trials, voted, now);
+    return voted;
+}
+
 bool take_trial(QuarantineTrials& trials, std::uint64_t request) {
     const auto own = trials.own.find(request);
     if (own == trials.own.end() || own->second.phase != TrialPhase::granted) {
--- a/test/correctness/test_quarantine_trial.cpp
+++ b/test/correctness/test_quarantine_trial.cpp
@@ -93,6 +93,55 @@
     CHECK(trials.claims.empty());
 }
 
+// Guards against a call to the store for each refused request while the store is unavailable.
+TEST_CASE("a claim that has failed is made again after a pause") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    const Time now = START + TRIAL_DELAY;
+    const TrialClaim claim = *begin_claim(trials, quarantine, REQUEST, now);
+    fail_claim(trials, claim, now);
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    const Time again = now + FAILED_CLAIM_PAUSE;
+    CHECK(next_trial_at(trials, quarantine, REQUEST) == again);
+    CHECK_FALSE(begin_claim(trials, quarantine, REQUEST, again - from_ms(1)).has_value());
+    CHECK(begin_claim(trials, quarantine, REQUEST, again) == claim);
+}
+
+// Guards against more trials of a request than with the store: the trial that nodes vote on counts
+// like one that is claimed in the store.
+TEST_CASE("a trial granted by votes lets one request through and counts with the others") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    QuarantineTrials trials;
+    Time now = START + TRIAL_DELAY;
+    const TrialClaim claim = *begin_claim(trials, quarantine, REQUEST, now);
+    CHECK(grant_by_vote(trials, claim, now) == TrialClaim{REQUEST, VOTED_TRIAL});
+    CHECK_FALSE(grant_by_vote(trials, claim, now).has_value());
+    CHECK(take_trial(trials, REQUEST));
+    CHECK_FALSE(take_trial(trials, REQUEST));
+    end_trial(trials, REQUEST, TrialEnd::done);
+    now += TRIAL_DELAY;
+    const TrialClaim second = *begin_claim(trials, quarantine, REQUEST, now);
+    CHECK(second == TrialClaim{REQUEST, 1});
+    add_claim(trials, second, now);
+    end_claim(trials, second, true);
+    CHECK(take_trial(trials, REQUEST));
+    end_trial(trials, REQUEST, TrialEnd::done);
+    CHECK_FALSE(begin_claim(trials, quarantine, REQUEST, now + 2 * TRIAL_DELAY).has_value());
+}
+
+// Guards against a fourth trial: a node that knows no claims of others claims no number but those
+// of the store, and the number of the votes is none of these.
+TEST_CASE("claims in the store and the trial granted by votes have different numbers") {
+    const CrashQuarantine quarantine = quarantine_with_crashes(3);
+    for (std::int64_t known = 0; known < MAX_TRIALS; ++known) {
+        QuarantineTrials trials;
+        for (std::int64_t number = 1; number <= known; ++number) {
+            add_claim(trials, {REQUEST, number}, START);
+        }
+        CHECK(begin_claim(trials, quarantine, REQUEST, START + TRIAL_DELAY)->number < VOTED_TRIAL);
+    }
+}
+
 TEST_CASE("a claim is parsed from its name, and other names are not claims") {
     const TrialClaim claim{18446744073709551615U, 2};
     CHECK(parse_trial_claim(trial_claim_name(claim)) == claim);
--- a/test/failure/test_crashing_requests.cpp
+++ b/test/failure/test_crashing_requests.cpp
@@ -2,10 +2,13 @@
 //
 // Callers send such a request again, to any node. Bound of the platform: later than the stable
 // window after the third crash, at most three further requests of the caller may reach targets.
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 
 #include "front_fleet.h"
 #include "platform/names.h"
+#include "policy/quarantine_trial.h"
 
 namespace ebonymount {
 namespace {
@@ -23,6 +26,12 @@
     CrashingCaller(FrontFleet& fleet, std::size_t nodes, std::size_t retries = RETRIES_AFTER)
         : m_fleet(fleet), m_nodes(nodes), m_max_retries(retries) {}
 
+    /// Faults of the store from the end of the stable window on, for that many retries.
+    void set_late_faults(const standin::PlatformFaults& faults, std::size_t retries) {
+        m_late_faults = faults;
+        m_faulty_retries = retries;
+    }
+
     void begin() {
         send();
     }
@@ -45,10 +54,16 @@
     void on_end() {
         if (m_window_end != Time::max()) {
             ++m_retries;
+            if (m_retries == m_faulty_retries) {
+                m_fleet.store().set_faults({});
+            }
         } else if (m_fleet.crashed() >= CRASHES) {
             m_fleet.store().set_faults({});
             m_window_end = monotonic_now() + STABLE_WINDOW;
-            m_fleet.run_after(STABLE_WINDOW, [this] { send(); });
+            m_fleet.run_after(STABLE_WINDOW, [this] {
+                m_fleet.store().set_faults(m_late_faults);
+                send();
+            });
             return;
         }
         if (!is_done()) {
@@ -61,6 +76,8 @@
     std::size_t m_node = 0;
     std::size_t m_max_retries;
     std::size_t m_retries = 0;
+    standin::PlatformFaults m_late_faults;
+    std::size_t m_faulty_retries = 0;
     Time m_window_end = Time::max();
 };
 
@@ -84,6 +101,27 @@
     return caller.requests_after_window();
 }
 
+/// Retries that reach targets after the third crash, if the store has that outage from the end of
+/// the stable window on, for `faulty_retries` of `retries`.
+std::size_t trials_in_outage(FrontFleet& fleet, std::size_t nodes, standin::Outage outage,
+                             std::size_t faulty_retries, std::size_t retries) {
+    standin::TargetBehaviour behaviour;
+    behaviour.crashing_path = CRASHING;
+    fleet.set_behaviour(behaviour);
+    CrashingCaller caller(fleet, nodes, retries);
+    standin::PlatformFaults faults;
+    faults.outage = outage;
+    caller.set_late_faults(faults, faulty_retries);
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); },
+                              [&caller] {
+                                  caller.begin();
+                              }},
+                             {[&] { return caller.is_done(); },
+                              [] {
+                              }}}));
+    return caller.requests_after_window();
+}
+
 }  // namespace
 
 // Guards against the incident "retries of crashing requests": a crash counted only if the same node
@@ -245,4 +283,84 @@
     }
 }
 
+// Guards against review case 9: a common request was refused by all nodes for as long as the store
+// was unavailable, although the targets were back and sound. Not all nodes vote on the trial, so
+// some learn of its answer from others; in the second run one node is gone.
+TEST_CASE("a common request is served again while the store is unavailable") {
+    constexpr std::size_t NODES = 9;
+    constexpr std::size_t SERVED = 20;
+    static_assert(NODES > MAX_VOTERS);
+    const std::size_t stopped = GENERATE(std::size_t{0}, std::size_t{1});
+    const std::string common = "/book/start";
+    FrontFleet fleet(NODES);
+    fleet.set_service_time(from_ms(40));
+    fleet.add_targets("booking", 6);
+    fleet.start({{"book", {"booking"}}});
+    std::size_t running = NODES;
+    std::size_t sent = 0;
+    std::array<std::size_t, NODES> served{};
+    std::array<std::size_t, NODES> refused{};
+    const std::function<void()> send = [&] {
+        const std::size_t node = sent++ % running;
+        fleet.send(node, common, [&, node](int status, const std::string&) {
+            served.at(node) += status == 200 ? 1 : 0;
+            refused.at(node) += status == 503 ? 1 : 0;
+        });
+        fleet.run_after(from_ms(10), send);
+    };
+    const auto all_have = [&running](const std::array<std::size_t, NODES>& counts) {
+        return std::all_of(counts.begin(), counts.begin() + static_cast<std::ptrdiff_t>(running),
+                           [](std::size_t count) { return count >= SERVED; });
+    };
+    const auto crash = [&] {
+        fleet.crash_targets();
+        refused.fill(0);
+    };
+    const auto restart = [&] {
+        standin::PlatformFaults faults;
+        faults.outage = standin::Outage::busy;
+        fleet.store().set_faults(faults);
+        fleet.restart_targets();
+        running -= stopped;
+        for (std::size_t node = running; node < NODES; ++node) {
+            fleet.stop_node(node);
+        }
+        served.fill(0);
+    };
+    REQUIRE(fleet.run_steps({{[&] { return fleet.is_ready(); }, send},
+                             {[&] { return all_have(served); }, crash},
+                             {[&] { return all_have(refused); }, restart},
+                             {[&] { return all_have(served); },
+                              [] {
+                              }}}));
+}
+
+// Guards against trials without the store that let a request that does crash its targets reach more
+// of them than it would with the store.
+TEST_CASE("a request that crashes its targets gets no more trials while the store is unavailable") {
+    constexpr std::size_t NODES = 6;
+    constexpr std::size_t RETRIES = 300;
+    FrontFleet fleet(NODES);
+    fleet.add_targets("booking", 45);
+    fleet.start({{"book", {"booking"}}});
+    const standin::Outage outage = GENERATE(standin::Outage::busy, standin::Outage::silent);
+    const std::size_t trials = trials_in_outage(fleet, NODES, outage, RETRIES, RETRIES);
+    CHECK(trials >= 1);
+    CHECK(trials <= static_cast<std::size_t>(MAX_TRIALS));
+}
+
+// Guards against a trial without the store that other nodes do not count once the store is back.
+TEST_CASE("a trial made while the store was unavailable counts once the store is back") {
+    constexpr std::size_t NODES = 6;
+    constexpr std::size_t RETRIES = 400;
+    constexpr std::size_t FAULTY_RETRIES = 100;
+    FrontFleet fleet(NODES);
+    fleet.add_targets("booking", 45);
+    fleet.start({{"book", {"booking"}}});
+    const std::size_t trials =
+        trials_in_outage(fleet, NODES, standin::Outage::busy, FAULTY_RETRIES, RETRIES);
+    CHECK(trials >= 1);
+    CHECK(trials <= static_cast<std::size_t>(MAX_TRIALS));
+}
+
 }  // namespace ebonymount
