--- a/src/front/store_mirror.cpp
+++ b/src/front/store_mirror.cpp
@@ -44,7 +44,8 @@
 bool is_newer(const MirroredKind& mirrored, const StoredObject& object) {
     const auto found = mirrored.objects.find(object.name);
     if (found == mirrored.objects.end()) {
-        return !object.removed;
+        // An object that the copy should have, by its position, has been removed since.
+        return !object.removed && object.revision > mirrored.position.revision;
     }
     return object.removed ? object.revision >= found->second.revision
                           : object.revision > found->second.revision;
@@ -245,6 +246,12 @@
     return found == mirror.end() ? StorePosition{} : found->second.position;
 }
 
+void withdraw_eras_after(StoreMirror& mirror, std::int64_t era) {
+    for (auto& [kind, mirrored] : mirror) {
+        mirrored.position.era = std::min(mirrored.position.era, era - 1);
+    }
+}
+
 bool is_complete(const StoreMirror& mirror) {
     for (int kind = 0; kind < platform::KIND_COUNT; ++kind) {
         if (position_of(mirror, static_cast<platform::Kind>(kind)).revision == 0) {
@@ -274,14 +281,17 @@
             eras.push_back({static_cast<int>(kind), position.era});
         }
     }
-    return Json{{"revisions", std::move(revisions)},
-                {"eras", std::move(eras)},
-                {"compressed", request.accepts_compressed}}
-        .dump();
+    Json message = {{"revisions", std::move(revisions)},
+                    {"compressed", request.accepts_compressed}};
+    if (request.reads_eras) {
+        message["eras"] = std::move(eras);
+    }
+    return message.dump();
 }
 
 FollowRequest decode_follow_request(const std::string& text) {
     FollowRequest request;
+    request.reads_eras = false;
     const Result<Json> parsed = parse_json_text(text);
     if (!has_value(parsed) || !value_of(parsed).is_object()) {
         return request;
@@ -293,6 +303,7 @@
     for (const auto& [kind, revision] : numbers_by_kind(document, "revisions")) {
         request.known[kind].revision = revision;
     }
+    request.reads_eras = document.contains("eras");
     for (const auto& [kind, era] : numbers_by_kind(document, "eras")) {
         const auto known = request.known.find(kind);
         if (known != request.known.end() && is_valid_era(era)) {
@@ -324,13 +335,16 @@
     }
 }
 
-std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const KindPositions& known, Time now) {
+std::vector<KindUpdate> lists_of(const StoreMirror& mirror, const FollowRequest& follower,
+                                 Time now) {
     std::vector<KindUpdate> lists;
     for (const auto& [kind, mirrored] : mirror) {
-        const auto found = known.find(kind);
-        const StorePosition known_position =
-            with_era_of(found == known.end() ? StorePosition{} : found->second, mirrored.position);
-        if (with_era_of(mirrored.position, known_position) <= known_position) {
+        const auto found = follower.known.find(kind);
+        StorePosition known = found == follower.known.end() ? StorePosition{} : found->second;
+        if (!follower.reads_eras) {
+            known = with_era_of(known, mirrored.position);
+        }
+        if (with_era_of(mirrored.position, known) <= known) {
             continue;
         }
         KindUpdate list;
