--- a/src/front/crash_reporter.cpp
+++ b/src/front/crash_reporter.cpp
@@ -41,8 +41,8 @@
     push({name, platform::crash_report_body(name, crash), monotonic_now() + ANSWER_WAIT});
 }
 
-void CrashReporter::write(const std::string& name, const std::string& body) {
-    push({name, body, monotonic_now()});
+void CrashReporter::add_claim(const TrialClaim& claim, const std::string& node) {
+    push({trial_claim_name(claim), platform::trial_claim_body(claim, node), monotonic_now()});
 }
 
 void CrashReporter::withdraw(const std::string& name) {
--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -20,6 +20,12 @@
 /// The store responds within milliseconds; a call that takes longer than this has hit an outage.
 constexpr Duration STORE_TIMEOUT = from_ms(1000);
 
+/// True if the store has not answered a call, or has turned it away for a time.
+bool is_store_unavailable(CallStatus status, int http_status) {
+    return status != CallStatus::answered || http_status >= http::INTERNAL_ERROR ||
+           http_status == http::TOO_MANY_REQUESTS;
+}
+
 }  // namespace
 
 FleetWatcher::FleetWatcher(FrontState& state, FleetWatcherOptions options,
@@ -30,7 +36,8 @@
       m_handlers(std::move(handlers)),
       m_started_at_ms(wall_clock_ms()),
       m_reporter(state, m_options.feed.store_address),
-      m_feed(state.event_loop, state.metrics, m_options.feed,
+      m_voting(state, m_options.feed.self, m_started_at_ms),
+      m_feed(state.event_loop, state.metrics, feed_options(m_options.feed),
              [this](const KindUpdate& update) { apply_update(update); }) {
     m_state.on_crash = [this](const Crash& crash) {
         report_crash(crash);
@@ -38,6 +45,9 @@
     m_state.on_trial_due = [this](const TrialClaim& claim) {
         claim_trial(claim);
     };
+    m_state.on_trial_answered = [this](const AnsweredRequest& answered) {
+        m_voting.announce(answered);
+    };
     m_state.on_crash_refuted = [this](const std::string& report) {
         m_counted_reports.erase(report);
         if (parse_crash_report(report).has_value()) {
@@ -53,6 +63,13 @@
 
 FleetWatcher::~FleetWatcher() = default;
 
+StoreFeedOptions FleetWatcher::feed_options(StoreFeedOptions options) {
+    options.on_peer_call = [this](const std::string& path, const std::string& body) {
+        return m_voting.serve(path, body);
+    };
+    return options;
+}
+
 void FleetWatcher::sweep(Time now) {
     m_feed.sweep(now);
     m_state.store_source = m_feed.report(now);
@@ -69,6 +86,7 @@
         static_cast<std::int64_t>(drop_expired_suspects(m_state.quarantine, now));
     rewrite_lost_reports(now);
     m_reporter.sweep(now);
+    m_voting.sweep(now);
     remove_old_reports(now);
 }
 
@@ -270,12 +288,14 @@
     m_registered = m_name_is_taken && *own == self;
     m_next_registration = Time{};
     replace_all(m_known_nodes, listed, list.after_return, monotonic_now());
+    std::vector<Member> members;
     std::vector<std::string> registered;
     for (const auto& [name, member] : m_known_nodes.members) {
+        members.push_back(member);
         registered.push_back(name);
     }
-    const std::vector<std::string> names =
-        names_in_group(std::move(registered), self.node);
+    m_voting.set_members(members);
+    const std::vector<std::string> names = names_in_group(std::move(registered), self.node);
     if (names == m_node_names) {
         return;
     }
@@ -352,7 +372,7 @@
     for (const std::string& name : take_due(m_lost_reports, now)) {
         const std::optional<TrialClaim> claim = parse_trial_claim(name);
         if (claim.has_value() && m_own_claims.count(name) > 0) {
-            m_reporter.write(name, platform::trial_claim_body(*claim, m_options.feed.self.node));
+            m_reporter.add_claim(*claim, m_options.feed.self.node);
         } else if (claim.has_value()) {
             // Its owner is gone, or has not used it.
             m_counted_reports.erase(name);
@@ -434,7 +454,6 @@
                    if (is_granted) {
                        m_own_claims.insert(name);
                    }
-                   end_claim(m_state.trials, claim, is_granted);
                    LogEvent(LogLevel::info, "quarantine", "trial_claim")
                        .add("fingerprint", std::to_string(claim.request))
                        .add("number", claim.number)
@@ -442,9 +461,29 @@
                        .add("outcome", name_of(status))
                        .add("status", response.status)
                        .write();
+                   if (is_store_unavailable(status, response.status)) {
+                       ask_for_trial(claim);
+                   } else {
+                       end_claim(m_state.trials, claim, is_granted);
+                   }
                });
 }
 
+void FleetWatcher::ask_for_trial(const TrialClaim& claim) {
+    m_voting.ask(claim.request, [this, claim](bool is_won) {
+        const Time now = monotonic_now();
+        const std::optional<TrialClaim> voted =
+            is_won ? grant_by_vote(m_state.trials, claim, now) : std::nullopt;
+        if (!voted.has_value()) {
+            fail_claim(m_state.trials, claim, now);
+            return;
+        }
+        m_counted_reports.emplace(trial_claim_name(*voted), now + SUSPECT_TTL);
+        m_own_claims.insert(trial_claim_name(*voted));
+        m_reporter.add_claim(*voted, m_options.feed.self.node);
+    });
+}
+
 void FleetWatcher::remove_old_reports(Time now) {
     for (auto report = m_counted_reports.begin(); report != m_counted_reports.end();) {
         if (now < report->second) {
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -16,6 +16,7 @@
 #include "front/crash_reporter.h"
 #include "front/front_state.h"
 #include "front/store_feed.h"
+#include "front/trial_voting.h"
 #include "policy/known_nodes.h"
 #include "policy/lost_reports.h"
 #include "policy/out_of_service.h"
@@ -57,6 +58,8 @@
     using Objects = std::vector<platform::StoredObject>;
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
+    /// The options with a handler of other nodes' calls.
+    StoreFeedOptions feed_options(StoreFeedOptions options);
     void apply_update(const KindUpdate& update);
     void apply_config(const KindUpdate& update);
     void accept_table(RouteTable table, TableChange change, const StorePosition& position);
@@ -79,6 +82,8 @@
     void forget_unlisted_reports(const std::set<std::string>& listed);
     void report_crash(const Crash& crash);
     void claim_trial(const TrialClaim& claim);
+    /// The store has not answered the claim: asks the other nodes for a trial.
+    void ask_for_trial(const TrialClaim& claim);
     /// Makes one call to the store on a new connection; `body` may be empty.
     void call_store(const std::string& method, const std::string& path, const std::string& body,
                     CallHandler on_end);
@@ -117,6 +122,7 @@
     std::int64_t m_started_at_ms = 0;
     Random m_random{process_seed()};
     CrashReporter m_reporter;
+    TrialVoting m_voting;
     StoreFeed m_feed;
 };
 
