--- a/src/policy/store_position.h
+++ b/src/policy/store_position.h
@@ -5,9 +5,9 @@
 // new era. So only the era and the revision together say which of two states is the newer one.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace ebonymount {
 
@@ -28,7 +28,16 @@
     /// 0 before anything has been read.
     std::int64_t revision = 0;
 
-    friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+    friend bool operator==(const StorePosition&, const StorePosition&) = default;
+    friend bool operator<(const StorePosition& left, const StorePosition& right) {
+        return std::tie(left.era, left.revision) < std::tie(right.era, right.revision);
+    }
+    friend bool operator>(const StorePosition& left, const StorePosition& right) {
+        return right < left;
+    }
+    friend bool operator<=(const StorePosition& left, const StorePosition& right) {
+        return !(right < left);
+    }
 };
 
 /// The position, or if its era is unknown, the one with that revision in the era of `known`: data
