Kind watcher: a list that times out is given more time

Cause: a list is given up after 600 ms and made again, however often that has failed. When all nodes start at once the store answers each of them later than that; the calls that are given up and made again are the load that keeps it so.

Change: the time of a list doubles with each one that has timed out, up to 2.4 s and no longer than a watch may take, so that a connection that fell silent is noticed as soon as before.

Why it works: a store that answers all calls within a watch's time is heard in the end.

Measured: test_kind_watcher, new case (each response takes 1.8 s): no list in 20 s before, one of two pages now.

--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -19,6 +19,10 @@
 constexpr Duration POLLED_LIST_PAUSE = from_ms(1000);
 constexpr std::int64_t MAX_PAUSE_DOUBLINGS = 5;
 
+/// The timeout of a list doubles each time that one has timed out. When all nodes start at once, a
+/// store answers each of them late, and calls that are given up and made again keep it so.
+constexpr std::int64_t MAX_TIMEOUT_DOUBLINGS = 2;
+
 /// Pause before the second read of a polled list: when all nodes start at once, the first read
 /// misses most of them.
 constexpr Duration FIRST_POLL_INTERVAL = from_ms(2000);
@@ -156,6 +160,7 @@
     const TimerId timer = m_loop.run_at(monotonic_now() + timeout, [weak, number] {
         const std::shared_ptr<KindWatcher> self = weak.lock();
         if (self != nullptr && self->m_call_number == number && self->m_channel != nullptr) {
+            self->m_timed_out = true;
             self->m_channel->close();
         }
     });
@@ -200,13 +205,22 @@
     if (m_listed_objects.empty()) {
         m_called_at = monotonic_now();
     }
-    call(platform::list_path(m_options.kind, after, freshness), STORE_CALL_TIMEOUT,
+    call(platform::list_path(m_options.kind, after, freshness), list_timeout(),
          [this](CallStatus status, const HttpResponseMessage& response) {
              on_page(status, response);
          });
 }
 
+Duration KindWatcher::list_timeout() const {
+    // No longer than a watch may take, so that a silent connection is noticed as soon.
+    return std::min(STORE_CALL_TIMEOUT * (std::int64_t{1} << m_lists_timed_out),
+                    m_options.timing.watch_wait + STORE_CALL_TIMEOUT);
+}
+
 void KindWatcher::on_page(CallStatus status, const HttpResponseMessage& response) {
+    if (std::exchange(m_timed_out, false)) {
+        m_lists_timed_out = std::min(m_lists_timed_out + 1, MAX_TIMEOUT_DOUBLINGS);
+    }
     if (status != CallStatus::answered || response.status != http::OK) {
         m_listed_objects.clear();
         on_failure("list: " + std::string(name_of(status)) + " " + std::to_string(response.status));
@@ -237,6 +251,7 @@
         return;
     }
     const Time now = monotonic_now();
+    m_lists_timed_out = 0;
     const bool after_outage = m_consecutive_failures > 0 && now - m_failing_since > OUTAGE_TIME;
     on_success(m_called_at);
     report_position();
@@ -298,6 +313,7 @@
 }
 
 void KindWatcher::on_watch_end(CallStatus status, const HttpResponseMessage& response) {
+    m_timed_out = false;
     if (!is_of_known_era()) {
         begin_era();
         return;
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -164,6 +164,7 @@
     /// A time after which the changes of the watch in progress were made, if one is known.
     std::optional<Time> changes_made_after() const;
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
+    Duration list_timeout() const;
     void on_page(CallStatus status, const HttpResponseMessage& response);
     void on_watch_end(CallStatus status, const HttpResponseMessage& response);
     void log_objects_without_name(const platform::ObjectPage& page) const;
@@ -200,6 +201,10 @@
     std::string m_ignored_era;
     std::int64_t m_consecutive_failures = 0;
     Time m_failing_since{};
+    /// The call in progress was given up, as its time was over.
+    bool m_timed_out = false;
+    /// Consecutive lists that have timed out, up to a maximum.
+    std::int64_t m_lists_timed_out = 0;
     /// Consecutive watches that ended because the store's history is gone.
     std::int64_t m_histories_gone = 0;
     Time m_reads_current_until{};
--- a/test/failure/test_kind_watcher.cpp
+++ b/test/failure/test_kind_watcher.cpp
@@ -62,6 +62,8 @@
     std::vector<bool> outages;
     int recoveries = 0;
     int updates = 0;
+    /// Time that each response takes.
+    Duration response_time{};
     /// Number of the update at which the handler fails; -1 for none.
     int failing_update = -1;
     std::vector<std::vector<platform::StoredObject>> changes;
@@ -78,9 +80,11 @@
         const HttpResponseMessage& response = m_responses[calls.size() - 1];
         if (response.status == 0) {
             connection->drop();
-        } else {
-            connection->respond(response);
+            return;
         }
+        connection->on_caller_gone([] {});
+        m_loop.run_at(monotonic_now() + response_time,
+                      [connection, response] { connection->respond(response); });
     }
 
     EventLoop m_loop;
@@ -290,4 +294,17 @@
     CHECK(store.call_times[8] - store.call_times[7] >= from_ms(400));
 }
 
+// Guards against a node that never gets a list from a store that is slow for all nodes at once:
+// each call is given up after the same time and made again, which is what keeps the store slow.
+TEST_CASE("a list that takes longer than the timeout of a call is waited for in the end") {
+    const HttpResponseMessage first = response(200, list(object("a"), true, 5));
+    const HttpResponseMessage second = response(200, list(object("b"), false, 5));
+    // Two calls for the first page time out.
+    ScriptedStore store({first, first, first, second, response(410, "")});
+    store.response_time = 3 * STORE_CALL_TIMEOUT;
+    store.run();
+    REQUIRE_FALSE(store.lists.empty());
+    CHECK(store.lists.front().size() == 2);
+}
+
 }  // namespace ebonymount
