Front: a node that starts after the store's return asks others what the copy lacks

What callers saw: after a return of the store from an older copy the nodes that ran through it go on with what they knew, but one that starts before the writers have written again knows only the copy. It sent requests to a target that was draining (DRAIN) and to a data centre out of service (EVAC), and answered 404 on a route that had been added (DENIED).

Cause: what a node withholds after a return is in its memory alone. Class: the absence of a fact is taken for its opposite, here by a node without memory.

Change: before it builds its first view, a node asks three others at random what they withhold and for how long, as of the era that it has read, and which configuration the store has lost. A node that has not read that era yet says so and is asked again; one that started within 30 s without an answer of its own says that it does not know. The start waits for 0.5 s at most. The first start of a deployment asks nobody. Reading a configuration is now a function of its own, as it has two sources.

Why it works: each entry is withheld until the same moment at all nodes, whenever they started, so the bounds of those that ran through the return hold for all.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -37,6 +37,9 @@
       m_started_at_ms(wall_clock_ms()),
       m_reporter(state, m_options.feed.store_address),
       m_voting(state, m_options.feed.self, m_started_at_ms),
+      m_inquiry(state.event_loop, state.metrics),
+      m_has_ended_inquiry(m_options.feed.first_start),
+      m_is_informed(m_options.feed.first_start),
       m_feed(state.event_loop, state.metrics, feed_options(m_options.feed),
              [this](const KindUpdate& update) { apply_update(update); }) {
     m_state.on_crash = [this](const Crash& crash) {
@@ -65,7 +68,7 @@
 
 StoreFeedOptions FleetWatcher::feed_options(StoreFeedOptions options) {
     options.on_peer_call = [this](const std::string& path, const std::string& body) {
-        return m_voting.serve(path, body);
+        return path == STATE_INQUIRY_PATH ? serve_inquiry(body) : m_voting.serve(path, body);
     };
     return options;
 }
@@ -91,6 +94,8 @@
 }
 
 void FleetWatcher::apply_update(const KindUpdate& update) {
+    std::int64_t& era = m_eras.try_emplace(update.kind, UNKNOWN_ERA).first->second;
+    era = std::max(era, update.position.era);
     switch (update.kind) {
         case platform::Kind::config:
             apply_config(update);
@@ -116,38 +121,41 @@
 
 void FleetWatcher::apply_config(const KindUpdate& update) {
     for (const platform::StoredObject& object : update.objects) {
-        if (!platform::is_configuration(object)) {
-            continue;
-        }
-        std::vector<std::string> warnings;
-        Result<RouteTable> table = platform::decode_config(object.spec, warnings);
-        for (const std::string& warning : warnings) {
-            log_warning("config", warning);
-        }
-        if (!has_value(table)) {
-            log_error("config", "invalid configuration, keeping the current version: " +
-                                    describe(error_of(table)));
-            continue;
-        }
-        const std::int64_t era = update.position.era;
-        const TableChange change = m_table.has_value()
-                                       ? compare_tables(*m_table, m_table_era, value_of(table), era)
-                                       : TableChange::newer;
-        if (change == TableChange::older) {
-            LogEvent(LogLevel::warning, "config", "older_version")
-                .add("version", value_of(table).version)
-                .add("in_force", m_table->version)
-                .add("position", describe(update.position))
-                .write();
-            continue;
-        }
-        m_table_era = era;
-        if (change != TableChange::same) {
-            accept_table(std::move(std::get<RouteTable>(table)), change, update.position);
+        if (platform::is_configuration(object)) {
+            take_table(object.spec, update.position);
         }
     }
 }
 
+void FleetWatcher::take_table(const std::string& spec, const StorePosition& position) {
+    std::vector<std::string> warnings;
+    Result<RouteTable> table = platform::decode_config(spec, warnings);
+    for (const std::string& warning : warnings) {
+        log_warning("config", warning);
+    }
+    if (!has_value(table)) {
+        log_error("config", "invalid configuration, keeping the current version: " +
+                                describe(error_of(table)));
+        return;
+    }
+    const TableChange change =
+        m_table.has_value() ? compare_tables(*m_table, m_table_era, value_of(table), position.era)
+                            : TableChange::newer;
+    if (change == TableChange::older) {
+        LogEvent(LogLevel::warning, "config", "older_version")
+            .add("version", value_of(table).version)
+            .add("in_force", m_table->version)
+            .add("position", describe(position))
+            .write();
+        return;
+    }
+    m_table_era = position.era;
+    if (change != TableChange::same) {
+        m_table_spec = spec;
+        accept_table(std::move(std::get<RouteTable>(table)), change, position);
+    }
+}
+
 void FleetWatcher::accept_table(RouteTable table, TableChange change,
                                 const StorePosition& position) {
     LogEvent(LogLevel::info, "config", "accepted")
@@ -509,6 +517,10 @@
     if (!m_table.has_value() || !m_has_targets || !m_has_evacuations || m_view_rebuild_pending) {
         return;
     }
+    if (!m_has_ended_inquiry) {
+        begin_inquiry();
+        return;
+    }
     m_view_rebuild_pending = true;
     // Changes often arrive together; the view is rebuilt once for all of them.
     m_loop.post([this] {
@@ -521,6 +533,91 @@
     });
 }
 
+void FleetWatcher::begin_inquiry() {
+    if (std::exchange(m_has_begun_inquiry, true)) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    for (const auto& [name, member] : m_known_nodes.members) {
+        if (name != m_options.feed.self.node && !member.address.empty()) {
+            addresses.push_back(member.address);
+        }
+    }
+    if (addresses.empty()) {
+        addresses = m_options.feed.initial_peers;
+        std::erase(addresses, m_options.feed.self.address);
+    }
+    std::shuffle(addresses.begin(), addresses.end(), m_random);
+    addresses.resize(std::min(addresses.size(), INQUIRED_NODES));
+    const std::int64_t era = m_eras[platform::Kind::targets];
+    m_inquiry.begin(addresses, era, [this](const std::optional<UnconfirmedState>& state) {
+        m_has_ended_inquiry = true;
+        m_is_informed = state.has_value();
+        LogEvent(LogLevel::info, "store", "state_inquiry")
+            .add("answered", m_is_informed ? "yes" : "no")
+            .add("targets", static_cast<std::int64_t>(m_is_informed ? state->targets.size() : 0))
+            .add("data_centres",
+                 static_cast<std::int64_t>(m_is_informed ? state->data_centres.size() : 0))
+            .add("config", m_is_informed && !state->config.empty() ? "yes" : "no")
+            .write();
+        if (m_is_informed) {
+            apply_inquired_state(*state);
+        }
+        rebuild_view();
+    });
+}
+
+void FleetWatcher::apply_inquired_state(const UnconfirmedState& state) {
+    const Time now = monotonic_now();
+    for (const auto& [id, left] : state.targets) {
+        withhold(m_registry, id, now + left);
+    }
+    for (const auto& [data_centre, left] : state.data_centres) {
+        keep_out(m_out_of_service, data_centre, now + left);
+    }
+    if (!state.config.empty()) {
+        take_table(state.config, {state.config_era, 0});
+    }
+}
+
+bool FleetWatcher::knows_lost_state(Time now) const {
+    return m_is_informed || now - m_started_at > OPERATOR_REWRITE_TIME;
+}
+
+std::optional<std::string> FleetWatcher::serve_inquiry(const std::string& body) const {
+    const std::optional<std::int64_t> era = decode_state_request(body);
+    if (!era.has_value()) {
+        return std::nullopt;
+    }
+    const Time now = monotonic_now();
+    if (!m_has_ended_inquiry || !knows_lost_state(now)) {
+        return encode(StateAnswer{});
+    }
+    for (const platform::Kind kind :
+         {platform::Kind::config, platform::Kind::targets, platform::Kind::evacuations}) {
+        const auto read = m_eras.find(kind);
+        if (read == m_eras.end() || read->second < *era) {
+            return encode(StateAnswer{StateAnswer::Status::not_yet, {}});
+        }
+    }
+    return encode(StateAnswer{StateAnswer::Status::complete, unconfirmed_state(now)});
+}
+
+UnconfirmedState FleetWatcher::unconfirmed_state(Time now) const {
+    UnconfirmedState state;
+    for (const auto& [id, waiting] : m_registry.unconfirmed) {
+        state.targets[id] = std::max(waiting.until - now, Duration::zero());
+    }
+    for (const auto& [data_centre, until] : m_out_of_service.unconfirmed) {
+        state.data_centres[data_centre] = std::max(until - now, Duration::zero());
+    }
+    if (m_table.has_value() && m_table_era < m_eras.at(platform::Kind::config)) {
+        state.config = m_table_spec;
+        state.config_era = m_table_era;
+    }
+    return state;
+}
+
 void FleetWatcher::call_store(const std::string& method, const std::string& path,
                               const std::string& body, CallHandler on_end) {
     ebonymount::call_store(m_loop,
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -15,6 +15,7 @@
 
 #include "front/crash_reporter.h"
 #include "front/front_state.h"
+#include "front/state_inquiry.h"
 #include "front/store_feed.h"
 #include "front/trial_voting.h"
 #include "policy/known_nodes.h"
@@ -61,7 +62,18 @@
     /// The options with a handler of other nodes' calls.
     StoreFeedOptions feed_options(StoreFeedOptions options);
     void apply_update(const KindUpdate& update);
+    /// Asks other nodes for state that the store has lost, before the first view is built.
+    void begin_inquiry();
+    void apply_inquired_state(const UnconfirmedState& state);
+    /// True if this node knows what the store has lost by a return that others still deal with.
+    bool knows_lost_state(Time now) const;
+    /// The response to another node's inquiry; empty if the request cannot be read.
+    std::optional<std::string> serve_inquiry(const std::string& body) const;
+    UnconfirmedState unconfirmed_state(Time now) const;
     void apply_config(const KindUpdate& update);
+    /// Uses a configuration that was read at that position, unless it is older than the one in
+    /// force.
+    void take_table(const std::string& spec, const StorePosition& position);
     void accept_table(RouteTable table, TableChange change, const StorePosition& position);
     void apply_target_list(const KindUpdate& list);
     void apply_target_changes(const Objects& objects, std::optional<Time> made_after);
@@ -96,8 +108,12 @@
     FleetWatcherOptions m_options;
     FleetWatcherHandlers m_handlers;
     std::optional<RouteTable> m_table;
+    /// The table as operators wrote it.
+    std::string m_table_spec;
     /// The store's era in which the table was last seen there.
     std::int64_t m_table_era = UNKNOWN_ERA;
+    /// The latest era in which each kind was read.
+    std::map<platform::Kind, std::int64_t> m_eras;
     TargetRegistry m_registry;
     bool m_has_targets = false;
     bool m_has_evacuations = false;
@@ -123,6 +139,12 @@
     Random m_random{process_seed()};
     CrashReporter m_reporter;
     TrialVoting m_voting;
+    StateInquiry m_inquiry;
+    bool m_has_begun_inquiry = false;
+    bool m_has_ended_inquiry = false;
+    /// The inquiry was answered, or there was nothing to ask for.
+    bool m_is_informed = false;
+    Time m_started_at = monotonic_now();
     StoreFeed m_feed;
 };
 
--- a/src/policy/out_of_service.cpp
+++ b/src/policy/out_of_service.cpp
@@ -36,6 +36,12 @@
     state.unconfirmed.erase(data_centre);
 }
 
+void keep_out(OutOfService& state, const std::string& data_centre, Time until) {
+    if (state.data_centres.insert(data_centre).second) {
+        state.unconfirmed.emplace(data_centre, until);
+    }
+}
+
 std::vector<std::string> expire_unconfirmed(OutOfService& state, Time now) {
     std::vector<std::string> expired;
     for (const auto& [data_centre, until] : state.unconfirmed) {
--- a/src/policy/out_of_service.h
+++ b/src/policy/out_of_service.h
@@ -33,6 +33,10 @@
 void take_out(OutOfService& state, const std::string& data_centre);
 void put_back(OutOfService& state, const std::string& data_centre);
 
+/// Operators had taken a data centre out of service that an older copy does not name, as another
+/// node knows: it is out until `until`.
+void keep_out(OutOfService& state, const std::string& data_centre, Time until);
+
 /// Puts back the unconfirmed ones that have waited long enough, and returns them.
 std::vector<std::string> expire_unconfirmed(OutOfService& state, Time now);
 
--- a/src/policy/target_registry.cpp
+++ b/src/policy/target_registry.cpp
@@ -95,6 +95,17 @@
     registry.missing.emplace(id, std::min(now + REMOVAL_GRACE, latest));
 }
 
+void withhold(TargetRegistry& registry, const std::string& id, Time until) {
+    const auto found = registry.entries.find(id);
+    if (found == registry.entries.end() || registry.unconfirmed.count(id) > 0) {
+        return;
+    }
+    registry.unconfirmed[id] = {found->second, until};
+    registry.missing.erase(id);
+    registry.entries.erase(found);
+    ++registry.generation;
+}
+
 std::vector<std::string> expire_missing(TargetRegistry& registry, Time now) {
     std::erase_if(registry.left,
                   [now](const auto& entry) { return now - entry.second > WITHDRAWAL_MEMORY; });
--- a/src/policy/target_registry.h
+++ b/src/policy/target_registry.h
@@ -101,6 +101,10 @@
 /// unless it was draining.
 void remove(TargetRegistry& registry, const std::string& id, Time now, Time latest = Time::max());
 
+/// The target's entry is one of an older copy, as another node knows: it is unconfirmed until
+/// `until`, unless its target writes it before.
+void withhold(TargetRegistry& registry, const std::string& id, Time until);
+
 /// Removes the targets that have not registered again in time, and returns their ids.
 std::vector<std::string> expire_missing(TargetRegistry& registry, Time now);
 
--- a/test/correctness/test_out_of_service.cpp
+++ b/test/correctness/test_out_of_service.cpp
@@ -49,6 +49,19 @@
     }
 }
 
+// Guards against a node without memory that sends requests to such a data centre (EVAC).
+TEST_CASE("a data centre that another node knows to be out of service stays out as long as there") {
+    OutOfService state;
+    replace_all(state, {"west"}, false, START);
+    const Time until = START + from_ms(12000);
+    keep_out(state, "east", until);
+    keep_out(state, "west", until);
+    CHECK(state.data_centres == Names{"east", "west"});
+    CHECK(expire_unconfirmed(state, until - from_ms(1)).empty());
+    CHECK(expire_unconfirmed(state, until) == std::vector<std::string>{"east"});
+    CHECK(state.data_centres == Names{"west"});
+}
+
 // Guards against two returns in a row, of which the second begins before the first is dealt with.
 TEST_CASE("a second return gives operators as much time as the first one") {
     OutOfService state;
--- a/test/correctness/test_target_registry.cpp
+++ b/test/correctness/test_target_registry.cpp
@@ -91,6 +91,31 @@
     CHECK(registry.entries.empty());
 }
 
+// Guards against a node without memory that uses an entry of an older copy (DRAIN).
+TEST_CASE("an entry that another node does not trust waits until its target has written it") {
+    TargetRegistry registry = registry_of({entry("a"), entry("b")});
+    const Time until = START + from_ms(3000);
+    withhold(registry, "a", until);
+    withhold(registry, "unknown", until);
+    CHECK(registry.entries.count("a") == 0);
+    CHECK(registry.unconfirmed.size() == 1);
+    replace_all(registry, {entry("a"), entry("b")}, ListOrigin::regular, START + from_ms(1000));
+    CHECK(registry.entries.count("a") == 0);
+    CHECK(accept_unconfirmed(registry, until - from_ms(1)).empty());
+
+    SECTION("its target writes it") {
+        TargetEntry draining = entry("a");
+        draining.draining = true;
+        upsert(registry, draining);
+        CHECK(accept_unconfirmed(registry, until).empty());
+        CHECK(registry.entries.at("a").draining);
+    }
+    SECTION("its target does not") {
+        CHECK(accept_unconfirmed(registry, until) == std::vector<std::string>{"a"});
+        CHECK(registry.entries.count("a") == 1);
+    }
+}
+
 // Guards against targets that are used again after they left, because the store has returned from
 // a copy that is older than their leaving (DRAIN).
 TEST_CASE("an older copy brings back no draining or removed target until it has been rewritten") {
--- a/test/failure/test_store_return.cpp
+++ b/test/failure/test_store_return.cpp
@@ -30,10 +30,13 @@
 class Prober {
 public:
     Prober(FrontFleet& fleet, std::size_t nodes, std::vector<std::string> paths)
-        : m_fleet(fleet), m_nodes(nodes), m_paths(std::move(paths)) {}
+        : Prober(fleet, 0, nodes, std::move(paths)) {}
+    /// For the nodes from `first` on, up to but without `end`.
+    Prober(FrontFleet& fleet, std::size_t first, std::size_t end, std::vector<std::string> paths)
+        : m_fleet(fleet), m_first(first), m_end(end), m_paths(std::move(paths)) {}
 
     void begin() {
-        for (std::size_t node = 0; node < m_nodes; ++node) {
+        for (std::size_t node = m_first; node < m_end; ++node) {
             for (const std::string& path : m_paths) {
                 send(node, path);
             }
@@ -42,7 +45,7 @@
 
     /// True if the latest response of each node for the path has that status.
     bool all_end_with(const std::string& path, int status) const {
-        for (std::size_t node = 0; node < m_nodes; ++node) {
+        for (std::size_t node = m_first; node < m_end; ++node) {
             const auto found = m_statuses.find({node, path});
             if (found == m_statuses.end() || found->second != status) {
                 return false;
@@ -63,6 +66,12 @@
                std::find(reached.begin(), reached.end(), target) == reached.end();
     }
 
+    /// Number of requests for the path that ended with that status.
+    std::size_t count_of(const std::string& path, int status) const {
+        const auto found = m_counts.find({path, status});
+        return found == m_counts.end() ? 0 : found->second;
+    }
+
 private:
     static constexpr std::size_t LATEST = 24;
 
@@ -82,13 +91,16 @@
     void send(std::size_t node, const std::string& path) {
         m_fleet.send(node, path, [this, node, path](int status, const std::string&) {
             m_statuses[{node, path}] = status;
+            ++m_counts[{path, status}];
             m_fleet.run_after(from_ms(20), [this, node, path] { send(node, path); });
         });
     }
 
     FrontFleet& m_fleet;
-    std::size_t m_nodes;
+    std::size_t m_first;
+    std::size_t m_end;
     std::vector<std::string> m_paths;
+    std::map<std::pair<std::string, int>, std::size_t> m_counts;
     std::map<std::pair<std::size_t, std::string>, int> m_statuses;
 };
 
@@ -246,4 +258,74 @@
     CHECK(count_since_return("leaving-1") > 0);
 }
 
+// Guards against a node that starts after such a return and takes the copy for the truth: it used
+// what was withdrawn (DRAIN, EVAC) and refused a route that was added (DENIED) after the copy.
+TEST_CASE("a node that starts after such a return learns from others what the copy lacks") {
+    constexpr std::size_t OLD_NODES = 3;
+    constexpr std::size_t ADDED_NODE = 3;
+    constexpr std::size_t REQUESTS = 200;
+    // Both in the data centre of the added node, which prefers it.
+    const bool is_target_withdrawn = GENERATE(true, false);
+    CAPTURE(is_target_withdrawn);
+    FrontFleet fleet(OLD_NODES + 1);
+    fleet.hold_back(ADDED_NODE);
+    fleet.add_targets("leaving", 2);
+    fleet.add_targets("evacuated", 3);
+    const std::vector<FleetRoute> routes = {{"leave", {"leaving"}}, {"evacuate", {"evacuated"}}};
+    fleet.start(routes);
+    const std::vector<std::string> paths = {"/leave/1", "/evacuate/1", "/added/1"};
+    Prober before(fleet, 0, OLD_NODES, paths);
+    Prober after(fleet, ADDED_NODE, ADDED_NODE + 1, paths);
+    const auto change = [&] {
+        fleet.store().take_copy();
+        if (is_target_withdrawn) {
+            fleet.set_target_state("leaving-0", "draining");
+        } else {
+            fleet.store().put(names::EVACUATIONS_KIND, "east", nlohmann::json::object());
+        }
+        fleet.publish_routes({routes[0], routes[1], {"added", {"leaving"}}});
+    };
+    Time returned = Time::max();
+    const auto go_back = [&] {
+        returned = monotonic_now();
+        return_from_copy(fleet.store());
+        fleet.start_node(ADDED_NODE);
+    };
+    const auto count_since_return = [&](const std::string& target) {
+        return std::count_if(fleet.arrivals().begin(), fleet.arrivals().end(),
+                             [&](const FleetArrival& arrival) {
+                                 return arrival.target == target && arrival.at >= returned &&
+                                        arrival.at < returned + REWRITE_TIME;
+                             });
+    };
+    const auto has_enough_requests = [&] {
+        const bool is_over = monotonic_now() >= returned + REWRITE_TIME;
+        return (is_over && after.count_of("/added/1", 200) > 0) ||
+               std::all_of(paths.begin(), paths.end(), [&](const std::string& path) {
+                   return after.count_of(path, 200) >= REQUESTS;
+               });
+    };
+    CHECK(fleet.run_steps({{[&] { return fleet.is_ready(); },
+                            [&before] {
+                                before.begin();
+                            }},
+                           {[&] { return before.all_end_with("/evacuate/1", 200); }, change},
+                           {[&] {
+                                return before.all_end_with("/added/1", 200) &&
+                                       before.none_reach("/leave/1", "leaving-0") &&
+                                       (is_target_withdrawn ||
+                                        before.none_reach("/evacuate/1", "evacuated-0"));
+                            },
+                            go_back},
+                           {[&] { return fleet.is_ready(); },
+                            [&after] {
+                                after.begin();
+                            }},
+                           {has_enough_requests, nullptr}}));
+    CHECK(count_since_return("leaving-0") == 0);
+    CHECK((is_target_withdrawn || count_since_return("evacuated-0") == 0));
+    CHECK(after.count_of("/added/1", 404) == 0);
+    CHECK(after.count_of("/added/1", 200) > 0);
+}
+
 }  // namespace ebonymount
--- a/test/support/front_fleet.cpp
+++ b/test/support/front_fleet.cpp
@@ -212,10 +212,22 @@
 void FrontFleet::start(const std::vector<FleetRoute>& routes) {
     publish_routes(routes);
     for (const std::unique_ptr<Node>& node : m_nodes) {
-        start_node(*node);
+        if (!node->held_back) {
+            start_node(*node);
+        }
     }
 }
 
+void FrontFleet::hold_back(std::size_t node) {
+    m_nodes.at(node)->held_back = true;
+    m_nodes.at(node)->settings.first_start = false;
+}
+
+void FrontFleet::start_node(std::size_t node) {
+    m_nodes.at(node)->held_back = false;
+    start_node(*m_nodes.at(node));
+}
+
 void FrontFleet::start_node(Node& node) {
     Result<std::unique_ptr<Front>> front = Front::start(node.settings, "", 0, node.signals);
     if (!has_value(front)) {
@@ -249,8 +261,9 @@
 }
 
 bool FrontFleet::is_ready() const {
-    return std::all_of(m_nodes.begin(), m_nodes.end(),
-                       [](const std::unique_ptr<Node>& node) { return node->ready; });
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [](const std::unique_ptr<Node>& node) {
+        return node->held_back || node->ready;
+    });
 }
 
 void FrontFleet::send(std::size_t node, const std::string& path,
--- a/test/support/front_fleet.h
+++ b/test/support/front_fleet.h
@@ -75,14 +75,17 @@
     void publish_again(const std::string& kind, const std::string& name);
     /// Writes a target's entry with that state.
     void set_target_state(const std::string& target, const std::string& state);
-    /// Publishes the routes and starts all nodes. Requests can be sent once `is_ready`.
+    /// `start` leaves this node out, until `start_node`. Before `start`.
+    void hold_back(std::size_t node);
+    void start_node(std::size_t node);
+    /// Publishes the routes and starts the nodes. Requests can be sent once `is_ready`.
     void start(const std::vector<FleetRoute>& routes);
 
     /// Tells a node to stop, as SIGTERM does. Its sockets close when it has ended.
     void stop_node(std::size_t node);
     bool has_stopped(std::size_t node) const;
 
-    /// True once each node has said that it is ready.
+    /// True once each node that was started has said that it is ready.
     bool is_ready() const;
 
     /// Sends a request to a node on a new connection; `on_end` receives the status, 0 if the
@@ -121,6 +124,7 @@
         FrontSignals signals;
         std::unique_ptr<Front> front;
         std::thread thread;
+        bool held_back = false;
         bool ready = false;
         std::atomic<bool> stopped{false};
     };
