Front: a list after a lost history bounds the use of targets that it does not name

What callers would see: requests at a target up to 3.4 s after the store acknowledged that its entry is gone (DRAIN, 3 s).

Cause: when the store has dropped its history, a list takes the place of the changes. Changes state a time after which they were made, and a removed target is used no longer than 0.93 of the drain bound from there. A list stated none, so targets that it does not name had the full grace of 1 s from its arrival, although the data before it may have been 2.4 s old. Class: a bound that starts when a delay is noticed, not when it began.

Evidence: test_store_lag, new case, on with the test alone added: fails 3 of 3.

Change: a list states as of when the data before it was complete, as far as current reads have shown it. Targets that it does not name are used no longer than a change would allow. Lists after an outage or a return of the store are as before: targets may register again then.

Why it works: a removal that the list shows is not older than the last proof of the data before it.

Measured: test_store_lag (6 cases), test_target_registry, test_kind_watcher, test_store_feed, test_store_currency and test_store_return pass.

--- a/src/front/fleet_watcher.cpp
+++ b/src/front/fleet_watcher.cpp
@@ -104,7 +104,7 @@
             if (update.is_list) {
                 apply_target_list(update);
             } else {
-                apply_target_changes(update.objects, update.made_after);
+                apply_target_changes(update);
             }
             return;
         case platform::Kind::evacuations:
@@ -192,7 +192,7 @@
     const ListOrigin origin = list.after_return   ? ListOrigin::after_return
                               : list.after_outage ? ListOrigin::after_outage
                                                   : ListOrigin::regular;
-    replace_all(m_registry, entries, origin, monotonic_now());
+    replace_all(m_registry, entries, origin, monotonic_now(), latest_use_of(list));
     LogEvent(LogLevel::info, "targets", "list")
         .add("entries", static_cast<std::int64_t>(entries.size()))
         .add("missing", static_cast<std::int64_t>(m_registry.missing.size()))
@@ -204,12 +204,16 @@
     rebuild_view();
 }
 
-void FleetWatcher::apply_target_changes(const Objects& objects, std::optional<Time> made_after) {
+Time FleetWatcher::latest_use_of(const KindUpdate& update) const {
+    return update.made_after.has_value() ? latest_use(*update.made_after, m_options.feed.drain)
+                                         : Time::max();
+}
+
+void FleetWatcher::apply_target_changes(const KindUpdate& changes) {
     const std::int64_t generation_before = m_registry.generation;
-    const Time latest =
-        made_after.has_value() ? latest_use(*made_after, m_options.feed.drain) : Time::max();
     m_state.targets_updated_at = monotonic_now();
-    for (const platform::StoredObject& object : objects) {
+    const Time latest = latest_use_of(changes);
+    for (const platform::StoredObject& object : changes.objects) {
         if (object.removed || object.deleting) {
             remove(m_registry, object.name, monotonic_now(), latest);
             LogEvent(LogLevel::info, "targets", "entry_removed").add("target", object.name).write();
--- a/src/front/fleet_watcher.h
+++ b/src/front/fleet_watcher.h
@@ -56,7 +56,6 @@
     void sweep(Time now);
 
 private:
-    using Objects = std::vector<platform::StoredObject>;
     using CallHandler = std::function<void(CallStatus, const HttpResponseMessage&)>;
 
     /// The options with a handler of other nodes' calls.
@@ -76,7 +75,9 @@
     void take_table(const std::string& spec, const StorePosition& position);
     void accept_table(RouteTable table, TableChange change, const StorePosition& position);
     void apply_target_list(const KindUpdate& list);
-    void apply_target_changes(const Objects& objects, std::optional<Time> made_after);
+    void apply_target_changes(const KindUpdate& changes);
+    /// Until when targets may be used that the update shows to be removed.
+    Time latest_use_of(const KindUpdate& update) const;
     /// If the target has restarted, connections to it that broke before were crashes.
     void check_for_restart(const TargetEntry& entry);
     void apply_evacuations(const KindUpdate& update);
--- a/src/front/kind_watcher.cpp
+++ b/src/front/kind_watcher.cpp
@@ -235,6 +235,7 @@
     platform::ObjectPage& decoded = std::get<platform::ObjectPage>(page);
     log_objects_without_name(decoded);
     if (m_listed_objects.empty()) {
+        m_list_made_after = complete_until();
         // The watch starts from the first page's revision, so changes made while further pages are
         // read are received again.
         m_position = {m_options.era->known, decoded.store_revision};
@@ -257,7 +258,9 @@
     report_position();
     std::vector<platform::StoredObject> objects;
     objects.swap(m_listed_objects);
-    m_handlers.on_update({m_options.kind, true, after_outage, m_position, std::move(objects)});
+    KindUpdate update{m_options.kind, true, after_outage, m_position, std::move(objects)};
+    update.made_after = m_list_made_after;
+    m_handlers.on_update(std::move(update));
     if (m_options.poll_interval > Duration::zero()) {
         run_later(++m_polls == 1 ? FIRST_POLL_INTERVAL : m_options.poll_interval,
                   &KindWatcher::read_list);
@@ -308,6 +311,10 @@
     if (m_call_is_current && now > m_called_at + STORE_CALL_TIMEOUT) {
         return now - STORE_CALL_TIMEOUT;
     }
+    return complete_until();
+}
+
+std::optional<Time> KindWatcher::complete_until() const {
     const Time proven = m_handlers.proven_until ? m_handlers.proven_until(m_position) : Time{};
     return proven == Time{} ? std::nullopt : std::optional<Time>(proven);
 }
--- a/src/front/kind_watcher.h
+++ b/src/front/kind_watcher.h
@@ -163,6 +163,8 @@
     Duration next_watch_wait() const;
     /// A time after which the changes of the watch in progress were made, if one is known.
     std::optional<Time> changes_made_after() const;
+    /// As of when the data was last known to be complete, if that is known.
+    std::optional<Time> complete_until() const;
     void call(const std::string& path, Duration timeout, const CallHandler& on_end);
     Duration list_timeout() const;
     void on_page(CallStatus status, const HttpResponseMessage& response);
@@ -196,6 +198,8 @@
     Counter& m_current_proofs;
     std::shared_ptr<HttpChannel> m_channel;
     std::vector<platform::StoredObject> m_listed_objects;
+    /// A time after which the changes were made that the list in progress shows.
+    std::optional<Time> m_list_made_after;
     StorePosition m_position;
     /// The last era that could not be used, which is logged once.
     std::string m_ignored_era;
--- a/src/front/store_mirror.h
+++ b/src/front/store_mirror.h
@@ -32,7 +32,8 @@
     /// Set by `merge_update`, and not sent to other nodes: the store has returned from an older
     /// copy since this node's last list, which may have had entries that this one lacks for now.
     bool after_return = false;
-    /// The changes were made after this time; empty if that is not known. Not sent to followers.
+    /// The changes, also those that a list shows, were made after this time; empty if that is not
+    /// known. Not sent to followers.
     std::optional<Time> made_after{};
 
     friend bool operator==(const KindUpdate&, const KindUpdate&) = default;
--- a/src/policy/target_registry.cpp
+++ b/src/policy/target_registry.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 void replace_all(TargetRegistry& registry, const std::vector<TargetEntry>& list, ListOrigin origin,
-                 Time now) {
+                 Time now, Time latest) {
     std::map<std::string, TargetEntry> entries;
     std::map<std::string, UnconfirmedEntry> unconfirmed;
     for (const TargetEntry& entry : list) {
@@ -50,7 +50,8 @@
         }
     }
     const bool may_return = origin != ListOrigin::regular;
-    const Time until = now + (may_return ? REREGISTRATION_TIME : REMOVAL_GRACE);
+    const Time until =
+        may_return ? now + REREGISTRATION_TIME : std::min(now + REMOVAL_GRACE, latest);
     std::map<std::string, Time> missing;
     for (const auto& [id, entry] : registry.entries) {
         if (entries.count(id) > 0) {
--- a/src/policy/target_registry.h
+++ b/src/policy/target_registry.h
@@ -80,11 +80,11 @@
 };
 
 /// Applies a complete list. Entries that are not on it are kept for `REREGISTRATION_TIME` after an
-/// outage or a return, otherwise for `REMOVAL_GRACE`; draining ones are removed at once. After a
-/// return, an entry that differs from the one in use, or whose target has left, is unconfirmed for
-/// `REWRITE_TIME`.
+/// outage or a return, otherwise for `REMOVAL_GRACE` but not beyond `latest`; draining ones are
+/// removed at once. After a return, an entry that differs from the one in use, or whose target has
+/// left, is unconfirmed for `REWRITE_TIME`.
 void replace_all(TargetRegistry& registry, const std::vector<TargetEntry>& list, ListOrigin origin,
-                 Time now);
+                 Time now, Time latest = Time::max());
 
 /// Applies an entry that its target has written.
 void upsert(TargetRegistry& registry, const TargetEntry& entry);
--- a/test/correctness/test_target_registry.cpp
+++ b/test/correctness/test_target_registry.cpp
@@ -71,6 +71,18 @@
     CHECK(expire_missing(registry, START + from_ms(300)) == std::vector<std::string>{"a"});
 }
 
+// Guards against the full grace after a list that was read because the store's history was lost.
+TEST_CASE("a target that a list does not name is not used beyond the given time") {
+    TargetRegistry registry = registry_of({entry("a")});
+    replace_all(registry, {}, ListOrigin::regular, START, START + from_ms(300));
+    CHECK(expire_missing(registry, START + from_ms(299)).empty());
+    CHECK(expire_missing(registry, START + from_ms(300)) == std::vector<std::string>{"a"});
+    // After an outage it may be running, however old the data was.
+    registry = registry_of({entry("a")});
+    replace_all(registry, {}, ListOrigin::after_outage, START, START + from_ms(300));
+    CHECK(expire_missing(registry, START + REREGISTRATION_TIME - from_ms(1)).empty());
+}
+
 TEST_CASE("the last use of a target leaves time for a request on its way") {
     for (const Duration drain : {from_ms(1000), from_ms(3000), from_ms(6000)}) {
         CHECK(latest_use(START, drain) > START + drain * 9 / 10);
--- a/test/failure/test_store_lag.cpp
+++ b/test/failure/test_store_lag.cpp
@@ -83,6 +83,9 @@
 private:
     void take(const KindUpdate& update) {
         if (update.is_list) {
+            if (update.kind == platform::Kind::targets && has(platform::Kind::targets, "leaving")) {
+                m_removal_made_after = update.made_after;
+            }
             std::erase_if(m_objects, [&update](const auto& known) {
                 return known.first.first == update.kind;
             });
@@ -179,6 +182,24 @@
     }
 }
 
+// Guards against the same where the store has dropped its history, so that a list shows the
+// removal.
+TEST_CASE("a list that follows a lost history states a time before the removals that it shows") {
+    LoneNode node;
+    Time removed_at{};
+    CHECK(node.run_steps(
+        {{[&node] { return node.is_complete(); },
+          [&node, &removed_at] {
+              stop_recent_data(node.store);
+              removed_at = monotonic_now();
+              node.store.remove(platform::names::TARGETS_KIND, "leaving");
+              node.store.compact();
+          }},
+         {[&node] { return !node.has(platform::Kind::targets, "leaving"); }, nullptr}}));
+    REQUIRE(node.removal_made_after().has_value());
+    CHECK(*node.removal_made_after() <= removed_at);
+}
+
 // Guards against the same where the store goes on to change, so that no read is ever of its latest
 // revision for long.
 TEST_CASE("changes are noticed though recent data never shows them and other changes go on") {
