Tests: the model of store sources plays returns of the store from an older copy

Change: nodes, messages and the store have a position; what is newer and which era is known are the decisions of the product (StorePosition, on_stated_era), and a follower leaves a reader whose data is of an earlier era, as StoreFeed::may_apply does.

--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "policy/store_era.h"
 #include "policy/store_source.h"
 
 namespace ebonymount {
@@ -29,6 +30,8 @@
     /// When the store last responded to the node from which the data comes. It is no part of the
     /// message.
     Time true_contact{};
+    /// Of the sender's data, as its last list states it.
+    StorePosition position;
     bool has_state = false;
     std::string origin;
 };
@@ -48,6 +51,9 @@
     Time own_contact{};
     /// When the store last responded to the node from which this node's data comes.
     Time true_contact{};
+    /// Of the node's data.
+    StorePosition position;
+    StoreEra era;
     /// Difference of the node's clock to that of the fleet.
     Duration clock_skew{};
     /// Processes nothing before this time; messages to it wait.
@@ -91,6 +97,8 @@
         node.candidate.reset();
         node.own_contact = Time{};
         node.true_contact = Time{};
+        node.position = StorePosition{};
+        node.era = StoreEra{};
         node.has_state = false;
         node.running = true;
         node.random = Random(seed);
@@ -123,6 +131,19 @@
         }
     }
 
+    /// The store returns from a copy that lacks the changes since `revision`.
+    void return_from_copy(std::int64_t revision) {
+        m_position_before_return = store_position;
+        store_position = {store_position.era + 1, revision};
+    }
+
+    /// True if the data of each running node that has the property is as new as the store's.
+    bool all_up_to_date(const std::function<bool(const ModelNode&)>& has_property) const {
+        return count([&](const ModelNode& node) {
+                   return node.running && has_property(node) && node.position != store_position;
+               }) == 0;
+    }
+
     std::size_t count(const std::function<bool(const ModelNode&)>& has_property) const {
         return static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), has_property));
     }
@@ -181,6 +202,9 @@
     /// By how much a node has at most taken its data for newer than it was.
     Duration max_understatement{};
     bool store_is_up = true;
+    StorePosition store_position{1, 1};
+    /// Share of the calls that are answered from before the store's latest return.
+    double earlier_era_share = 0.0;
     /// Share of the calls whose answer is lost.
     double lost_share = 0.0;
     std::vector<ModelNode> nodes;
@@ -223,8 +247,9 @@
     ModelMessage message_of(const ModelNode& sender) const {
         const StatedAge stated = {now - sender.source.last_contact,
                                   now.time_since_epoch() + sender.clock_skew};
-        return {now + message_delay, stated, sender.true_contact, sender.has_state,
-                data_origin(sender.source, inputs_of(sender, true))};
+        return {now + message_delay, stated,
+                sender.true_contact, sender.position,
+                sender.has_state,    data_origin(sender.source, inputs_of(sender, true))};
     }
 
     void send_heartbeat(std::optional<ModelLink>& stream) {
@@ -238,7 +263,20 @@
         }
     }
 
+    /// Takes data that an answer of the store or a message has. False if it is out of date.
+    bool take_data(ModelNode& node, const StorePosition& position, bool is_current_read) {
+        if (on_stated_era(node.era, position.era, is_current_read, now) == EraChange::earlier) {
+            return false;
+        }
+        node.position = std::max(node.position, position);
+        return true;
+    }
+
     void process(const ModelMessage& message, ModelLink& stream, ModelNode& receiver) {
+        if (message.has_state && !take_data(receiver, message.position, false)) {
+            stream.link.ended = true;
+            return;
+        }
         on_stated_age(stream.link, message.stated, now);
         stream.link.origin = message.origin;
         receiver.true_contact = std::max(receiver.true_contact, message.true_contact);
@@ -271,7 +309,12 @@
 
     void advance(ModelNode& node) {
         const bool is_lost = lost_share > 0.0 && uniform(node.random) < lost_share;
-        const bool reaches_store = store_is_up && !node.cut_from_store && !is_lost;
+        const bool is_earlier = earlier_era_share > 0.0 && uniform(node.random) < earlier_era_share;
+        bool reaches_store = store_is_up && !node.cut_from_store && !is_lost;
+        if (node.source.reading && reaches_store) {
+            reaches_store =
+                take_data(node, is_earlier ? m_position_before_return : store_position, true);
+        }
         if (node.source.reading && reaches_store) {
             node.own_contact = now;
             node.true_contact = now;
@@ -316,6 +359,7 @@
         }
     }
 
+    StorePosition m_position_before_return;
     std::vector<Member> m_members;
     std::vector<std::string> m_initial_peers;
     StoreReadTiming m_timing = store_read_timing(CONFIG_APPLY, STABLE_WINDOW);
