--- a/test/failure/test_store_lag.cpp
+++ b/test/failure/test_store_lag.cpp
@@ -221,6 +221,35 @@
     }
 }
 
+// Guards against lag and a return of the store from an older copy at the same time: recent reads
+// are of the era before, whose revisions are higher, and never show what was written since.
+TEST_CASE("changes after a return are noticed though recent data is still of the era before") {
+    LoneNode node;
+    const auto lose_changes = [&node] {
+        node.store.take_copy();
+        for (int i = 0; i < 30; ++i) {
+            node.store.put(platform::names::TARGETS_KIND, "lost", {{"number", i}});
+            node.store.put(platform::names::EVACUATIONS_KIND, "lost", {{"number", i}});
+        }
+    };
+    const auto go_back = [&node] {
+        standin::PlatformFaults faults;
+        faults.stale_until = monotonic_now();
+        faults.stale_reads_are_of_earlier_era = true;
+        node.store.set_faults(faults);
+        node.store.return_from_copy();
+        write_changes(node.store);
+    };
+    CHECK(node.run_steps({{[&node] { return node.is_complete(); }, lose_changes},
+                          {[&node] {
+                               return node.has(platform::Kind::targets, "lost") &&
+                                      node.has(platform::Kind::evacuations, "lost");
+                           },
+                           go_back},
+                          {[&node] { return has_changes(node); }, nullptr}}));
+    CHECK(has_changes(node));
+}
+
 // Guards against calls on quiet days: a store that has not moved on leaves nothing to prove.
 TEST_CASE("while the store does not change, no read is made to prove it") {
     LoneNode node;
