Store source: a node that is no reader gives up reads of the store that do not succeed

Cause: on a slow machine the first list of nodes names few of them, so all take themselves for readers of their data centre and read the whole store. It answers nobody in time. Later lists say who the readers are, but a node stops reading only for a reader with recent data, which none has while all read. Class: an overload that keeps itself up, as the way out of it needs what it prevents.

Change: a node that is no reader and whose reads have had no complete answer for as long as a watch may take, or for stale_age if its last call failed, stops them and probes again after a random pause. Log line gives_up_reading.

Why it works: what remains are the calls of two readers a data centre, which the store bears. Their data is recent again, and all others follow them.

--- a/src/front/store_feed.cpp
+++ b/src/front/store_feed.cpp
@@ -521,6 +521,9 @@
             .add_ms("age_ms", age(now))
             .write();
         start_watching();
+    } else if (std::holds_alternative<GiveUpReading>(action)) {
+        LogEvent(LogLevel::warning, "store", "gives_up_reading").add_ms("age_ms", age(now)).write();
+        stop_watching();
     } else {
         LogEvent(LogLevel::info, "store", "follows_again")
             .add("reader", m_upstream->link.reader.node)
--- a/src/policy/store_source.cpp
+++ b/src/policy/store_source.cpp
@@ -163,15 +163,15 @@
     }
 }
 
-/// True if this node is a reader and cannot reach the store.
-bool is_reader_cut_off_itself(const StoreSource& source, const SourceInputs& inputs) {
+/// True if this node reads the store and has had no complete answer for too long.
+bool reads_in_vain(const StoreSource& source, const SourceInputs& inputs) {
     // A quiet watch shows no contact for the whole of its wait, and a change is followed by a
     // pause.
     const Duration limit =
         inputs.own_reads_fail
             ? inputs.timing.stale_age
             : inputs.timing.watch_wait + inputs.timing.change_pause + STORE_CALL_TIMEOUT;
-    return source.is_reader &&
+    return source.reading &&
            inputs.now - std::max(source.last_contact, source.reading_since) > limit;
 }
 
@@ -327,9 +327,16 @@
         actions.emplace_back(StopReading{});
         return actions;
     }
+    if (!source.is_reader && source.members_known && reads_in_vain(source, inputs)) {
+        source.reading = false;
+        // Its reads count as a failed probe, so that the next one is made after a random pause.
+        source.failed_probes = 1;
+        actions.emplace_back(GiveUpReading{});
+        return actions;
+    }
     // A node that has taken over reading looks for a reader to give it back to.
     const bool has_recent_updates =
-        source.is_reader ? !is_reader_cut_off_itself(source, inputs) : upstream_is_recent;
+        source.is_reader ? !reads_in_vain(source, inputs) : upstream_is_recent;
     const bool may_follow = source.members_known || inputs.now >= source.waits_until;
     if (has_recent_updates) {
         source.offer.reset();
--- a/src/policy/store_source.h
+++ b/src/policy/store_source.h
@@ -16,6 +16,11 @@
 // common order reads. Otherwise it could give it to a reader that is recent because it follows this
 // very node, and nobody would read.
 //
+// A node that is no reader and whose own reads do not succeed gives them up and probes again. Nodes
+// that took themselves for readers, as they have read an early list of nodes, or that have all
+// begun to read at the same time, would otherwise overload the store for as long as it answers
+// nobody.
+//
 // A reader that cannot reach the store is still connected to its followers. A follower that can,
 // and has begun to read, offers its data to that reader, which then follows it; all others stay
 // where they are and are recent again, whichever node it was.
@@ -143,8 +148,10 @@
 };
 /// Follows the reader again, whose updates are recent.
 struct StopReading {};
+/// Leaves the store to the readers, as it does not answer this node in time.
+struct GiveUpReading {};
 using SourceAction = std::variant<OpenCandidate, DropCandidate, DropUpstream, FollowCandidate,
-                                  ProbeStore, StartReading, OfferData, StopReading>;
+                                  ProbeStore, StartReading, OfferData, StopReading, GiveUpReading>;
 
 /// The node that reads the store and from which this node's data comes; empty if it has none.
 std::string data_origin(const StoreSource& source, const SourceInputs& inputs);
--- a/test/correctness/test_store_source.cpp
+++ b/test/correctness/test_store_source.cpp
@@ -30,6 +30,24 @@
     }
 }
 
+// Guards against an overload that keeps itself up: nodes that have read an early list of nodes take
+// themselves for readers, and go on reading though the store answers nobody in time.
+TEST_CASE("nodes whose reads of the store overload it leave it to the readers") {
+    for (const FleetSize& size : SIZES) {
+        INFO("nodes per data centre: " << size.nodes_per_data_centre);
+        ModelFleet fleet(size.data_centres, size.nodes_per_data_centre);
+        fleet.store_capacity = 2 * steady_readers(size);
+        for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+            fleet.restart_with_early_list(fleet.nodes[i], i);
+        }
+        fleet.run_for(from_ms(2000));
+        fleet.complete_lists();
+        fleet.run_for(2 * STABLE_WINDOW);
+        CHECK(fleet.reading() == steady_readers(size));
+        CHECK(fleet.all_newer_than(from_ms(300)));
+    }
+}
+
 TEST_CASE("calls to a store that is down grow with data centres, not with nodes") {
     for (const FleetSize& size : SIZES) {
         INFO("nodes per data centre: " << size.nodes_per_data_centre);
--- a/test/support/store_source_model.h
+++ b/test/support/store_source_model.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -105,6 +106,20 @@
         set_members(node.source, node.self, m_members, now);
     }
 
+    /// Starts a node, without any state, which has read a list of nodes that names itself only.
+    void restart_with_early_list(ModelNode& node, std::size_t seed) {
+        restart(node, seed);
+        node.source = StoreSource{};
+        set_members(node.source, node.self, {node.self}, now);
+    }
+
+    /// All nodes have read a list that names them all.
+    void complete_lists() {
+        for (ModelNode& node : nodes) {
+            set_members(node.source, node.self, m_members, now);
+        }
+    }
+
     /// Starts a node, without any state, which knows a few addresses only.
     void restart_without_members(ModelNode& node, std::size_t seed) {
         restart(node, seed);
@@ -116,6 +131,7 @@
 
     void run_for(Duration duration) {
         for (const Time end = now + duration; now < end; now += TICK) {
+            m_is_overloaded = reading() > store_capacity;
             for (ModelNode& node : nodes) {
                 if (message_delay > Duration::zero()) {
                     send_heartbeat(node.upstream);
@@ -205,6 +221,8 @@
     StorePosition store_position{1, 1};
     /// Share of the calls that are answered from before the store's latest return.
     double earlier_era_share = 0.0;
+    /// While more nodes than that read the store, it answers none of them in time.
+    std::size_t store_capacity = std::numeric_limits<std::size_t>::max();
     /// Share of the calls whose answer is lost.
     double lost_share = 0.0;
     std::vector<ModelNode> nodes;
@@ -310,7 +328,7 @@
     void advance(ModelNode& node) {
         const bool is_lost = lost_share > 0.0 && uniform(node.random) < lost_share;
         const bool is_earlier = earlier_era_share > 0.0 && uniform(node.random) < earlier_era_share;
-        bool reaches_store = store_is_up && !node.cut_from_store && !is_lost;
+        bool reaches_store = store_is_up && !m_is_overloaded && !node.cut_from_store && !is_lost;
         if (node.source.reading && reaches_store) {
             reaches_store =
                 take_data(node, is_earlier ? m_position_before_return : store_position, true);
@@ -360,6 +378,7 @@
     }
 
     StorePosition m_position_before_return;
+    bool m_is_overloaded = false;
     std::vector<Member> m_members;
     std::vector<std::string> m_initial_peers;
     StoreReadTiming m_timing = store_read_timing(CONFIG_APPLY, STABLE_WINDOW);
