--- a/test/correctness/test_store_source_returns.cpp
+++ b/test/correctness/test_store_source_returns.cpp
@@ -75,7 +75,7 @@
             }
             fleet.message_delay = from_ms(300);
             fleet.earlier_era_share = 0.3;
-            for (int second = 0; second < 6; ++second) {
+            for (std::size_t second = 0; second < 6; ++second) {
                 if (second % 2 == 0 && second < 4) {
                     fleet.return_from_copy(fleet.store_position.revision - REVISION_OF_COPY);
                 }
