--- a/test/failure/test_store_return.cpp
+++ b/test/failure/test_store_return.cpp
@@ -104,6 +104,17 @@
     std::map<std::pair<std::size_t, std::string>, int> m_statuses;
 };
 
+/// Requests that arrived at the target after the store's return and before its writers must have
+/// written again.
+std::ptrdiff_t count_before_rewriting(const FrontFleet& fleet, const std::string& target,
+                                      Time returned) {
+    return std::count_if(fleet.arrivals().begin(), fleet.arrivals().end(),
+                         [&](const FleetArrival& arrival) {
+                             return arrival.target == target && arrival.at >= returned &&
+                                    arrival.at < returned + REWRITE_TIME;
+                         });
+}
+
 }  // namespace
 
 // Guards against deciding by revisions alone what is newer: changes of all kinds after such a
@@ -227,11 +238,7 @@
         return_from_copy(fleet.store());
     };
     const auto count_since_return = [&](const std::string& target) {
-        return std::count_if(fleet.arrivals().begin(), fleet.arrivals().end(),
-                             [&](const FleetArrival& arrival) {
-                                 return arrival.target == target && arrival.at >= returned &&
-                                        arrival.at < returned + REWRITE_TIME;
-                             });
+        return count_before_rewriting(fleet, target, returned);
     };
     const auto has_enough_requests = [&] {
         return monotonic_now() >= returned + REWRITE_TIME ||
@@ -292,11 +299,7 @@
         fleet.start_node(ADDED_NODE);
     };
     const auto count_since_return = [&](const std::string& target) {
-        return std::count_if(fleet.arrivals().begin(), fleet.arrivals().end(),
-                             [&](const FleetArrival& arrival) {
-                                 return arrival.target == target && arrival.at >= returned &&
-                                        arrival.at < returned + REWRITE_TIME;
-                             });
+        return count_before_rewriting(fleet, target, returned);
     };
     const auto has_enough_requests = [&] {
         const bool is_over = monotonic_now() >= returned + REWRITE_TIME;
